--- /dev/null
+++ b/Libraries/LibBase/FieldReader.cpp
@@ -0,0 +1,212 @@
+#include "LibBase/FieldReader.h"
+
+#include <algorithm>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+namespace fennelline {
+
+using nlohmann::json;
+
+Result<std::shared_ptr<const json>> ParseJson(const std::string& aText) {
+  try {
+    return std::shared_ptr<const json>(std::make_shared<json>(json::parse(aText)));
+  } catch (const json::parse_error& error) {
+    return MakeError(ErrorCode::InvalidJson,
+                     "not valid JSON at byte " + std::to_string(error.byte));
+  }
+}
+
+Result<std::shared_ptr<const json>> ReadJsonFile(const std::string& aPath) {
+  std::ifstream file(aPath);
+  if (!file) {
+    return MakeError(ErrorCode::NotFound, "cannot read " + aPath);
+  }
+  std::ostringstream text;
+  text << file.rdbuf();
+  return ParseJson(text.str());
+}
+
+FieldReader::FieldReader(const json& aObject, std::string aPath)
+  : m_object(aObject)
+  , m_path(std::move(aPath)) {
+  if (!m_object.is_object()) {
+    m_error = MakeError(ErrorCode::InvalidField,
+                        (m_path.empty() ? "the document" : m_path) + ": must be an object");
+  }
+}
+
+std::string FieldReader::PathOf(const std::string& aName) const {
+  return m_path.empty() ? aName : m_path + "." + aName;
+}
+
+void FieldReader::FailWith(ErrorCode aCode, const std::string& aName, const std::string& aReason) {
+  if (!m_error) {
+    m_error = MakeError(aCode, PathOf(aName) + ": " + aReason);
+  }
+}
+
+void FieldReader::Fail(const std::string& aName, const std::string& aReason) {
+  FailWith(ErrorCode::InvalidField, aName, aReason);
+}
+
+bool FieldReader::Has(const std::string& aName) const {
+  return m_object.is_object() && m_object.contains(aName);
+}
+
+const json* FieldReader::Find(const std::string& aName) {
+  m_asked.push_back(aName);
+  return Has(aName) ? &m_object.at(aName) : nullptr;
+}
+
+const json* FieldReader::Require(const std::string& aName) {
+  const json* value = Find(aName);
+  if (value == nullptr) {
+    FailWith(ErrorCode::MissingField, aName, "is required");
+  }
+  return value;
+}
+
+std::string FieldReader::String(const std::string& aName) {
+  const json* value = Require(aName);
+  if (value == nullptr) {
+    return {};
+  }
+  if (!value->is_string()) {
+    Fail(aName, "must be a string");
+    return {};
+  }
+  return value->get<std::string>();
+}
+
+std::string FieldReader::String(const std::string& aName, std::string aDefault) {
+  return Has(aName) ? String(aName) : (Find(aName), std::move(aDefault));
+}
+
+std::int64_t FieldReader::Integer(const std::string& aName, Range<std::int64_t> aRange) {
+  const json* value = Require(aName);
+  if (value == nullptr) {
+    return aRange.m_least;
+  }
+  if (!value->is_number_integer() || value->get<std::int64_t>() < aRange.m_least ||
+      value->get<std::int64_t>() > aRange.m_most) {
+    Fail(aName, "must be a whole number from " + std::to_string(aRange.m_least) + " to " +
+                  std::to_string(aRange.m_most));
+    return aRange.m_least;
+  }
+  return value->get<std::int64_t>();
+}
+
+std::int64_t FieldReader::Integer(const std::string& aName, Range<std::int64_t> aRange,
+                                  std::int64_t aDefault) {
+  return Has(aName) ? Integer(aName, aRange) : (Find(aName), aDefault);
+}
+
+double FieldReader::Number(const std::string& aName, Range<double> aRange) {
+  const json* value = Require(aName);
+  if (value == nullptr) {
+    return aRange.m_least;
+  }
+  if (!value->is_number() || value->get<double>() < aRange.m_least ||
+      value->get<double>() > aRange.m_most) {
+    std::ostringstream reason;
+    reason << "must be a number from " << aRange.m_least << " to " << aRange.m_most;
+    Fail(aName, reason.str());
+    return aRange.m_least;
+  }
+  return value->get<double>();
+}
+
+double FieldReader::Number(const std::string& aName, Range<double> aRange, double aDefault) {
+  return Has(aName) ? Number(aName, aRange) : (Find(aName), aDefault);
+}
+
+bool FieldReader::Boolean(const std::string& aName, bool aDefault) {
+  const json* value = Find(aName);
+  if (value == nullptr) {
+    return aDefault;
+  }
+  if (!value->is_boolean()) {
+    Fail(aName, "must be true or false");
+    return aDefault;
+  }
+  return value->get<bool>();
+}
+
+Duration FieldReader::DurationMs(const std::string& aName, Range<std::int64_t> aRangeMs) {
+  return Milliseconds(Integer(aName, aRangeMs));
+}
+
+Duration FieldReader::DurationMs(const std::string& aName, Range<std::int64_t> aRangeMs,
+                                 Duration aDefault) {
+  return Milliseconds(Integer(aName, aRangeMs, InMilliseconds(aDefault)));
+}
+
+std::vector<std::string> FieldReader::Strings(const std::string& aName) {
+  const json* value = Find(aName);
+  if (value == nullptr) {
+    return {};
+  }
+  const bool valid =
+    value->is_array() &&
+    std::all_of(value->begin(), value->end(), [](const json& aItem) { return aItem.is_string(); });
+  if (!valid) {
+    Fail(aName, "must be an array of strings");
+    return {};
+  }
+  return value->get<std::vector<std::string>>();
+}
+
+void FieldReader::Objects(const std::string& aName,
+                          const std::function<void(FieldReader&)>& aRead) {
+  const json* value = Find(aName);
+  if (value == nullptr) {
+    return;
+  }
+  if (!value->is_array()) {
+    Fail(aName, "must be an array of objects");
+    return;
+  }
+  for (std::size_t index = 0; index < value->size(); ++index) {
+    FieldReader reader(value->at(index), PathOf(aName) + "[" + std::to_string(index) + "]");
+    aRead(reader);
+    Result<void> outcome = reader.Finish();
+    if (outcome.IsError() && !m_error) {
+      m_error = outcome.TakeError();
+    }
+  }
+}
+
+void FieldReader::Object(const std::string& aName, const std::function<void(FieldReader&)>& aRead) {
+  const json* value = Find(aName);
+  if (value == nullptr) {
+    return;
+  }
+  FieldReader reader(*value, PathOf(aName));
+  aRead(reader);
+  Result<void> outcome = reader.Finish();
+  if (outcome.IsError() && !m_error) {
+    m_error = outcome.TakeError();
+  }
+}
+
+Result<void> FieldReader::Finish() {
+  if (m_error) {
+    return *m_error;
+  }
+  for (const auto& field : m_object.items()) {
+    if (std::find(m_asked.begin(), m_asked.end(), field.key()) != m_asked.end()) {
+      continue;
+    }
+    std::string allowed;
+    for (const std::string& name : m_asked) {
+      allowed += (allowed.empty() ? "" : ", ") + name;
+    }
+    return MakeError(ErrorCode::UnknownField,
+                     PathOf(field.key()) + ": unknown field; allowed are: " + allowed);
+  }
+  return {};
+}
+
+} // namespace fennelline
--- /dev/null
+++ b/Libraries/LibBase/Signals.cpp
@@ -0,0 +1,34 @@
+#include "LibBase/Signals.h"
+
+#include <csignal>
+#include <pthread.h>
+
+namespace fennelline {
+
+namespace {
+
+sigset_t StopSignals() {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  return signals;
+}
+
+} // namespace
+
+void BlockStopSignals() {
+  const sigset_t signals = StopSignals();
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  // A peer that closes its connection must not end the process.
+  std::signal(SIGPIPE, SIG_IGN); // NOLINT(bugprone-unused-return-value)
+}
+
+void WaitForStopSignal() {
+  const sigset_t signals = StopSignals();
+  int received = 0;
+  while (sigwait(&signals, &received) != 0) {
+  }
+}
+
+} // namespace fennelline
--- /dev/null
+++ b/Meta/install-packages.sh
@@ -0,0 +1,13 @@
+#!/usr/bin/env bash
+# Installs the Debian packages the build and the tests need. Does nothing where all are installed.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+mapfile -t packages < Meta/packages.txt
+missing=()
+for package in "${packages[@]}"; do
+  dpkg-query -W -f='${Status}' "$package" 2>/dev/null | grep -q 'install ok installed' || missing+=("$package")
+done
+[ "${#missing[@]}" -eq 0 ] && exit 0
+echo "Installing: ${missing[*]}"
+apt-get update -qq
+DEBIAN_FRONTEND=noninteractive apt-get install -y -qq --no-install-recommends "${missing[@]}" >/dev/null
--- /dev/null
+++ b/Tests/LibBase/TestFieldReader.cpp
@@ -0,0 +1,33 @@
+#include "LibBase/FieldReader.h"
+
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+
+using namespace fennelline;
+
+TEST_CASE("an unknown field is refused with its path and the allowed names") {
+  const nlohmann::json document = {{"outer", {{"name", "x"}, {"nmae", "y"}}}};
+  FieldReader reader(document, "");
+  reader.Object("outer", [](FieldReader& aInner) { aInner.String("name"); });
+  const Result<void> outcome = reader.Finish();
+  REQUIRE(outcome.IsError());
+  CHECK(outcome.GetError().m_code == ErrorCode::UnknownField);
+  CHECK(outcome.GetError().m_detail == "outer.nmae: unknown field; allowed are: name");
+}
+
+TEST_CASE("a number outside its range is refused with the range") {
+  const nlohmann::json document = {{"count", 11}};
+  FieldReader reader(document, "");
+  reader.Integer("count", {0, 10});
+  const Result<void> outcome = reader.Finish();
+  REQUIRE(outcome.IsError());
+  CHECK(outcome.GetError().m_detail == "count: must be a whole number from 0 to 10");
+}
+
+TEST_CASE("a missing optional field takes its default and a missing required one is refused") {
+  const nlohmann::json document = nlohmann::json::object();
+  FieldReader reader(document, "");
+  CHECK(reader.Integer("retries", {0, 10}, 3) == 3);
+  CHECK(reader.String("name").empty());
+  CHECK(reader.Finish().GetError().m_code == ErrorCode::MissingField);
+}
