Settle the shared types: configuration, messages, platform calls, events, effects

Cause: several parts are built at once and must meet at fixed seams. Weighed: one variant of messages with a visitor per aggregate (chosen; the codec needs no generated code) against a schema compiler (needs a generator in the build). Measured: nothing runs yet.

--- /dev/null
+++ b/Libraries/LibCoordination/Effect.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "LibCoordination/Identity.h"
+#include "LibCoordination/Message.h"
+#include "LibCoordination/PlatformCall.h"
+#include "LibCoordination/TimelineRecord.h"
+
+#include <variant>
+#include <vector>
+
+namespace fennelline {
+
+/// Sends a message to a peer over its stream. It may be lost, delayed or reordered; no report
+/// comes.
+struct SendMessage {
+  EntryId m_to;
+  Message m_message;
+};
+
+/// Sends a datagram to an address, "IP:PORT". It may be lost, delayed, doubled or reordered.
+struct SendDatagram {
+  std::string m_address;
+  MembershipDatagram m_datagram;
+};
+
+/// Makes a call to the platform's key-value service. The reply comes as a PlatformReply, or never.
+struct CallPlatform {
+  CallId m_call;
+  PlatformRequest m_request;
+};
+
+/// Adds a record to the process's time line.
+struct RecordTimeline {
+  TimelineRecord m_record;
+};
+
+using Effect = std::variant<SendMessage, SendDatagram, CallPlatform, RecordTimeline>;
+using Effects = std::vector<Effect>;
+
+} // namespace fennelline
--- /dev/null
+++ b/Libraries/LibCoordination/MembershipMessages.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "LibCoordination/Identity.h"
+#include "LibCoordination/PlatformCall.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace fennelline {
+
+enum class MemberState : std::uint8_t { Alive, Suspect, Leaving, Dead };
+
+/// What is told about one member. A higher m_version of the same member wins; at equal versions
+/// the later state in the enumeration's order wins.
+struct MemberDigest {
+  EntryId m_entry;
+  std::uint64_t m_version = 0;
+  MemberState m_state = MemberState::Alive;
+  DataCentre m_dataCentre;
+  /// "IP:PORT" for datagrams, for streams between entries, for callers, and for operators.
+  std::string m_datagramAddress;
+  std::string m_streamAddress;
+  std::string m_callerAddress;
+  std::string m_adminAddress;
+
+  friend bool operator==(const MemberDigest&, const MemberDigest&) = default;
+
+  template<typename Visitor>
+  void VisitFields(Visitor& aVisitor) {
+    aVisitor(m_entry, m_version, m_state, m_dataCentre, m_datagramAddress, m_streamAddress,
+             m_callerAddress, m_adminAddress);
+  }
+};
+
+/// A backend server known to be leaving.
+struct LeavingDigest {
+  BackendServerId m_backendServer;
+  /// Milliseconds since it was first learned, so that the news ends.
+  std::int64_t m_ageMilliseconds = 0;
+
+  template<typename Visitor>
+  void VisitFields(Visitor& aVisitor) {
+    aVisitor(m_backendServer, m_ageMilliseconds);
+  }
+};
+
+enum class DatagramKind : std::uint8_t { Ping, Ack, IndirectPing, IndirectAck, Join };
+
+/// The one datagram shape between entries: a probe or its answer, with news carried along.
+struct MembershipDatagram {
+  DatagramKind m_kind = DatagramKind::Ping;
+  std::uint64_t m_number = 0;
+  EntryId m_from;
+  std::string m_fromAddress;
+  /// The member that is probed indirectly.
+  EntryId m_target;
+  std::string m_targetAddress;
+  std::vector<MemberDigest> m_members;
+  std::vector<LeavingDigest> m_leaving;
+  Revision m_configurationRevision = 0;
+
+  template<typename Visitor>
+  void VisitFields(Visitor& aVisitor) {
+    aVisitor(m_kind, m_number, m_from, m_fromAddress, m_target, m_targetAddress, m_members,
+             m_leaving, m_configurationRevision);
+  }
+};
+
+} // namespace fennelline
--- /dev/null
+++ b/Libraries/LibCoordination/ObservationMessages.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include "LibCoordination/Identity.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace fennelline {
+
+/// A request, named by the hash of its content, was running when a backend server crashed.
+struct CrashReport {
+  std::string m_fingerprint;
+  BackendServerId m_backendServer;
+  std::int64_t m_ageMilliseconds = 0;
+
+  template<typename Visitor>
+  void VisitFields(Visitor& aVisitor) {
+    aVisitor(m_fingerprint, m_backendServer, m_ageMilliseconds);
+  }
+};
+
+/// Crash reports for every entry.
+struct CrashReports {
+  std::vector<CrashReport> m_reports;
+
+  template<typename Visitor>
+  void VisitFields(Visitor& aVisitor) {
+    aVisitor(m_reports);
+  }
+};
+
+/// What an entry has seen of one version, in counts that only grow. Pooled by the roll-out holder.
+struct VersionEvidence {
+  std::string m_version;
+  std::string m_kind;
+  std::int64_t m_requests = 0;
+  std::int64_t m_errors = 0;
+  std::int64_t m_crashes = 0;
+  std::int64_t m_late = 0;
+  std::int64_t m_rated = 0;
+  std::int64_t m_ratedBad = 0;
+  /// Sessions, counted once each, and those of them with at least one bad rating or error.
+  std::int64_t m_sessions = 0;
+  std::int64_t m_badSessions = 0;
+  std::int64_t m_costMicros = 0;
+  std::int64_t m_milliseconds = 0;
+
+  friend bool operator==(const VersionEvidence&, const VersionEvidence&) = default;
+
+  template<typename Visitor>
+  void VisitFields(Visitor& aVisitor) {
+    aVisitor(m_version, m_kind, m_requests, m_errors, m_crashes, m_late, m_rated, m_ratedBad,
+             m_sessions, m_badSessions, m_costMicros, m_milliseconds);
+  }
+};
+
+/// One backend server's own report of its load, as the entry that polled it passes it on.
+struct LoadReport {
+  BackendServerId m_backendServer;
+  std::int64_t m_ageMilliseconds = 0;
+  std::int64_t m_runningRequests = 0;
+  std::int64_t m_queuedRequests = 0;
+  std::int64_t m_queuedTokens = 0;
+  double m_tokensPerSecond = 0.0;
+  /// Loaded versions, such as "tagger@3".
+  std::vector<std::string> m_versions;
+
+  template<typename Visitor>
+  void VisitFields(Visitor& aVisitor) {
+    aVisitor(m_backendServer, m_ageMilliseconds, m_runningRequests, m_queuedRequests,
+             m_queuedTokens, m_tokensPerSecond, m_versions);
+  }
+};
+
+struct LoadReports {
+  std::vector<LoadReport> m_reports;
+
+  template<typename Visitor>
+  void VisitFields(Visitor& aVisitor) {
+    aVisitor(m_reports);
+  }
+};
+
+/// Keeps a quiet connection known to be alive, both ways.
+struct Heartbeat {
+  std::uint64_t m_number = 0;
+  bool m_reply = false;
+
+  template<typename Visitor>
+  void VisitFields(Visitor& aVisitor) {
+    aVisitor(m_number, m_reply);
+  }
+};
+
+} // namespace fennelline
