--- a/Services/Entry/EntryEffect.h
+++ b/Services/Entry/EntryEffect.h
@@ -43,7 +43,8 @@
   std::string m_version;
   int m_priority = 0;
   bool m_stream = false;
-  /// Resume the stream of m_attempt after this event; zero starts it.
+  /// Resume the stream of m_attempt after this event, instead of starting it.
+  bool m_resume = false;
   std::uint64_t m_resumeAfter = 0;
   /// The call ends with BackendFailed (Broken) when it takes longer.
   Duration m_timeout{0};
--- /dev/null
+++ b/Services/Entry/EntryParts.cpp
@@ -0,0 +1,48 @@
+#include "Services/Entry/EntryParts.h"
+
+namespace fennelline {
+
+namespace {
+
+/// Extra attempts (retries and hedges) as a share of the requests, and how many may be saved up.
+constexpr double kExtraAttemptShare = 0.1;
+constexpr double kExtraAttemptBurst = 10.0;
+
+/// The share of sessions whose answers are rated while no roll-out is under way.
+constexpr double kRatedShare = 0.1;
+
+std::map<DataCentre, Duration> DistancesOf(const EntrySettings& aSettings) {
+  return {aSettings.m_distances.begin(), aSettings.m_distances.end()};
+}
+
+MemberDigest SelfDigest(const EntryStart& aStart) {
+  MemberDigest digest = aStart.m_addresses;
+  digest.m_entry = aStart.m_self;
+  digest.m_dataCentre = aStart.m_settings.m_dataCentre;
+  return digest;
+}
+
+ClaimSettings ClaimSettingsOf(const EntrySettings& aSettings) {
+  ClaimSettings settings;
+  settings.m_retryWindow = aSettings.m_retryWindow;
+  return settings;
+}
+
+} // namespace
+
+EntryParts::EntryParts(const EntryStart& aStart)
+  : m_settings(aStart.m_settings)
+  , m_self(aStart.m_self)
+  , m_random(aStart.m_seed)
+  , m_membership(MembershipSettings{}, SelfDigest(aStart), m_random.Next())
+  , m_configuration(ConfigurationSettings{}, m_self, m_settings.m_dataCentre, m_random.Next())
+  , m_claims(ClaimSettingsOf(m_settings), m_self, m_settings.m_dataCentre, m_random.Next())
+  , m_usage(UsageSettings{}, m_self, m_settings.m_dataCentre, m_random.Next())
+  , m_spend(SpendSettings{}, m_self, m_random.Next())
+  , m_sessionTokens(m_settings.m_sessionKeys)
+  , m_crashes(CrashMemorySettings{}, m_random.Next())
+  , m_evidence(kRatedShare)
+  , m_backends(m_settings.m_dataCentre, DistancesOf(m_settings))
+  , m_retryBudget(kExtraAttemptShare, kExtraAttemptBurst) {}
+
+} // namespace fennelline
--- /dev/null
+++ b/Services/Entry/EntryParts.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "LibBase/Random.h"
+#include "LibContract/EntrySettings.h"
+#include "LibCoordination/Claims/ClaimTable.h"
+#include "LibCoordination/Configuration/ConfigurationSpread.h"
+#include "LibCoordination/Membership/Membership.h"
+#include "LibCoordination/Observation/CrashMemory.h"
+#include "LibCoordination/Observation/EvidenceCounter.h"
+#include "LibCoordination/Session/SessionPins.h"
+#include "LibCoordination/Session/SessionTokens.h"
+#include "LibCoordination/Spend/SpendSlices.h"
+#include "LibCoordination/Usage/UsageLedger.h"
+#include "LibDecision/Admission.h"
+#include "LibDecision/Estimates.h"
+#include "LibDecision/PrefixIndex.h"
+#include "LibDecision/RetryBudget.h"
+#include "Services/Entry/Backends/BackendDirectory.h"
+
+#include <cstdint>
+#include <memory>
+
+namespace fennelline {
+
+/// What an entry is told when it starts.
+struct EntryStart {
+  EntrySettings m_settings;
+  /// "NAME#INCARNATION", unique for each run of a process.
+  EntryId m_self;
+  /// The addresses under which the shell has bound its sockets, as they are told to peers.
+  MemberDigest m_addresses;
+  std::uint64_t m_seed = 0;
+};
+
+/// The embedded parts of one entry, with all its state but that of the open requests.
+struct EntryParts {
+  explicit EntryParts(const EntryStart& aStart);
+
+  EntrySettings m_settings;
+  EntryId m_self;
+  Random m_random;
+  Membership m_membership;
+  ConfigurationSpread m_configuration;
+  ClaimTable m_claims;
+  UsageLedger m_usage;
+  SpendSlices m_spend;
+  SessionTokens m_sessionTokens;
+  CrashMemory m_crashes;
+  EvidenceCounter m_evidence;
+  BackendDirectory m_backends;
+  PrefixIndex m_prefixes;
+  EstimateTable m_estimates;
+  AdmissionController m_admission;
+  RetryBudget m_retryBudget;
+  /// Live entries, this one included.
+  std::size_t m_liveEntries = 1;
+  /// How long the rating service takes, as lately seen.
+  Duration m_judgeTime = Milliseconds(150);
+  /// Set once the process was asked to stop; new work is refused from m_refuseFrom on.
+  bool m_stopping = false;
+  Time m_refuseFrom = kNever;
+};
+
+} // namespace fennelline
--- a/Services/Entry/Event.h
+++ b/Services/Entry/Event.h
@@ -129,6 +129,8 @@
 struct RatingArrived {
   std::uint64_t m_rating = 0;
   bool m_good = false;
+  /// The service gave no verdict.
+  bool m_failed = false;
 };
 
 /// A peer's message.
--- /dev/null
+++ b/Services/Entry/Requests/Problem.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "LibBase/Time.h"
+
+#include <cstdint>
+#include <string>
+
+namespace fennelline {
+
+/// Whether a refused request ran. "No" is a promise; see docs/API.md for why it is true at each code.
+enum class Ran : std::uint8_t { No, Unknown, Yes };
+
+/// Every way in which a request ends without its answer.
+enum class ProblemCode : std::uint8_t {
+  MalformedBody,
+  BodyTooLarge,
+  BadKey,
+  MissingKind,
+  UnknownKind,
+  UnknownOperation,
+  VersionNotAllowed,
+  VersionRevoked,
+  InvalidSession,
+  KeyReused,
+  SpendLimit,
+  OverShare,
+  LessUrgent,
+  CannotFinishInTime,
+  NoBackendServer,
+  ClaimsUnavailable,
+  Starting,
+  CutOff,
+  Leaving,
+  CrashesBackendServers,
+  FateUnknown,
+  BackendFailed,
+  GivenUp,
+  StreamBroken,
+};
+
+/// An application/problem+json answer.
+struct Problem {
+  ProblemCode m_code = ProblemCode::BackendFailed;
+  Ran m_ran = Ran::Unknown;
+  /// One sentence for people.
+  std::string m_detail;
+  /// When to come back; zero where that does not help.
+  Duration m_retryAfter{0};
+};
+
+/// The HTTP status that goes with a code.
+int StatusOf(ProblemCode aCode);
+/// The stable code, such as "spend-limit".
+std::string NameOf(ProblemCode aCode);
+std::string NameOf(Ran aRan);
+
+/// The JSON text of a problem. aRequest is the request's key.
+std::string WriteProblem(const Problem& aProblem, const std::string& aRequest);
+
+/// Whole seconds for a Retry-After header, rounded up.
+std::string RetryAfterSeconds(Duration aRetryAfter);
+
+} // namespace fennelline
--- /dev/null
+++ b/Services/Entry/Requests/RequestPipeline.cpp
@@ -0,0 +1,466 @@
+#include "Services/Entry/Requests/RequestPipeline.h"
+
+#include "LibBase/Sha256.h"
+#include "LibDecision/PrefixHashes.h"
+#include "Services/Entry/Emit.h"
+#include "Services/Entry/Requests/AllowedVersions.h"
+#include "Services/Entry/Requests/ClaimTickets.h"
+
+#include <algorithm>
+
+namespace fennelline {
+
+namespace {
+
+constexpr Duration kRetryAfterStart = Seconds(1);
+constexpr Duration kRetryAfterCutOff = Seconds(3);
+constexpr Duration kRetryAfterNoServer = Seconds(1);
+constexpr Duration kRetryAfterSpend = Seconds(60);
+constexpr std::int64_t kCharactersPerToken = 4;
+constexpr double kExploreShare = 0.02;
+
+Problem Refusal(ProblemCode aCode, std::string aDetail, Duration aRetryAfter) {
+  return Problem{.m_code = aCode,
+                 .m_ran = Ran::No,
+                 .m_detail = std::move(aDetail),
+                 .m_retryAfter = aRetryAfter};
+}
+
+/// Uniform in [0, 1), the same on every entry.
+double DrawOf(const std::string& aText) {
+  constexpr double kTwoTo64 = 0x1.0p64;
+  return static_cast<double>(StableHash(aText)) / kTwoTo64;
+}
+
+std::int64_t TokensOf(const std::string& aText) {
+  return static_cast<std::int64_t>(aText.size()) / kCharactersPerToken + 1;
+}
+
+ProblemCode CodeOf(AdmissionVerdict aVerdict) {
+  switch (aVerdict) {
+    case AdmissionVerdict::OverShare:
+      return ProblemCode::OverShare;
+    case AdmissionVerdict::LessUrgent:
+      return ProblemCode::LessUrgent;
+    default:
+      return ProblemCode::CannotFinishInTime;
+  }
+}
+
+} // namespace
+
+std::optional<Problem> RequestPipeline::RefuseBeforeReading(Time aNow) const {
+  if (aNow >= m_parts.m_refuseFrom) {
+    return Refusal(ProblemCode::Leaving, "this entry is leaving; ask for the list of entries",
+                   kRetryAfterStart);
+  }
+  switch (m_parts.m_configuration.Standing(aNow)) {
+    case ConfigurationStanding::Starting:
+      return Refusal(ProblemCode::Starting, "no configuration is in force here yet",
+                     kRetryAfterStart);
+    case ConfigurationStanding::CutOff:
+      return Refusal(ProblemCode::CutOff, "neither the platform nor any peer can be reached",
+                     kRetryAfterCutOff);
+    case ConfigurationStanding::Current:
+    case ConfigurationStanding::PlatformDownForAll:
+      return std::nullopt;
+  }
+  return std::nullopt;
+}
+
+void RequestPipeline::OnCallerRequest(const CallerRequest& aRequest, Time aNow,
+                                      EntryEffects& aEffects) {
+  m_parts.m_retryBudget.OnRequest();
+  ActiveRequest rejected{.m_request = aRequest, .m_arrival = aNow, .m_deadline = aNow};
+  if (std::optional<Problem> problem = RefuseBeforeReading(aNow)) {
+    Refuse(rejected, *problem, aNow, aEffects);
+    return;
+  }
+  const std::shared_ptr<const Configuration> configuration = m_parts.m_configuration.Current();
+  const Validation validation = ValidateRequest(*configuration, aRequest);
+  if (const Problem* problem = std::get_if<Problem>(&validation)) {
+    Refuse(rejected, *problem, aNow, aEffects);
+    return;
+  }
+  ActiveRequest& active = m_requests[aRequest.m_caller];
+  active = MakeActive(aRequest, std::get<ValidRequest>(validation), aNow);
+  std::optional<Problem> problem = ReadSession(active);
+  if (!problem) {
+    problem = CheckContent(active, aNow);
+  }
+  if (problem) {
+    Refuse(active, *problem, aNow, aEffects);
+    return;
+  }
+  Start(active, aNow, aEffects);
+}
+
+ActiveRequest RequestPipeline::MakeActive(const CallerRequest& aRequest,
+                                          const ValidRequest& aValid, Time aNow) {
+  ActiveRequest active;
+  active.m_request = aRequest;
+  active.m_keyed = !aRequest.m_idempotencyKey.empty();
+  active.m_identity.m_customer = aValid.m_contract->m_customer;
+  active.m_identity.m_key = active.m_keyed
+                              ? aRequest.m_idempotencyKey
+                              : m_parts.m_self + "/" + std::to_string(m_nextKey++);
+  active.m_kind = *aValid.m_kind;
+  active.m_share = aValid.m_contract->m_share;
+  if (aValid.m_operation != nullptr) {
+    active.m_idempotent = aValid.m_operation->m_idempotent;
+    active.m_operationCostMicros = aValid.m_operation->m_costMicros;
+  }
+  const std::string path = aRequest.m_service + "/" + aRequest.m_operation + "\n";
+  active.m_bodyHash = Sha256Hex(path + aRequest.m_kind + "\n" + aRequest.m_body);
+  active.m_fingerprint = Sha256Hex(path + aRequest.m_prompt +
+                                   (aRequest.m_prompt.empty() ? aRequest.m_body : ""));
+  active.m_arrival = aNow;
+  active.m_deadline = aNow + aValid.m_deadline;
+  active.m_prefixHashes = PrefixHashes(aRequest.m_prompt);
+  return active;
+}
+
+std::optional<Problem> RequestPipeline::ReadSession(ActiveRequest& aActive) const {
+  const std::string& text = aActive.m_request.m_session;
+  if (SessionTokens::LooksLikeToken(text)) {
+    Result<SessionToken> token =
+      m_parts.m_sessionTokens.Verify(aActive.m_identity.m_customer, text);
+    if (token.IsError()) {
+      return Refusal(ProblemCode::InvalidSession, token.GetError().m_detail, Duration{0});
+    }
+    aActive.m_sessionName = token.Get().m_name;
+    aActive.m_pinnedVersion = token.Get().m_version;
+  } else {
+    aActive.m_sessionName = text;
+  }
+  const std::string drawn =
+    aActive.m_sessionName.empty() ? aActive.m_identity.m_key : aActive.m_sessionName;
+  aActive.m_rolloutDraw = DrawOf(aActive.m_identity.m_customer + "\n" + drawn);
+  return std::nullopt;
+}
+
+std::optional<Problem> RequestPipeline::CheckContent(const ActiveRequest& aActive,
+                                                     Time aNow) const {
+  if (!m_parts.m_crashes.IsPoison(aActive.m_fingerprint, aNow)) {
+    return std::nullopt;
+  }
+  // The same request may be one that crashed servers under this very key, so "no" is not certain.
+  return Problem{.m_code = ProblemCode::CrashesBackendServers,
+                 .m_ran = Ran::Unknown,
+                 .m_detail = "requests with this content crashed two backend servers"};
+}
+
+void RequestPipeline::Start(ActiveRequest& aActive, Time aNow, EntryEffects& aEffects) {
+  const bool isModel = aActive.m_request.m_target == CallerRequest::Target::Model;
+  const bool planned = isModel ? PlanModelWork(aActive, aNow, aEffects)
+                               : PlanServiceWork(aActive, aNow, aEffects);
+  if (!planned) {
+    return;
+  }
+  if (!Admit(aActive, aNow, aEffects) || !ReserveSpend(aActive, aNow, aEffects)) {
+    return;
+  }
+  const bool needsPin =
+    isModel && !aActive.m_sessionName.empty() && aActive.m_pinnedVersion.empty();
+  if (needsPin) {
+    AskForPin(aActive, aNow, aEffects);
+    return;
+  }
+  ClaimOrSend(aActive, aNow, aEffects);
+}
+
+bool RequestPipeline::PlanModelWork(ActiveRequest& aActive, Time aNow, EntryEffects& aEffects) {
+  const std::shared_ptr<const Configuration> configuration = m_parts.m_configuration.Current();
+  const Contract* contract = FindContract(*configuration, aActive.m_identity.m_customer);
+  if (contract == nullptr) {
+    Refuse(aActive, Refusal(ProblemCode::BadKey, "the contract has ended", Duration{0}), aNow,
+           aEffects);
+    return false;
+  }
+  const VersionWish wish{.m_model = aActive.m_request.m_model,
+                         .m_pinned = aActive.m_pinnedVersion,
+                         .m_rolloutDraw = aActive.m_rolloutDraw};
+  const std::vector<const ModelVersion*> allowed =
+    AllowedVersions(*configuration, *contract, aActive.m_kind, wish);
+  if (allowed.empty()) {
+    const bool pinned = !aActive.m_pinnedVersion.empty();
+    Refuse(aActive,
+           pinned ? Refusal(ProblemCode::VersionRevoked,
+                            "the session's version " + aActive.m_pinnedVersion +
+                              " is no longer available; start a new session",
+                            Duration{0})
+                  : Refusal(ProblemCode::VersionNotAllowed, "no allowed version takes new work",
+                            kRetryAfterNoServer),
+           aNow, aEffects);
+    return false;
+  }
+  std::vector<VersionCandidate> candidates;
+  for (const ModelVersion* version : allowed) {
+    if (!m_parts.m_backends.HasLiveServer(version->m_name)) {
+      continue;
+    }
+    candidates.push_back(
+      {.m_version = version->m_name,
+       .m_estimate = m_parts.m_estimates.Get(aActive.m_kind.m_name, version->m_name,
+                                             version->m_priorQuality),
+       .m_inputMicrosPer1000Tokens = version->m_inputMicrosPer1000Tokens,
+       .m_outputMicrosPer1000Tokens = version->m_outputMicrosPer1000Tokens,
+       .m_expectedWait = ForeseeWait(aActive, version->m_name, aNow)});
+  }
+  const bool hasSession = !aActive.m_sessionName.empty();
+  PlanQuery query;
+  query.m_qualityTarget = aActive.m_kind.m_qualityTarget;
+  query.m_timeLeft = aActive.m_deadline - aNow;
+  query.m_inputTokens = TokensOf(aActive.m_request.m_prompt);
+  query.m_mostOutputTokens = aActive.m_request.m_mostOutputTokens;
+  query.m_judgeTime = m_parts.m_judgeTime;
+  query.m_mayCascade = !aActive.m_request.m_stream && !hasSession;
+  query.m_exploreShare = hasSession ? 0.0 : kExploreShare;
+  PlanResult result = MakePlan(query, candidates, m_parts.m_random);
+  if (!result.m_plan) {
+    const bool late = result.m_refusal == PlanRefusal::CannotFinishInTime;
+    Refuse(aActive,
+           late ? Refusal(ProblemCode::CannotFinishInTime, "no version would finish in time",
+                          kRetryAfterNoServer)
+                : Refusal(ProblemCode::NoBackendServer, "no backend server runs an allowed version",
+                          kRetryAfterNoServer),
+           aNow, aEffects);
+    return false;
+  }
+  aActive.m_plan = std::move(*result.m_plan);
+  aActive.m_step = 0;
+  const auto chosen = std::find_if(candidates.begin(), candidates.end(), [&](const auto& aItem) {
+    return aItem.m_version == aActive.m_plan.m_steps.front().m_version;
+  });
+  const double outputTokens = std::max(chosen->m_estimate.m_outputTokens, 1.0);
+  aActive.m_expectedTime =
+    chosen->m_expectedWait + chosen->m_estimate.m_firstToken +
+    Duration(static_cast<std::int64_t>(
+      outputTokens * static_cast<double>(chosen->m_estimate.m_perToken.count())));
+  return true;
+}
+
+bool RequestPipeline::PlanServiceWork(ActiveRequest& aActive, Time aNow, EntryEffects& aEffects) {
+  const std::string& service = aActive.m_request.m_service;
+  const std::vector<const BackendServer*> servers = m_parts.m_backends.ForService(service);
+  const bool anyLive = std::any_of(servers.begin(), servers.end(), [](const auto* aServer) {
+    return TakesNewWork(*aServer);
+  });
+  if (!anyLive) {
+    Refuse(aActive,
+           Refusal(ProblemCode::NoBackendServer, "no backend server runs service " + service,
+                   kRetryAfterNoServer),
+           aNow, aEffects);
+    return false;
+  }
+  const VersionEstimate estimate =
+    m_parts.m_estimates.Get(aActive.m_kind.m_name, "service:" + service, 1.0);
+  aActive.m_plan.m_steps = {
+    {.m_version = "", .m_giveUpAfter = aActive.m_deadline - aActive.m_arrival}};
+  aActive.m_plan.m_reason = "the operation has one service";
+  aActive.m_expectedTime =
+    (estimate.m_samples > 0 ? estimate.m_firstToken : Duration{0}) + ForeseeWait(aActive, "", aNow);
+  return true;
+}
+
+bool RequestPipeline::Admit(ActiveRequest& aActive, Time aNow, EntryEffects& aEffects) {
+  const std::string& version = aActive.m_plan.m_steps.front().m_version;
+  const std::vector<const BackendServer*> servers =
+    version.empty() ? m_parts.m_backends.ForService(aActive.m_request.m_service)
+                    : m_parts.m_backends.ForVersion(version);
+  double slots = 0.0;
+  double busy = 0.0;
+  for (const BackendServer* server : servers) {
+    if (!TakesNewWork(*server)) {
+      continue;
+    }
+    slots += static_cast<double>(server->m_slots);
+    busy += static_cast<double>(server->m_running + server->m_queued + server->m_sentSinceReport);
+  }
+  AdmissionQuery query;
+  query.m_pool = version.empty() ? "service:" + aActive.m_request.m_service : version;
+  query.m_customer = aActive.m_identity.m_customer;
+  query.m_share = aActive.m_share;
+  query.m_urgency = aActive.m_kind.m_urgency;
+  query.m_timeLeft = aActive.m_deadline - aNow;
+  query.m_expectedTime = aActive.m_expectedTime;
+  query.m_work = std::max(InSeconds(aActive.m_expectedTime), 0.001);
+  query.m_poolFree = slots > 0.0 ? std::clamp(1.0 - busy / slots, 0.0, 1.0) : 0.0;
+  query.m_poolSlots = slots / static_cast<double>(std::max<std::size_t>(m_parts.m_liveEntries, 1));
+  aActive.m_poolFree = query.m_poolFree;
+  const AdmissionDecision decision = m_parts.m_admission.Decide(query, aNow);
+  if (decision.m_verdict != AdmissionVerdict::Admitted) {
+    Refuse(aActive,
+           Refusal(CodeOf(decision.m_verdict), "the pool " + query.m_pool + " is short of capacity",
+                   decision.m_retryAfter),
+           aNow, aEffects);
+    return false;
+  }
+  aActive.m_admitted = true;
+  aActive.m_admittedPool = query.m_pool;
+  aActive.m_admittedWork = query.m_work;
+  return true;
+}
+
+bool RequestPipeline::ReserveSpend(ActiveRequest& aActive, Time aNow, EntryEffects& aEffects) {
+  constexpr std::int64_t kTokensPerPrice = 1'000;
+  const std::shared_ptr<const Configuration> configuration = m_parts.m_configuration.Current();
+  std::int64_t most = aActive.m_operationCostMicros;
+  for (const PlanStep& step : aActive.m_plan.m_steps) {
+    const ModelVersion* version = FindVersion(*configuration, step.m_version);
+    if (version == nullptr) {
+      continue;
+    }
+    const std::int64_t input = TokensOf(aActive.m_request.m_prompt) + kTokensPerPrice;
+    most += (input * version->m_inputMicrosPer1000Tokens +
+             aActive.m_request.m_mostOutputTokens * version->m_outputMicrosPer1000Tokens) /
+            kTokensPerPrice;
+  }
+  if (!m_parts.m_spend.TryReserve(aActive.m_identity.m_customer, most, aNow)) {
+    Refuse(aActive,
+           Refusal(ProblemCode::SpendLimit, "the customer's budget does not cover the request now",
+                   m_parts.m_spend.IsExhausted(aActive.m_identity.m_customer) ? kRetryAfterSpend
+                                                                              : kRetryAfterStart),
+           aNow, aEffects);
+    return false;
+  }
+  aActive.m_reservedMicros = most;
+  return true;
+}
+
+void RequestPipeline::AskForPin(ActiveRequest& aActive, Time aNow, EntryEffects& aEffects) {
+  aActive.m_phase = RequestPhase::AwaitingPin;
+  const std::uint64_t ticket = TicketOf(aActive.m_request.m_caller, ClaimPurpose::Session);
+  const std::vector<ClaimOutcomeReport> outcomes =
+    Emit(SessionPins::Begin(m_parts.m_claims, ticket, aActive.m_identity.m_customer,
+                            aActive.m_sessionName, aActive.m_deadline, aNow),
+         aEffects);
+  OnClaimOutcomes(outcomes, aNow, aEffects);
+}
+
+void RequestPipeline::ClaimOrSend(ActiveRequest& aActive, Time aNow, EntryEffects& aEffects) {
+  const bool needsClaim = aActive.m_keyed && !aActive.m_idempotent;
+  if (!needsClaim) {
+    aActive.m_phase = RequestPhase::Running;
+    if (Send(aActive, false, aNow, aEffects) == SendResult::NoServer) {
+      Refuse(aActive,
+             Refusal(ProblemCode::NoBackendServer, "no backend server can take the request",
+                     kRetryAfterNoServer),
+             aNow, aEffects);
+    }
+    return;
+  }
+  aActive.m_phase = RequestPhase::AwaitingClaim;
+  const std::uint64_t ticket = TicketOf(aActive.m_request.m_caller, ClaimPurpose::Run);
+  const std::vector<ClaimOutcomeReport> outcomes = Emit(
+    m_parts.m_claims.Begin(ticket, RunSlot(aActive), aActive.m_bodyHash, aActive.m_deadline, aNow), aEffects);
+  OnClaimOutcomes(outcomes, aNow, aEffects);
+}
+
+void RequestPipeline::OnClaimOutcomes(const std::vector<ClaimOutcomeReport>& aOutcomes, Time aNow,
+                                      EntryEffects& aEffects) {
+  for (const ClaimOutcomeReport& outcome : aOutcomes) {
+    const auto found = m_requests.find(CallerOf(outcome.m_ticket));
+    if (found == m_requests.end()) {
+      // The caller has gone meanwhile: a granted attempt is given up for good.
+      if (outcome.m_result == ClaimResult::Granted) {
+        Emit(m_parts.m_claims.Abandon(outcome.m_identity, outcome.m_attempt, aNow), aEffects);
+      }
+      continue;
+    }
+    switch (PurposeOf(outcome.m_ticket)) {
+      case ClaimPurpose::Session:
+        OnPinOutcome(found->second, outcome, aNow, aEffects);
+        break;
+      case ClaimPurpose::Run:
+        OnRunOutcome(found->second, outcome, aNow, aEffects);
+        break;
+      case ClaimPurpose::Bill:
+        OnBillOutcome(found->second, outcome, aNow, aEffects);
+        break;
+    }
+  }
+}
+
+void RequestPipeline::OnPinOutcome(ActiveRequest& aActive, const ClaimOutcomeReport& aOutcome,
+                                   Time aNow, EntryEffects& aEffects) {
+  const std::string proposed = aActive.m_plan.m_steps.front().m_version;
+  const std::vector<SessionPin> pins =
+    Emit(SessionPins::Finish(m_parts.m_claims, aOutcome, proposed, aNow), aEffects);
+  for (const SessionPin& pin : pins) {
+    if (pin.m_result == SessionPin::Result::NotRun) {
+      Refuse(aActive, Refusal(ProblemCode::ClaimsUnavailable, pin.m_reason, pin.m_retryAfter), aNow,
+             aEffects);
+      return;
+    }
+    if (pin.m_result == SessionPin::Result::Lost) {
+      Refuse(aActive,
+             Refusal(ProblemCode::InvalidSession,
+                     "the session's version cannot be known; start a new session", Duration{0}),
+             aNow, aEffects);
+      return;
+    }
+    aActive.m_pinnedVersion = pin.m_version;
+  }
+  // The plan was made for the version that this entry proposed.
+  if (aActive.m_pinnedVersion != proposed && !PlanModelWork(aActive, aNow, aEffects)) {
+    return;
+  }
+  ClaimOrSend(aActive, aNow, aEffects);
+}
+
+void RequestPipeline::OnRunOutcome(ActiveRequest& aActive, const ClaimOutcomeReport& aOutcome,
+                                   Time aNow, EntryEffects& aEffects) {
+  switch (aOutcome.m_result) {
+    case ClaimResult::Granted:
+      aActive.m_claim = aOutcome.m_attempt;
+      aActive.m_phase = RequestPhase::Running;
+      if (Send(aActive, false, aNow, aEffects) == SendResult::NoServer) {
+        Refuse(aActive,
+               Refusal(ProblemCode::NoBackendServer, "no backend server can take the request",
+                       kRetryAfterNoServer),
+               aNow, aEffects);
+      }
+      return;
+    case ClaimResult::Replay:
+      Replay(aActive, aOutcome.m_answer, aNow, aEffects);
+      return;
+    case ClaimResult::Conflict:
+      Refuse(aActive,
+             Refusal(ProblemCode::KeyReused, "this request did not run; the other one may have",
+                     Duration{0}),
+             aNow, aEffects);
+      return;
+    case ClaimResult::Unknown:
+      Refuse(aActive,
+             Problem{.m_code = ProblemCode::FateUnknown,
+                     .m_ran = Ran::Unknown,
+                     .m_detail = "the request was sent under this key and its answer is lost"},
+             aNow, aEffects);
+      return;
+    case ClaimResult::NotRun:
+      Refuse(aActive,
+             Refusal(ProblemCode::ClaimsUnavailable, aOutcome.m_reason, aOutcome.m_retryAfter),
+             aNow, aEffects);
+      return;
+  }
+}
+
+void RequestPipeline::OnCallerGone(CallerId aCaller, Time aNow, EntryEffects& aEffects) {
+  const auto found = m_requests.find(aCaller);
+  if (found == m_requests.end()) {
+    return;
+  }
+  ActiveRequest& active = found->second;
+  const bool ending = active.m_phase == RequestPhase::AwaitingUsage ||
+                      active.m_phase == RequestPhase::AwaitingBill;
+  // A request that may run only once goes on without its caller: the answer is kept for when the
+  // same key comes again. An answer that is complete is billed and kept as well.
+  if (ending || (active.m_claim && active.m_sent)) {
+    return;
+  }
+  CancelCalls(active, 0, aEffects);
+  Forget(active, aNow, aEffects);
+}
+
+} // namespace fennelline
--- /dev/null
+++ b/Services/Entry/Requests/RequestPipeline.h
@@ -0,0 +1,155 @@
+#pragma once
+
+#include "Services/Entry/EntryEffect.h"
+#include "Services/Entry/EntryParts.h"
+#include "Services/Entry/Requests/ActiveRequest.h"
+#include "Services/Entry/Requests/ValidateRequest.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace fennelline {
+
+/// Follows each open request from the caller to backend servers and back. A part of the entry's
+/// reducer: it decides, and yields effects as data.
+///
+/// The order for one request: validate; agree on the session's version; plan; admit; reserve the
+/// spend; claim, when it may run only once; send; judge, when a cascade's step may not be the
+/// last; copy the usage record; claim the bill, when the same key may have run elsewhere; end.
+class RequestPipeline {
+public:
+  explicit RequestPipeline(EntryParts& aParts) : m_parts(aParts) {}
+
+  void OnCallerRequest(const CallerRequest& aRequest, Time aNow, EntryEffects& aEffects);
+  void OnCallerGone(CallerId aCaller, Time aNow, EntryEffects& aEffects);
+
+  void OnBackendAnswered(const BackendAnswered& aEvent, Time aNow);
+  void OnBackendChunk(const BackendChunk& aEvent, Time aNow, EntryEffects& aEffects);
+  void OnBackendFinished(const BackendFinished& aEvent, Time aNow, EntryEffects& aEffects);
+  void OnBackendFailed(const BackendFailed& aEvent, Time aNow, EntryEffects& aEffects);
+  /// A server could not be asked for its load: a broken call to it just before was a crash.
+  void OnServerUnreachable(const BackendServerId& aServer, Time aNow, EntryEffects& aEffects);
+
+  void OnClaimOutcomes(const std::vector<ClaimOutcomeReport>& aOutcomes, Time aNow,
+                       EntryEffects& aEffects);
+  void OnUsageHeld(const UsageHeld& aHeld, Time aNow, EntryEffects& aEffects);
+  void OnRating(const RatingArrived& aEvent, Time aNow, EntryEffects& aEffects);
+  void OnTick(Time aNow, EntryEffects& aEffects);
+
+  struct Counts {
+    /// By "answered", "replayed" or the code of a problem.
+    std::map<std::string, std::int64_t> m_outcomes;
+    std::int64_t m_late = 0;
+    double m_totalSeconds = 0.0;
+  };
+  const Counts& GetCounts() const { return m_counts; }
+  std::size_t OpenCount() const { return m_requests.size(); }
+  const std::unordered_map<CallerId, ActiveRequest>& Open() const { return m_requests; }
+
+private:
+  // Intake, in RequestPipeline.cpp.
+  std::optional<Problem> RefuseBeforeReading(Time aNow) const;
+  ActiveRequest MakeActive(const CallerRequest& aRequest, const ValidRequest& aValid, Time aNow);
+  std::optional<Problem> ReadSession(ActiveRequest& aActive) const;
+  std::optional<Problem> CheckContent(const ActiveRequest& aActive, Time aNow) const;
+  void Start(ActiveRequest& aActive, Time aNow, EntryEffects& aEffects);
+  bool PlanModelWork(ActiveRequest& aActive, Time aNow, EntryEffects& aEffects);
+  bool PlanServiceWork(ActiveRequest& aActive, Time aNow, EntryEffects& aEffects);
+  bool Admit(ActiveRequest& aActive, Time aNow, EntryEffects& aEffects);
+  bool ReserveSpend(ActiveRequest& aActive, Time aNow, EntryEffects& aEffects);
+  void ClaimOrSend(ActiveRequest& aActive, Time aNow, EntryEffects& aEffects);
+  void AskForPin(ActiveRequest& aActive, Time aNow, EntryEffects& aEffects);
+  void OnPinOutcome(ActiveRequest& aActive, const ClaimOutcomeReport& aOutcome, Time aNow,
+                    EntryEffects& aEffects);
+  void OnRunOutcome(ActiveRequest& aActive, const ClaimOutcomeReport& aOutcome, Time aNow,
+                    EntryEffects& aEffects);
+  void OnBillOutcome(ActiveRequest& aActive, const ClaimOutcomeReport& aOutcome, Time aNow,
+                     EntryEffects& aEffects);
+
+  // Calls to backend servers, in RequestCalls.cpp.
+  std::vector<const BackendServer*> EligibleServers(const ActiveRequest& aActive,
+                                                    const std::string& aVersion) const;
+  std::optional<ReplicaChoice> ChooseServer(const ActiveRequest& aActive,
+                                            const std::vector<const BackendServer*>& aServers,
+                                            Time aNow);
+  Duration ForeseeWait(const ActiveRequest& aActive, const std::string& aVersion, Time aNow) const;
+  /// Sends the present step's request to a server.
+  enum class SendResult : std::uint8_t {
+    Sent,
+    NoServer,
+    /// The request was refused meanwhile and is forgotten.
+    Refused,
+  };
+  SendResult Send(ActiveRequest& aActive, bool aHedge, Time aNow, EntryEffects& aEffects);
+  static CallBackend CallOf(const ActiveRequest& aActive, const RunningCall& aCall, Time aNow);
+  void Resume(ActiveRequest& aActive, RunningCall& aCall, Time aNow, EntryEffects& aEffects);
+  void EndCall(ActiveRequest& aActive, BackendCallId aCall, bool aFailed);
+  void CancelCalls(ActiveRequest& aActive, BackendCallId aExcept, EntryEffects& aEffects);
+  void AfterFailure(ActiveRequest& aActive, const BackendFailed& aEvent, Time aNow,
+                    EntryEffects& aEffects);
+  void NoteFailure(ActiveRequest& aActive, const RunningCall& aCall,
+                   const BackendFailed& aEvent, Time aNow);
+  void MaybeHedge(ActiveRequest& aActive, Time aNow, EntryEffects& aEffects);
+  ActiveRequest* FindByCall(BackendCallId aCall);
+  static RunningCall* FindCall(ActiveRequest& aActive, BackendCallId aCall);
+
+  // Answers, in RequestAnswers.cpp.
+  void StepFinished(ActiveRequest& aActive, const RunningCall& aCall,
+                    const BackendFinished& aEvent, Time aNow, EntryEffects& aEffects);
+  /// The cascade goes on with its next version.
+  void NextStep(ActiveRequest& aActive, Time aNow, EntryEffects& aEffects);
+  void BillAndDeliver(ActiveRequest& aActive, Time aNow, EntryEffects& aEffects);
+  void RecordUsage(ActiveRequest& aActive, Time aNow, EntryEffects& aEffects);
+  void Deliver(ActiveRequest& aActive, Time aNow, EntryEffects& aEffects);
+  void SendHead(ActiveRequest& aActive, const RunningCall& aCall, EntryEffects& aEffects) const;
+  void Replay(ActiveRequest& aActive, const StoredAnswer& aAnswer, Time aNow,
+              EntryEffects& aEffects);
+  /// Ends a request without its answer, at once.
+  void Refuse(ActiveRequest& aActive, const Problem& aProblem, Time aNow, EntryEffects& aEffects);
+  /// Ends a request whose time is over, with the answer of an earlier step if there is one.
+  void GiveUp(ActiveRequest& aActive, Time aNow, EntryEffects& aEffects);
+  void SampleRating(ActiveRequest& aActive, Time aNow, EntryEffects& aEffects);
+  /// Gives back what the request holds and forgets it.
+  void Forget(ActiveRequest& aActive, Time aNow, EntryEffects& aEffects);
+  void TickRequest(ActiveRequest& aActive, Time aNow, EntryEffects& aEffects);
+  void Count(const std::string& aOutcome, Duration aTime, bool aLate);
+  static RequestIdentity RunSlot(const ActiveRequest& aActive);
+  static RequestIdentity BillSlot(const ActiveRequest& aActive);
+  static void RecordEvent(const ActiveRequest& aActive, std::string aName, std::string aVersion,
+                          std::vector<std::pair<std::string, std::string>> aFields,
+                          EntryEffects& aEffects);
+  std::vector<std::pair<std::string, std::string>> AnswerHeaders(
+    const ActiveRequest& aActive, const std::string& aVersion) const;
+
+  struct RatingInFlight {
+    CallerId m_judging = 0;
+    std::string m_kind;
+    std::string m_version;
+    std::string m_session;
+    Time m_asked{};
+  };
+  /// A broken call that counts as a crash if its server is found unreachable soon after.
+  struct CrashSuspicion {
+    std::string m_fingerprint;
+    BackendServerId m_server;
+    std::string m_kind;
+    std::string m_version;
+    std::string m_session;
+    Time m_at{};
+  };
+
+  EntryParts& m_parts;
+  Counts m_counts;
+  std::unordered_map<CallerId, ActiveRequest> m_requests;
+  std::unordered_map<BackendCallId, CallerId> m_calls;
+  std::unordered_map<std::uint64_t, RatingInFlight> m_ratings;
+  std::vector<CrashSuspicion> m_suspicions;
+  BackendCallId m_nextCall = 1;
+  std::uint64_t m_nextRating = 1;
+  std::uint64_t m_nextKey = 1;
+};
+
+} // namespace fennelline
--- /dev/null
+++ b/Services/Entry/Requests/ValidateRequest.cpp
@@ -0,0 +1,108 @@
+#include "Services/Entry/Requests/ValidateRequest.h"
+
+#include "LibBase/Sha256.h"
+
+#include <algorithm>
+
+namespace fennelline {
+
+namespace {
+
+Problem Refuse(ProblemCode aCode, std::string aDetail) {
+  return Problem{.m_code = aCode, .m_ran = Ran::No, .m_detail = std::move(aDetail)};
+}
+
+const Contract* FindByKeyHash(const Configuration& aConfiguration, const std::string& aKeyHash) {
+  for (const Contract& contract : aConfiguration.m_contracts) {
+    for (const std::string& hash : contract.m_keyHashes) {
+      if (EqualInConstantTime(hash, aKeyHash)) {
+        return &contract;
+      }
+    }
+  }
+  return nullptr;
+}
+
+std::string KindNames(const Contract& aContract) {
+  std::string names;
+  for (const KindRule& kind : aContract.m_kinds) {
+    names += (names.empty() ? "" : ", ") + kind.m_name;
+  }
+  return names;
+}
+
+/// The kind that a service's operation has in the contract, when the caller names none.
+const KindRule* KindOfOperation(const Contract& aContract, const CallerRequest& aRequest) {
+  const auto found =
+    std::find_if(aContract.m_kinds.begin(), aContract.m_kinds.end(), [&](const KindRule& aKind) {
+      return aKind.m_service == aRequest.m_service && aKind.m_operation == aRequest.m_operation;
+    });
+  return found == aContract.m_kinds.end() ? nullptr : &*found;
+}
+
+bool KindFitsTarget(const KindRule& aKind, const CallerRequest& aRequest) {
+  if (aRequest.m_target == CallerRequest::Target::Model) {
+    return aKind.m_service.empty();
+  }
+  return aKind.m_service == aRequest.m_service && aKind.m_operation == aRequest.m_operation;
+}
+
+bool KnowsModel(const Configuration& aConfiguration, const Contract& aContract,
+                const KindRule& aKind, const std::string& aModel) {
+  return std::any_of(aConfiguration.m_versions.begin(), aConfiguration.m_versions.end(),
+                     [&](const ModelVersion& aVersion) {
+                       const bool named =
+                         aModel == aVersion.m_name || aModel == aVersion.m_model;
+                       return named && IsAllowed(aContract, aKind, aVersion);
+                     });
+}
+
+Validation ValidateKind(const Configuration& aConfiguration, const Contract& aContract,
+                        const CallerRequest& aRequest) {
+  const bool isService = aRequest.m_target == CallerRequest::Target::Service;
+  ValidRequest valid{.m_contract = &aContract};
+  if (isService) {
+    valid.m_operation = FindOperation(aConfiguration, aRequest.m_service, aRequest.m_operation);
+    if (valid.m_operation == nullptr) {
+      return Refuse(ProblemCode::UnknownOperation,
+                    "no operation " + aRequest.m_service + "/" + aRequest.m_operation);
+    }
+  }
+  if (aRequest.m_kind.empty() && !isService) {
+    return Refuse(ProblemCode::MissingKind,
+                  "the header Fennelline-Kind is missing; one of: " + KindNames(aContract));
+  }
+  valid.m_kind = aRequest.m_kind.empty() ? KindOfOperation(aContract, aRequest)
+                                         : FindKind(aContract, aRequest.m_kind);
+  if (valid.m_kind == nullptr || !KindFitsTarget(*valid.m_kind, aRequest)) {
+    return Refuse(ProblemCode::UnknownKind, "\"" + aRequest.m_kind +
+                                              "\" is not a kind for this; one of: " +
+                                              KindNames(aContract));
+  }
+  valid.m_deadline = valid.m_kind->m_deadline;
+  if (aRequest.m_deadlineMs > 0) {
+    valid.m_deadline = std::min(valid.m_deadline, Milliseconds(aRequest.m_deadlineMs));
+  }
+  return valid;
+}
+
+} // namespace
+
+Validation ValidateRequest(const Configuration& aConfiguration, const CallerRequest& aRequest) {
+  const Contract* contract = FindByKeyHash(aConfiguration, aRequest.m_keyHash);
+  if (contract == nullptr) {
+    return Refuse(ProblemCode::BadKey, "the bearer key belongs to no contract");
+  }
+  Validation validation = ValidateKind(aConfiguration, *contract, aRequest);
+  const ValidRequest* valid = std::get_if<ValidRequest>(&validation);
+  const bool namesModel =
+    aRequest.m_target == CallerRequest::Target::Model && !aRequest.m_model.empty();
+  if (valid != nullptr && namesModel &&
+      !KnowsModel(aConfiguration, *contract, *valid->m_kind, aRequest.m_model)) {
+    return Refuse(ProblemCode::VersionNotAllowed,
+                  "\"" + aRequest.m_model + "\" is not allowed for kind " + valid->m_kind->m_name);
+  }
+  return validation;
+}
+
+} // namespace fennelline
--- /dev/null
+++ b/Services/Entry/Requests/ValidateRequest.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "LibContract/Configuration.h"
+#include "Services/Entry/Event.h"
+#include "Services/Entry/Requests/Problem.h"
+
+#include <variant>
+
+namespace fennelline {
+
+/// A request that fits its customer's contract.
+struct ValidRequest {
+  const Contract* m_contract = nullptr;
+  const KindRule* m_kind = nullptr;
+  /// Null for model work.
+  const ServiceOperation* m_operation = nullptr;
+  /// The kind's deadline, or the caller's where that is shorter.
+  Duration m_deadline{0};
+};
+
+using Validation = std::variant<ValidRequest, Problem>;
+
+/// Checks a request against the configuration. Each problem is found before anything runs.
+Validation ValidateRequest(const Configuration& aConfiguration, const CallerRequest& aRequest);
+
+} // namespace fennelline
