Settle the interfaces of configuration spread, membership and leases

The entry's reducer is built against them at the same time, so the headers come first; the bodies answer nothing yet.

--- /dev/null
+++ b/Libraries/LibCoordination/Configuration/ConfigurationSpread.h
@@ -0,0 +1,194 @@
+#pragma once
+
+#include "LibBase/Random.h"
+#include "LibBase/Time.h"
+#include "LibContract/Configuration.h"
+#include "LibCoordination/ConfigurationMessages.h"
+#include "LibCoordination/MembershipMessages.h"
+#include "LibCoordination/Message.h"
+#include "LibCoordination/Step.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace fennelline {
+
+/// How an entry keeps up with the configuration.
+struct ConfigurationSettings {
+  std::string m_key = kConfigurationKey;
+  /// Entries of each data centre that watch the platform. The rest hear from peers.
+  std::size_t m_watchersPerDataCentre = 1;
+  /// The least number of watchers, where there are few data centres.
+  std::size_t m_leastWatchers = 3;
+  /// How long one watch waits at the platform.
+  Duration m_watchWait = Milliseconds(500);
+  /// A call without a reply for this long counts as lost.
+  Duration m_callTimeout = Seconds(3);
+  /// The wait after a call that failed.
+  Duration m_retryWait = Milliseconds(300);
+  /// All entries together make about one call in this time when the platform is silent.
+  Duration m_fleetCallSpacing = Milliseconds(10);
+  /// The wait between questions to peers while the knowledge is older than m_askAfter.
+  Duration m_askInterval = Milliseconds(250);
+  Duration m_askAfter = Milliseconds(600);
+  /// Without a confirmation for this long, new work is refused as not run.
+  Duration m_cutOffLimit = Seconds(3);
+  /// A starting entry that hears from no peer goes on by the platform alone after this time.
+  Duration m_startWait = Seconds(1);
+  /// A data centre without a live member counts among "all" for this long.
+  Duration m_dataCentreMemory = Seconds(600);
+  /// Peers in the own data centre, and elsewhere, that a new revision is offered to.
+  std::size_t m_nearFanOut = 6;
+  std::size_t m_farFanOut = 2;
+  /// Past documents kept to send differences against.
+  std::size_t m_pastDocuments = 4;
+};
+
+/// A configuration came into force. Its m_revision grows from one to the next.
+struct ConfigurationInForce {
+  std::shared_ptr<const Configuration> m_configuration;
+};
+
+/// A newer document cannot be read by this program. The last good one stays in force.
+struct ConfigurationUnreadable {
+  Revision m_revision = 0;
+  std::string m_reason;
+};
+
+using ConfigurationOutcome = std::variant<ConfigurationInForce, ConfigurationUnreadable>;
+
+enum class ConfigurationStanding : std::uint8_t {
+  /// Nothing is in force yet: refuse new work as not run.
+  Starting,
+  /// What is in force was the platform's newest within m_cutOffLimit.
+  Current,
+  /// Every data centre confirms that it cannot reach the platform either: serve on.
+  PlatformDownForAll,
+  /// Nobody can tell what is in force: refuse new work as not run.
+  CutOff,
+};
+
+constexpr NameTable<ConfigurationStanding, 4> kConfigurationStandingNames = {{
+  {ConfigurationStanding::Starting, "starting"},
+  {ConfigurationStanding::Current, "current"},
+  {ConfigurationStanding::PlatformDownForAll, "platform-down-for-all"},
+  {ConfigurationStanding::CutOff, "cut-off"},
+}};
+
+/// Brings the operators' configuration into force on one entry, through few watchers and from peer
+/// to peer. A revision that is lower than one known is never applied.
+///
+/// The caller
+///  - calls Tick() at least each 100 ms (cheap when nothing is due);
+///  - gives it the platform's replies with Part::Configuration, the messages ConfigurationOffer,
+///    ConfigurationRequest, ConfigurationDocument and ConfigurationDelta, the members whenever they
+///    change, and the revision that each membership datagram carries;
+///  - asks Standing() before it takes new work, and Current() for the configuration.
+///
+/// A confirmation is an answer to a question of this entry, dated back to when the question was
+/// sent. So a paused entry that wakes among old messages does not take them for news.
+class ConfigurationSpread {
+public:
+  ConfigurationSpread(ConfigurationSettings aSettings, EntryId aSelf, DataCentre aDataCentre,
+                      std::uint64_t aSeed);
+
+  Step<ConfigurationOutcome> OnMessage(const EntryId& aFrom, const Message& aMessage, Time aNow);
+  Step<ConfigurationOutcome> OnPlatformReply(const PlatformReply& aReply, Time aNow);
+  /// The members as Membership::Members() tells them, this entry included or not.
+  Step<ConfigurationOutcome> OnMembers(std::span<const MemberDigest> aMembers, Time aNow);
+  /// A peer has told its revision in passing.
+  Step<ConfigurationOutcome> OnPeerRevision(const EntryId& aFrom, Revision aRevision, Time aNow);
+  Step<ConfigurationOutcome> Tick(Time aNow);
+
+  ConfigurationStanding Standing(Time aNow) const;
+  /// The configuration in force; null while there is none.
+  std::shared_ptr<const Configuration> Current() const { return m_current; }
+  /// The newest revision held here, readable or not. Zero while there is none.
+  Revision NewestRevision() const { return m_newest.m_revision; }
+  /// Time since what is held was last known to be the platform's newest.
+  Duration Age(Time aNow) const;
+  bool IsWatcher() const { return m_watcher; }
+
+private:
+  using Outcomes = Step<ConfigurationOutcome>;
+
+  struct Document {
+    Revision m_revision = 0;
+    std::string m_text;
+  };
+  struct Peer {
+    EntryId m_entry;
+    DataCentre m_dataCentre;
+  };
+  struct Question {
+    EntryId m_peer;
+    Time m_asked;
+  };
+  struct DataCentreSeen {
+    /// When a member was last known to be alive there.
+    Time m_alive;
+    /// When a question was sent whose answer confirmed that the platform is out of reach there.
+    std::optional<Time> m_confirmedDown;
+  };
+  struct PlatformCall {
+    std::uint64_t m_number = 0;
+    Time m_sent;
+  };
+
+  Outcomes OnOffer(const EntryId& aFrom, const ConfigurationOffer& aOffer, Time aNow);
+  Outcomes OnRequest(const EntryId& aFrom, const ConfigurationRequest& aRequest, Time aNow);
+  Outcomes OnDelta(const EntryId& aFrom, const ConfigurationDelta& aDelta, Time aNow);
+  Outcomes Take(Document aDocument, Time aNow);
+  Outcomes Fetch(const EntryId& aFrom, Revision aRevision, Time aNow);
+  void OnAnswer(const Question& aQuestion, const ConfigurationOffer& aOffer, Time aNow);
+  void Confirm(Time aAsOf);
+  void CallPlatformIfDue(Outcomes& aStep, Time aNow);
+  void AskPeersIfDue(Outcomes& aStep, Time aNow);
+  void Ask(Outcomes& aStep, const Peer& aPeer, Time aNow);
+  void AskEachDataCentre(Outcomes& aStep, Time aNow);
+  void Announce(Outcomes& aStep, Time aNow);
+  void ChooseWatchers();
+  Duration SilentCallWait();
+  ConfigurationOffer MakeOffer(Time aNow) const;
+  Message MakeDocument(Revision aBase) const;
+  const Peer* RandomPeer(bool aNear);
+  const Peer* FindPeer(const EntryId& aEntry) const;
+  bool IsDownForAll(Time aNow) const;
+
+  ConfigurationSettings m_settings;
+  EntryId m_self;
+  DataCentre m_dataCentre;
+  Random m_random;
+
+  std::shared_ptr<const Configuration> m_current;
+  Document m_newest;
+  std::deque<Document> m_past;
+  /// The highest revision that anyone spoke of: the platform's replies below it are not believed.
+  Revision m_highestHeard = 0;
+  /// What is held was the platform's newest at this instant.
+  std::optional<Time> m_confirmed;
+  std::optional<Time> m_started;
+  bool m_heardPeer = false;
+
+  std::vector<Peer> m_peers;
+  std::vector<EntryId> m_watchersHere;
+  std::map<DataCentre, DataCentreSeen> m_dataCentres;
+  bool m_watcher = true;
+
+  std::uint64_t m_lastNumber = 0;
+  std::optional<PlatformCall> m_call;
+  Time m_nextCall{};
+  Time m_nextAsk{};
+  Time m_nextFetch{};
+  bool m_askWatcher = true;
+  std::map<std::uint64_t, Question> m_questions;
+};
+
+} // namespace fennelline
--- a/Libraries/LibCoordination/MembershipMessages.h
+++ b/Libraries/LibCoordination/MembershipMessages.h
@@ -33,15 +33,18 @@
   }
 };
 
-/// A backend server known to be leaving.
+/// A backend server known to be leaving, or to be back. A higher m_version wins; at equal versions
+/// leaving wins.
 struct LeavingDigest {
   BackendServerId m_backendServer;
+  std::uint64_t m_version = 0;
+  bool m_leaving = true;
   /// Milliseconds since it was first learned, so that the news ends.
   std::int64_t m_ageMilliseconds = 0;
 
   template<typename Visitor>
   void VisitFields(Visitor& aVisitor) {
-    aVisitor(m_backendServer, m_ageMilliseconds);
+    aVisitor(m_backendServer, m_version, m_leaving, m_ageMilliseconds);
   }
 };
 
--- a/Libraries/LibCoordination/Message.h
+++ b/Libraries/LibCoordination/Message.h
@@ -15,6 +15,6 @@
   std::variant<Heartbeat, ClaimRequest, ClaimReply, ClaimRelease, ClaimOutcome, ClaimOutcomeStored,
                AnswerQuery, AnswerReply, ViewAdopt, ViewHandover, UsageCopy, UsageCopied,
                UsageSettled, ConfigurationOffer, ConfigurationRequest, ConfigurationDocument,
-               CrashReports, LoadReports>;
+               CrashReports, LoadReports, ConfigurationDelta>;
 
 } // namespace fennelline
