--- a/Libraries/LibDecision/Estimates.h
+++ b/Libraries/LibDecision/Estimates.h
@@ -54,7 +54,8 @@
     std::int64_t m_samples = 0;
     std::int64_t m_ratings = 0;
   };
-  std::unordered_map<std::string, Row> m_rows;
+  /// By kind, then by version: a look-up makes no joined key and so allocates nothing.
+  std::unordered_map<std::string, std::unordered_map<std::string, Row>> m_rows;
 };
 
 } // namespace fennelline
--- /dev/null
+++ b/Libraries/LibDecision/Planner.cpp
@@ -0,0 +1,258 @@
+#include "LibDecision/Planner.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+
+namespace fennelline {
+
+namespace {
+
+/// Standard errors below the mean at which the quality of a version is taken for the target.
+constexpr double kQualityCaution = 1.0;
+
+/// Standard errors above the mean up to which a version may still prove good enough.
+constexpr double kQualityHope = 1.0;
+
+/// Standard deviations above the mean time that must still meet the deadline.
+constexpr double kTimeCaution = 1.5;
+
+/// A version with more ratings than this is known well enough; exploring it teaches little.
+constexpr std::int64_t kEnoughRatings = 2000;
+
+constexpr double kTokensPerPriceUnit = 1000.0;
+constexpr std::size_t kNoIndex = static_cast<std::size_t>(-1);
+
+/// One version in the figures that plans are made of.
+struct StepFigures {
+  double m_cost = 0.0;
+  double m_quality = 0.0;
+  double m_cautiousQuality = 0.0;
+  Duration m_meanTime{0};
+  Duration m_cautiousTime{0};
+};
+
+/// A plan by the indices of its candidates.
+struct Option {
+  std::size_t m_first = kNoIndex;
+  std::size_t m_second = kNoIndex;
+  double m_cost = 0.0;
+  double m_quality = 0.0;
+  double m_cautiousQuality = 0.0;
+};
+
+double ExpectedOutputTokens(const PlanQuery& aQuery, const VersionEstimate& aEstimate) {
+  const auto most = static_cast<double>(aQuery.m_mostOutputTokens);
+  if (aEstimate.m_outputTokens <= 0.0) {
+    return most;
+  }
+  return most > 0.0 ? std::min(most, aEstimate.m_outputTokens) : aEstimate.m_outputTokens;
+}
+
+Duration Scaled(Duration aDuration, double aFactor) {
+  return Duration(static_cast<std::int64_t>(static_cast<double>(aDuration.count()) * aFactor));
+}
+
+StepFigures FiguresOf(const PlanQuery& aQuery, const VersionCandidate& aCandidate) {
+  const VersionEstimate& estimate = aCandidate.m_estimate;
+  const double output = ExpectedOutputTokens(aQuery, estimate);
+  StepFigures figures;
+  figures.m_cost = (static_cast<double>(aQuery.m_inputTokens) *
+                      static_cast<double>(aCandidate.m_inputMicrosPer1000Tokens) +
+                    output * static_cast<double>(aCandidate.m_outputMicrosPer1000Tokens)) /
+                   kTokensPerPriceUnit;
+  figures.m_quality = estimate.m_quality;
+  figures.m_cautiousQuality =
+    std::max(0.0, estimate.m_quality - kQualityCaution * estimate.m_qualityError);
+  const Duration work = estimate.m_firstToken + Scaled(estimate.m_perToken, output);
+  figures.m_meanTime = aCandidate.m_expectedWait + work;
+  figures.m_cautiousTime = figures.m_meanTime + Scaled(work, kTimeCaution * estimate.m_timeSpread);
+  return figures;
+}
+
+/// The quality of a cascade whose judge passes the answers that it takes for good.
+double CascadeQuality(const PlanQuery& aQuery, double aFirst, double aSecond) {
+  const double keptGood = aFirst * (1.0 - aQuery.m_judgeDoubtsGood);
+  const double goesOn = aFirst * aQuery.m_judgeDoubtsGood + (1.0 - aFirst) * aQuery.m_judgeFindsBad;
+  return keptGood + goesOn * aSecond;
+}
+
+double CascadeCost(const PlanQuery& aQuery, const StepFigures& aFirst, const StepFigures& aSecond) {
+  const double goesOn =
+    aFirst.m_quality * aQuery.m_judgeDoubtsGood + (1.0 - aFirst.m_quality) * aQuery.m_judgeFindsBad;
+  return aFirst.m_cost + static_cast<double>(aQuery.m_judgeCostMicros) + goesOn * aSecond.m_cost;
+}
+
+Option SingleOption(std::size_t aIndex, const StepFigures& aFigures) {
+  return Option{.m_first = aIndex,
+                .m_cost = aFigures.m_cost,
+                .m_quality = aFigures.m_quality,
+                .m_cautiousQuality = aFigures.m_cautiousQuality};
+}
+
+Option CascadeOption(const PlanQuery& aQuery, std::span<const StepFigures> aFigures,
+                     std::size_t aFirst, std::size_t aSecond) {
+  const StepFigures& first = aFigures[aFirst];
+  const StepFigures& second = aFigures[aSecond];
+  return Option{.m_first = aFirst,
+                .m_second = aSecond,
+                .m_cost = CascadeCost(aQuery, first, second),
+                .m_quality = CascadeQuality(aQuery, first.m_quality, second.m_quality),
+                .m_cautiousQuality =
+                  CascadeQuality(aQuery, first.m_cautiousQuality, second.m_cautiousQuality)};
+}
+
+/// The better of two plans: the cheaper one that meets the target; without one, the better answer.
+bool IsBetter(const Option& aLeft, const Option& aRight, double aTarget) {
+  if (aRight.m_first == kNoIndex) {
+    return true;
+  }
+  const bool leftMeets = aLeft.m_cautiousQuality >= aTarget;
+  const bool rightMeets = aRight.m_cautiousQuality >= aTarget;
+  if (leftMeets != rightMeets) {
+    return leftMeets;
+  }
+  if (leftMeets) {
+    return aLeft.m_cost < aRight.m_cost;
+  }
+  return aLeft.m_quality > aRight.m_quality;
+}
+
+bool CascadeMeetsDeadline(const PlanQuery& aQuery, const StepFigures& aFirst,
+                          const StepFigures& aSecond) {
+  return aFirst.m_cautiousTime + aQuery.m_judgeTime + aSecond.m_cautiousTime <= aQuery.m_timeLeft;
+}
+
+bool MayCascade(const PlanQuery& aQuery) {
+  return aQuery.m_mayCascade && aQuery.m_judgeTime > Duration(0);
+}
+
+Option BestOption(const PlanQuery& aQuery, std::span<const StepFigures> aFigures) {
+  Option best;
+  for (std::size_t first = 0; first < aFigures.size(); ++first) {
+    if (aFigures[first].m_cautiousTime > aQuery.m_timeLeft) {
+      continue;
+    }
+    const Option single = SingleOption(first, aFigures[first]);
+    if (IsBetter(single, best, aQuery.m_qualityTarget)) {
+      best = single;
+    }
+    if (!MayCascade(aQuery)) {
+      continue;
+    }
+    for (std::size_t second = 0; second < aFigures.size(); ++second) {
+      if (first == second || !CascadeMeetsDeadline(aQuery, aFigures[first], aFigures[second])) {
+        continue;
+      }
+      const Option cascade = CascadeOption(aQuery, aFigures, first, second);
+      if (IsBetter(cascade, best, aQuery.m_qualityTarget)) {
+        best = cascade;
+      }
+    }
+  }
+  return best;
+}
+
+/// The version whose mean time leaves the most room, where none meets the deadline with caution.
+Option FastestOption(const PlanQuery& aQuery, std::span<const StepFigures> aFigures) {
+  Option fastest;
+  for (std::size_t index = 0; index < aFigures.size(); ++index) {
+    const bool inTime = aFigures[index].m_meanTime <= aQuery.m_timeLeft;
+    const bool faster = fastest.m_first == kNoIndex ||
+                        aFigures[index].m_meanTime < aFigures[fastest.m_first].m_meanTime;
+    if (inTime && faster) {
+      fastest = SingleOption(index, aFigures[index]);
+    }
+  }
+  return fastest;
+}
+
+/// A cheaper version that may prove good enough and of which little is known, the least rated one.
+std::size_t VersionToExplore(const PlanQuery& aQuery, std::span<const VersionCandidate> aCandidates,
+                             std::span<const StepFigures> aFigures, const Option& aBest) {
+  std::size_t chosen = kNoIndex;
+  for (std::size_t index = 0; index < aCandidates.size(); ++index) {
+    const VersionEstimate& estimate = aCandidates[index].m_estimate;
+    const bool mayProveGood =
+      estimate.m_quality + kQualityHope * estimate.m_qualityError >= aQuery.m_qualityTarget;
+    const bool cheaper = aFigures[index].m_cost < aBest.m_cost;
+    const bool inTime = aFigures[index].m_cautiousTime <= aQuery.m_timeLeft;
+    if (!mayProveGood || !cheaper || !inTime || estimate.m_ratings >= kEnoughRatings) {
+      continue;
+    }
+    if (chosen == kNoIndex || estimate.m_ratings < aCandidates[chosen].m_estimate.m_ratings) {
+      chosen = index;
+    }
+  }
+  return chosen;
+}
+
+std::string ReasonFor(const PlanQuery& aQuery, std::span<const VersionCandidate> aCandidates,
+                      const Option& aOption, bool aExploring) {
+  const bool meets = aOption.m_cautiousQuality >= aQuery.m_qualityTarget;
+  const char* why = "cheapest that meets the quality target in time";
+  if (aExploring) {
+    why = "explored: cheaper, and too few ratings to tell whether it meets the target";
+  } else if (!meets) {
+    why = "no plan is known to meet the quality target in time; best one in time";
+  }
+  std::string names = aCandidates[aOption.m_first].m_version;
+  if (aOption.m_second != kNoIndex) {
+    names += ", then " + aCandidates[aOption.m_second].m_version;
+  }
+  constexpr std::size_t kTextSize = 160;
+  char figures[kTextSize];
+  (void)std::snprintf(figures, sizeof(figures),
+                      ": quality %.3f (at least %.3f, target %.3f), cost %.1f micros", // NOLINT
+                      aOption.m_quality, aOption.m_cautiousQuality, aQuery.m_qualityTarget,
+                      aOption.m_cost);
+  return std::string(why) + ": " + names + figures;
+}
+
+Plan PlanOf(const PlanQuery& aQuery, std::span<const VersionCandidate> aCandidates,
+            std::span<const StepFigures> aFigures, const Option& aOption, bool aExploring) {
+  Plan plan;
+  if (aOption.m_second == kNoIndex) {
+    plan.m_steps = {{aCandidates[aOption.m_first].m_version, aQuery.m_timeLeft}};
+  } else {
+    const Duration second = aQuery.m_judgeTime + aFigures[aOption.m_second].m_cautiousTime;
+    plan.m_steps = {{aCandidates[aOption.m_first].m_version, aQuery.m_timeLeft - second},
+                    {aCandidates[aOption.m_second].m_version, aQuery.m_timeLeft}};
+  }
+  plan.m_expectedCostMicros = aOption.m_cost;
+  plan.m_expectedQuality = aOption.m_quality;
+  plan.m_exploring = aExploring;
+  plan.m_reason = ReasonFor(aQuery, aCandidates, aOption, aExploring);
+  return plan;
+}
+
+} // namespace
+
+PlanResult MakePlan(const PlanQuery& aQuery, std::span<const VersionCandidate> aCandidates,
+                    Random& aRandom) {
+  if (aCandidates.empty()) {
+    return PlanResult{.m_refusal = PlanRefusal::NoVersion};
+  }
+  std::vector<StepFigures> figures;
+  figures.reserve(aCandidates.size());
+  for (const VersionCandidate& candidate : aCandidates) {
+    figures.push_back(FiguresOf(aQuery, candidate));
+  }
+  Option best = BestOption(aQuery, figures);
+  if (best.m_first == kNoIndex) {
+    best = FastestOption(aQuery, figures);
+  }
+  if (best.m_first == kNoIndex) {
+    return PlanResult{.m_refusal = PlanRefusal::CannotFinishInTime};
+  }
+  if (aQuery.m_exploreShare > 0.0 && aRandom.Chance(aQuery.m_exploreShare)) {
+    const std::size_t explored = VersionToExplore(aQuery, aCandidates, figures, best);
+    if (explored != kNoIndex) {
+      const Option option = SingleOption(explored, figures[explored]);
+      return PlanResult{.m_plan = PlanOf(aQuery, aCandidates, figures, option, true)};
+    }
+  }
+  return PlanResult{.m_plan = PlanOf(aQuery, aCandidates, figures, best, false)};
+}
+
+} // namespace fennelline
--- a/Libraries/LibDecision/Planner.h
+++ b/Libraries/LibDecision/Planner.h
@@ -30,6 +30,9 @@
   /// and cascades are out of the question.
   Duration m_judgeTime{0};
   std::int64_t m_judgeCostMicros = 0;
+  /// The share of bad answers that the judge finds, and of good answers that it takes for bad.
+  double m_judgeFindsBad = 1.0;
+  double m_judgeDoubtsGood = 0.0;
   /// A streamed answer cannot be taken back, so it has one step.
   bool m_mayCascade = false;
   /// The share of requests that may be used to learn about versions with few ratings.
--- a/Libraries/LibDecision/ReplicaChoice.h
+++ b/Libraries/LibDecision/ReplicaChoice.h
@@ -3,6 +3,7 @@
 #include "LibBase/Random.h"
 #include "LibBase/Time.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <span>
@@ -15,6 +16,7 @@
   std::int64_t m_reportedRunning = 0;
   std::int64_t m_reportedQueued = 0;
   std::int64_t m_reportedQueuedTokens = 0;
+  /// Tokens that it generates in a second with all slots busy; zero for plain services.
   double m_tokensPerSecond = 0.0;
   Duration m_reportAge{0};
   /// Requests and tokens this entry has sent there and not seen finished, and those of them that
@@ -40,6 +42,10 @@
   std::int64_t m_outputTokens = 0;
   /// Entries that choose from the same reports; spreads simultaneous choices.
   std::int64_t m_entryCount = 1;
+  /// Time that one request of a plain service takes; looked at where no tokens are generated.
+  Duration m_serviceTime = Milliseconds(20);
+  /// The request goes ahead of queued ones (its kind is more urgent than most).
+  bool m_jumpsQueue = false;
 };
 
 struct ReplicaChoice {
@@ -47,10 +53,19 @@
   Duration m_expectedWait{0};
 };
 
+/// A choice looks at no more servers than this, whatever the size of the fleet.
+constexpr std::size_t kMostReplicasConsidered = 32;
+
+/// Picks distinct indices of [0, aCount) at random, as many as fit into aIndices, and returns how
+/// many. For callers with many servers of a version: build views for these and for the servers
+/// that hold the prompt's prefix, and choose among them.
+std::size_t SampleIndices(std::size_t aCount, std::span<std::size_t> aIndices, Random& aRandom);
+
 /// The expected wait before a server starts the request.
 Duration ExpectedWait(const ReplicaView& aReplica, const ReplicaQuery& aQuery);
 
-/// Chooses a backend server, or none where none is eligible.
+/// Chooses a backend server, or none where none is eligible. Of more than kMostReplicasConsidered
+/// it looks at a random sample.
 std::optional<ReplicaChoice> ChooseReplica(const ReplicaQuery& aQuery,
                                            std::span<const ReplicaView> aReplicas, Random& aRandom);
 
--- a/Libraries/LibDecision/RetryBudget.h
+++ b/Libraries/LibDecision/RetryBudget.h
@@ -34,6 +34,8 @@
   Duration m_usualFirstByte{0};
   Duration m_timeLeft{0};
   Duration m_expectedTime{0};
+  /// The pool's free share, from 0 to 1; a full pool gets no second attempts.
+  double m_poolFree = 1.0;
 };
 
 bool ShouldHedge(const HedgeQuery& aQuery);
--- a/Libraries/LibDecision/SequentialTest.h
+++ b/Libraries/LibDecision/SequentialTest.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <cstdint>
 
 namespace fennelline {
@@ -17,25 +18,38 @@
   double m_falseAdvance = 0.05;
 };
 
+/// The rates of bad outcomes, as multiples of the good rate, that the evidence against a version
+/// is averaged over: one need not know how bad a bad version is.
+constexpr std::array<double, 4> kBadRateMultiples = {2.0, 4.0, 10.0, 20.0};
+
+/// No alternative goes beyond this rate.
+constexpr double kMostBadRate = 0.9;
+
 /// A sequential test on clusters (sessions, or single requests without one), valid under
 /// continuous looking: feed each new outcome once, act on the verdict at any time.
+///
+/// The evidence against is a mixture of likelihood ratios, an e-process for "the rate is at most
+/// m_goodRate": whatever the number of looks, it reaches 1 / m_falseAlarm with a chance of at most
+/// m_falseAlarm. The evidence for is the likelihood ratio against "the rate is at least m_badRate".
 class SequentialTest {
 public:
   explicit SequentialTest(SequentialTestPlan aPlan)
     : m_plan(aPlan) {}
 
-  /// Adds clusters and how many of them were bad.
+  /// Adds clusters and how many of them were bad. A cluster that was added as good and turned out
+  /// bad later is added as (0, 1).
   void Add(std::int64_t aClusters, std::int64_t aBad);
   ExposureVerdict Verdict() const;
   /// The next step starts: evidence for going on starts anew, evidence against stays.
   void StartStep();
   /// Natural logarithm of the evidence against the version.
-  double EvidenceAgainst() const { return m_against; }
+  double EvidenceAgainst() const;
   double EvidenceFor() const { return m_for; }
 
 private:
   SequentialTestPlan m_plan;
-  double m_against = 0.0;
+  /// Logarithms of the likelihood ratios, one for each of kBadRateMultiples.
+  std::array<double, kBadRateMultiples.size()> m_against{};
   double m_for = 0.0;
 };
 
