Add the clients for the platform, engines and plain services

Cause: the entry needs to reach every outside system through one adapter each. Weighed: one client per protocol with its own HTTP code, or one transport with kept connections below thin JSON adapters; the latter keeps cpp-httplib in a single source file. Before: no client.

--- /dev/null
+++ b/Libraries/LibPlatform/EngineClient.cpp
@@ -0,0 +1,193 @@
+#include "LibPlatform/EngineClient.h"
+
+#include "LibPlatform/BackendReply.h"
+#include "LibPlatform/EventStreamParser.h"
+#include "LibPlatform/JsonReply.h"
+
+#include <nlohmann/json.hpp>
+
+namespace fennelline {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr const char* kStreamEnd = "[DONE]";
+// Loading weights waits for the rate-limited weight store.
+constexpr Duration kOrderTimeout = Seconds(120);
+
+void ReadUsage(const json& aObject, BackendUsage& aUsage) {
+  if (!aObject.contains("usage") || !aObject["usage"].is_object()) {
+    return;
+  }
+  const json& usage = aObject["usage"];
+  aUsage.m_inputTokens = usage.value("prompt_tokens", std::int64_t{0});
+  aUsage.m_outputTokens = usage.value("completion_tokens", std::int64_t{0});
+}
+
+std::int64_t TokensOf(const json& aEvent) {
+  return aEvent.value("tokens", std::int64_t{0});
+}
+
+/// The caller's body with what the router decides put in.
+std::string BodyFor(const BackendRequest& aRequest) {
+  json body = JsonOrEmpty(aRequest.m_body);
+  body["model"] = aRequest.m_version;
+  body["priority"] = aRequest.m_priority;
+  body["stream"] = aRequest.m_stream;
+  return body.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+HttpRequest RequestFor(const BackendRequest& aRequest) {
+  if (aRequest.m_stream && aRequest.m_resumeAfter > 0) {
+    const std::string target = "/v1/streams/" + PercentEncode(aRequest.m_attempt) +
+                               "?after=" + std::to_string(aRequest.m_resumeAfter);
+    return {.m_method = "GET", .m_target = target};
+  }
+  return {.m_method = "POST",
+          .m_target = aRequest.m_path,
+          .m_headers = {{"Fennelline-Attempt", aRequest.m_attempt}},
+          .m_body = BodyFor(aRequest)};
+}
+
+/// Follows one stream from its first byte to its end.
+class StreamReader {
+public:
+  explicit StreamReader(const BackendObserver& aObserver)
+    : m_observer(aObserver) {}
+
+  bool Take(const char* aBytes, std::size_t aCount) {
+    for (const StreamEvent& event : m_parser.Feed(aBytes, aCount)) {
+      TakeEvent(event);
+    }
+    return true;
+  }
+  bool HasEnded() const { return m_ended; }
+  const BackendUsage& Usage() const { return m_usage; }
+
+private:
+  void TakeEvent(const StreamEvent& aEvent) {
+    if (aEvent.m_data == kStreamEnd) {
+      m_ended = true;
+      return;
+    }
+    const json data = JsonOrEmpty(aEvent.m_data);
+    ReadUsage(data, m_usage);
+    m_observer.m_chunk("data: " + aEvent.m_data + "\n\n", aEvent.m_number, TokensOf(data));
+  }
+
+  const BackendObserver& m_observer;
+  EventStreamParser m_parser;
+  BackendUsage m_usage;
+  bool m_ended = false;
+};
+
+void ChatStreamed(HttpTransport& aTransport, const BackendRequest& aRequest,
+                  const BackendObserver& aObserver, HttpCancel& aCancel) {
+  StreamReader stream(aObserver);
+  HttpReceiver receiver;
+  receiver.m_head = [&aObserver](const HttpReply& aHead) {
+    aObserver.m_head(aHead.m_status, aHead.m_contentType);
+    return true;
+  };
+  receiver.m_bytes = [&stream](const char* aBytes, std::size_t aCount) {
+    return stream.Take(aBytes, aCount);
+  };
+  const HttpLimits limits{.m_silence = aRequest.m_silence, .m_whole = aRequest.m_timeout};
+  const HttpReply reply =
+    aTransport.CallStreamed(aRequest.m_address, RequestFor(aRequest), limits, receiver, aCancel);
+  if (stream.HasEnded()) {
+    BackendUsage usage = stream.Usage();
+    usage.m_version = reply.m_version;
+    aObserver.m_finished(usage);
+    return;
+  }
+  const bool isResume = aRequest.m_resumeAfter > 0;
+  ReportFailure(reply, isResume, aObserver);
+}
+
+void ChatWhole(HttpTransport& aTransport, const BackendRequest& aRequest,
+               const BackendObserver& aObserver, HttpCancel& aCancel) {
+  const HttpReply reply = CallWhole(aTransport, aRequest, RequestFor(aRequest), aCancel);
+  if (!IsGood(reply)) {
+    ReportFailure(reply, false, aObserver);
+    return;
+  }
+  BackendUsage usage;
+  ReadUsage(JsonOrEmpty(reply.m_body), usage);
+  usage.m_version = reply.m_version;
+  aObserver.m_head(reply.m_status, reply.m_contentType);
+  aObserver.m_chunk(reply.m_body, 0, usage.m_outputTokens);
+  aObserver.m_finished(usage);
+}
+
+std::vector<std::uint64_t> ReadHashes(const json& aBody, const char* aName) {
+  std::vector<std::uint64_t> hashes;
+  for (const json& hash : aBody.value(aName, json::array())) {
+    hashes.push_back(std::stoull(hash.get<std::string>()));
+  }
+  return hashes;
+}
+
+} // namespace
+
+EngineClient::EngineClient(HttpTransport& aTransport, Duration aTimeout)
+  : m_transport(aTransport)
+  , m_timeout(aTimeout) {}
+
+void EngineClient::Chat(const BackendRequest& aRequest, const BackendObserver& aObserver,
+                        HttpCancel& aCancel) {
+  if (aRequest.m_stream) {
+    ChatStreamed(m_transport, aRequest, aObserver, aCancel);
+  } else {
+    ChatWhole(m_transport, aRequest, aObserver, aCancel);
+  }
+}
+
+void EngineClient::CancelStream(const std::string& aAddress, const std::string& aAttempt) {
+  const HttpRequest request{.m_method = "DELETE",
+                            .m_target = "/v1/streams/" + PercentEncode(aAttempt)};
+  m_transport.Call(aAddress, request, {.m_silence = m_timeout, .m_whole = m_timeout});
+}
+
+Result<BackendLoad> EngineClient::Load(const std::string& aAddress) {
+  return ReadLoad(m_transport, aAddress, m_timeout);
+}
+
+Result<EngineCacheEvents> EngineClient::CacheEvents(const std::string& aAddress,
+                                                    std::uint64_t aAfter, Duration aWait) {
+  const HttpRequest request{.m_target = "/cache-events?after=" + std::to_string(aAfter) +
+                                        "&wait_ms=" + std::to_string(InMilliseconds(aWait))};
+  const Duration limit = m_timeout + aWait;
+  const json body =
+    TRY(JsonOf(m_transport.Call(aAddress, request, {.m_silence = limit, .m_whole = limit})));
+  EngineCacheEvents events;
+  try {
+    events.m_next = body.value("next", std::uint64_t{0});
+    events.m_gap = body.value("gap", false);
+    events.m_added = ReadHashes(body, "added");
+    events.m_removed = ReadHashes(body, "removed");
+  } catch (const std::exception& exception) {
+    return MakeError(ErrorCode::InvalidField, exception.what());
+  }
+  return events;
+}
+
+Result<std::vector<std::string>> EngineClient::Order(const std::string& aAddress,
+                                                     EngineOrder aOrder,
+                                                     const std::string& aVersion,
+                                                     std::uint64_t aFence) {
+  const json order = {{"order", aOrder == EngineOrder::Load ? "load" : "unload"},
+                      {"version", aVersion},
+                      {"fence", aFence}};
+  const HttpRequest request{.m_method = "POST", .m_target = "/orders", .m_body = order.dump()};
+  const json body = TRY(JsonOf(
+    m_transport.Call(aAddress, request, {.m_silence = kOrderTimeout, .m_whole = kOrderTimeout})));
+  try {
+    return body.value("versions", std::vector<std::string>());
+  } catch (const json::exception& exception) {
+    return MakeError(ErrorCode::InvalidField, exception.what());
+  }
+}
+
+} // namespace fennelline
--- /dev/null
+++ b/Libraries/LibPlatform/RatingClient.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "LibBase/Error.h"
+#include "LibBase/Time.h"
+#include "LibPlatform/HttpTransport.h"
+
+#include <concepts>
+#include <string>
+
+namespace fennelline {
+
+struct RatingRequest {
+  std::string m_kind;
+  std::string m_version;
+  std::string m_prompt;
+  std::string m_answer;
+};
+
+template<typename Client>
+concept IsRatingClient = requires(Client aClient, const RatingRequest& aRequest) {
+  { aClient.Rate(aRequest) } -> std::same_as<Result<bool>>;
+};
+
+/// The platform's rating service over HTTP. Calls last as long as the rater takes.
+class RatingClient {
+public:
+  RatingClient(HttpTransport& aTransport, std::string aAddress, Duration aTimeout);
+
+  /// Whether the answer is good.
+  Result<bool> Rate(const RatingRequest& aRequest);
+
+private:
+  HttpTransport& m_transport;
+  std::string m_address;
+  Duration m_timeout;
+};
+
+static_assert(IsRatingClient<RatingClient>);
+
+} // namespace fennelline
