Encode the messages and datagrams between entries as msgpack

The aggregates name their fields once, in VisitFields(); the codec packs each as an array of just these fields and refuses any other length, type or number, so that a damaged message is an error. Weighed: fields left out or added at the end being accepted. Ruled out for now: a view number that reads as zero because a field was missing would be a wrong message, not an older one.

--- /dev/null
+++ b/Tests/LibWire/TestMessageCodec.cpp
@@ -0,0 +1,148 @@
+#include "LibWire/MessageCodec.h"
+
+#include "LibBase/Random.h"
+
+#include <doctest/doctest.h>
+#include <ostream>
+
+using namespace fennelline;
+
+namespace {
+
+const std::string kOldSecret = "an-old-shared-secret";
+const std::string kNewSecret = "a-new-shared-secret!";
+
+Envelope SampleReply() {
+  ClaimSlot slot{.m_identity = {"mopane", "key-1"},
+                 .m_state = SlotState::Answered,
+                 .m_bodyHash = "abcd",
+                 .m_attempt = {"e1#7", 42},
+                 .m_answer = {200, "application/json", "{}", "tagger@3", 120},
+                 .m_keepMilliseconds = -5};
+  ClaimReply reply{.m_shard = 3,
+                   .m_view = 99,
+                   .m_identity = {"mopane", "key-1"},
+                   .m_attempt = {"e2#8", 43},
+                   .m_verdict = ClaimVerdict::Taken,
+                   .m_slot = slot};
+  return Envelope{.m_from = "e1#7", .m_clock = 1ULL << 63U, .m_message = reply};
+}
+
+MembershipDatagram SampleDatagram() {
+  MembershipDatagram datagram;
+  datagram.m_kind = DatagramKind::IndirectPing;
+  datagram.m_from = "e1#7";
+  datagram.m_members.push_back(
+    {.m_entry = "e2#1", .m_version = 4, .m_state = MemberState::Leaving});
+  datagram.m_leaving.push_back({"engine-4", 1'500});
+  datagram.m_configurationRevision = 17;
+  return datagram;
+}
+
+template<std::size_t Index = 0>
+void CheckEachAlternative() {
+  if constexpr (Index < std::variant_size_v<Message>) {
+    Message message;
+    message.emplace<Index>();
+    const Result<Envelope> read = DecodeMessage(EncodeMessage({"e1#1", 5, message}));
+    REQUIRE(read);
+    CHECK(read.Get().m_message.index() == Index);
+    CheckEachAlternative<Index + 1>();
+  }
+}
+
+/// Changes, cuts or extends the bytes at random.
+std::string Damage(std::string aBytes, Random& aRandom) {
+  const std::uint64_t changes = 1 + aRandom.Below(4);
+  for (std::uint64_t change = 0; change < changes && !aBytes.empty(); ++change) {
+    aBytes[aRandom.Below(aBytes.size())] = static_cast<char>(aRandom.Below(256));
+  }
+  if (aRandom.Chance(0.3)) {
+    aBytes.resize(aRandom.Below(aBytes.size() + 1));
+  }
+  if (aRandom.Chance(0.1)) {
+    aBytes += static_cast<char>(aRandom.Below(256));
+  }
+  return aBytes;
+}
+
+} // namespace
+
+TEST_CASE("each kind of message reads back as itself") {
+  CheckEachAlternative();
+}
+
+TEST_CASE("a message keeps all its fields") {
+  const Envelope sent = SampleReply();
+  const Result<Envelope> read = DecodeMessage(EncodeMessage(sent));
+  REQUIRE(read);
+  CHECK(read.Get().m_from == sent.m_from);
+  CHECK(read.Get().m_clock == sent.m_clock);
+  const ClaimReply& reply = std::get<ClaimReply>(read.Get().m_message);
+  CHECK(reply.m_verdict == ClaimVerdict::Taken);
+  CHECK(reply.m_slot.m_answer == StoredAnswer{200, "application/json", "{}", "tagger@3", 120});
+  CHECK(reply.m_slot.m_keepMilliseconds == -5);
+  CHECK(EncodeMessage(read.Get()) == EncodeMessage(sent));
+}
+
+TEST_CASE("lists, numbers and truth values read back") {
+  LoadReports reports{.m_reports = {{"engine-1", 20, 3, 4, 500, 812.5, {"tagger@3", "writer@1"}}}};
+  const Result<Envelope> read = DecodeMessage(EncodeMessage({"e1#1", 0, reports}));
+  REQUIRE(read);
+  const LoadReport& report = std::get<LoadReports>(read.Get().m_message).m_reports.at(0);
+  CHECK(report.m_tokensPerSecond == 812.5);
+  CHECK(report.m_versions == std::vector<std::string>{"tagger@3", "writer@1"});
+}
+
+TEST_CASE("damaged messages are errors or other messages, never a crash") {
+  Random random(20'261);
+  const std::string bytes = EncodeMessage(SampleReply());
+  std::size_t refused = 0;
+  constexpr int kRounds = 20'000;
+  for (int round = 0; round < kRounds; ++round) {
+    const Result<Envelope> read = DecodeMessage(Damage(bytes, random));
+    refused += read.IsError() ? 1U : 0U;
+    CHECK((!read.IsError() || read.GetError().m_code == ErrorCode::InvalidMessage));
+  }
+  CHECK(refused > kRounds / 4);
+}
+
+TEST_CASE("random bytes are errors") {
+  Random random(7);
+  for (int round = 0; round < 20'000; ++round) {
+    std::string bytes(random.Below(64), '\0');
+    for (char& byte : bytes) {
+      byte = static_cast<char>(random.Below(256));
+    }
+    CHECK(DecodeMessage(bytes).IsError());
+  }
+}
+
+TEST_CASE("an enumeration's number beyond its last value is refused") {
+  ClaimReply reply;
+  reply.m_verdict = static_cast<ClaimVerdict>(9);
+  CHECK(DecodeMessage(EncodeMessage({"e1#1", 0, reply})).IsError());
+}
+
+TEST_CASE("a count that the bytes cannot hold is refused without allocating it") {
+  const std::string hugeArray = "\xdd\xff\xff\xff\xff";
+  CHECK(DecodeMessage(hugeArray).IsError());
+}
+
+TEST_CASE("a datagram reads back and its tag holds under any known secret") {
+  const std::string bytes = EncodeDatagram(SampleDatagram(), kOldSecret);
+  const Result<MembershipDatagram> read = DecodeDatagram(bytes, {kNewSecret, kOldSecret});
+  REQUIRE(read);
+  CHECK(read.Get().m_kind == DatagramKind::IndirectPing);
+  CHECK(read.Get().m_members == SampleDatagram().m_members);
+  CHECK(read.Get().m_leaving.at(0).m_ageMilliseconds == 1'500);
+  CHECK(read.Get().m_configurationRevision == 17);
+}
+
+TEST_CASE("a datagram under another secret or with a changed byte is refused") {
+  std::string bytes = EncodeDatagram(SampleDatagram(), kOldSecret);
+  CHECK(DecodeDatagram(bytes, {kNewSecret}).GetError().m_code == ErrorCode::Unauthorized);
+  bytes.back() = static_cast<char>(bytes.back() ^ 1);
+  CHECK(DecodeDatagram(bytes, {kOldSecret}).GetError().m_code == ErrorCode::Unauthorized);
+  CHECK(DecodeDatagram("short", {kOldSecret}).IsError());
+}
