Add the entry: one reducer over all events and a shell that carries out its effects

Cause: the whole path needs its middle. The reducer follows each request from validation over the session's version, plan, admission, spend, claim, send, judge, usage copy and bill to its end. Weighed: claiming the bill of an idempotent keyed request before it runs (an entry lost while it runs leaves the retry unbilled) against claiming it after the answer is whole (chosen: the window is that of one round trip). Copying the usage record before the claim would bill twice.

--- a/Libraries/LibPlatform/BackendCall.h
+++ b/Libraries/LibPlatform/BackendCall.h
@@ -21,7 +21,8 @@
   std::string m_version;
   int m_priority = 0;
   bool m_stream = false;
-  /// Resume the attempt's stream after this event; zero starts it.
+  /// Resume the attempt's stream after this event, instead of starting it.
+  bool m_resume = false;
   std::uint64_t m_resumeAfter = 0;
   Duration m_timeout = Seconds(60);
   /// The longest silence within a stream before the connection counts as broken.
--- a/Libraries/LibPlatform/EngineClient.cpp
+++ b/Libraries/LibPlatform/EngineClient.cpp
@@ -39,7 +39,7 @@
 }
 
 HttpRequest RequestFor(const BackendRequest& aRequest) {
-  if (aRequest.m_stream && aRequest.m_resumeAfter > 0) {
+  if (aRequest.m_stream && aRequest.m_resume) {
     const std::string target = "/v1/streams/" + PercentEncode(aRequest.m_attempt) +
                                "?after=" + std::to_string(aRequest.m_resumeAfter);
     return {.m_method = "GET", .m_target = target};
@@ -102,8 +102,7 @@
     aObserver.m_finished(usage);
     return;
   }
-  const bool isResume = aRequest.m_resumeAfter > 0;
-  ReportFailure(reply, isResume, aObserver);
+  ReportFailure(reply, aRequest.m_resume, aObserver);
 }
 
 void ChatWhole(HttpTransport& aTransport, const BackendRequest& aRequest,
--- a/Services/Entry/Backends/BackendDirectory.cpp
+++ b/Services/Entry/Backends/BackendDirectory.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr Duration kUnknownDistance = Milliseconds(20);
+/// A connection may go silent while new ones work, so one silent poll does not count.
+constexpr int kMostSilentPolls = 3;
 constexpr double kFailureMemory = 0.9;
 constexpr std::string_view kServicePrefix = "service:";
 
@@ -91,13 +93,15 @@
     return;
   }
   BackendServer& server = found->second;
-  server.m_reachable = aPolled.m_reached;
   if (!aPolled.m_reached) {
+    server.m_silentPolls += 1;
+    server.m_reachable = !aPolled.m_refused && server.m_silentPolls < kMostSilentPolls;
     return;
   }
+  server.m_silentPolls = 0;
+  server.m_reachable = true;
   server.m_slots = std::max<std::int64_t>(aPolled.m_slots, 1);
-  ReplaceReport(server, aPolled.m_report,
-                aNow - Milliseconds(aPolled.m_report.m_ageMilliseconds));
+  ReplaceReport(server, aPolled.m_report, aNow - Milliseconds(aPolled.m_report.m_ageMilliseconds));
 }
 
 void BackendDirectory::OnLoadReport(const LoadReport& aReport, Time aNow) {
--- a/Services/Entry/Backends/BackendDirectory.h
+++ b/Services/Entry/Backends/BackendDirectory.h
@@ -24,6 +24,8 @@
   bool m_listed = true;
   bool m_leaving = false;
   bool m_reachable = true;
+  /// Polls in a row that brought neither an answer nor a refusal.
+  int m_silentPolls = 0;
 
   std::int64_t m_slots = 1;
   std::int64_t m_running = 0;
@@ -56,7 +58,8 @@
 public:
   /// aDistances gives the one-way time to other data centres; a missing one counts as far.
   BackendDirectory(DataCentre aOwnDataCentre, std::map<DataCentre, Duration> aDistances)
-      : m_ownDataCentre(std::move(aOwnDataCentre)), m_distances(std::move(aDistances)) {}
+    : m_ownDataCentre(std::move(aOwnDataCentre))
+    , m_distances(std::move(aDistances)) {}
 
   void OnVmList(const std::vector<ListedVm>& aVms);
   void OnLoadPolled(const LoadPolled& aPolled, Time aNow);
--- /dev/null
+++ b/Services/Entry/EntryReducer.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "Services/Entry/EntryEffect.h"
+#include "Services/Entry/EntryParts.h"
+#include "Services/Entry/Requests/RequestPipeline.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace fennelline {
+
+/// The one reducer of an entry: every event goes in here, with the present time, and what is to be
+/// done comes out as data. It has no lock, clock, socket or random device, so the same events give
+/// the same effects again.
+class EntryReducer {
+public:
+  explicit EntryReducer(const EntryStart& aStart);
+
+  EntryEffects Reduce(const Event& aEvent, Time aNow);
+
+  const EntryParts& Parts() const { return m_parts; }
+  const RequestPipeline& Requests() const { return m_pipeline; }
+  /// Where a peer takes messages; empty where it is not known.
+  std::string StreamAddressOf(const EntryId& aEntry) const;
+  /// The entries that callers should use: alive, and not about to leave.
+  std::vector<MemberDigest> EntriesForCallers() const;
+
+private:
+  void On(const CallerRequest& aEvent, Time aNow, EntryEffects& aEffects);
+  void On(const CallerGone& aEvent, Time aNow, EntryEffects& aEffects);
+  void On(const BackendAnswered& aEvent, Time aNow, EntryEffects& aEffects);
+  void On(const BackendChunk& aEvent, Time aNow, EntryEffects& aEffects);
+  void On(const BackendFinished& aEvent, Time aNow, EntryEffects& aEffects);
+  void On(const BackendFailed& aEvent, Time aNow, EntryEffects& aEffects);
+  void On(const VmListRead& aEvent, Time aNow, EntryEffects& aEffects);
+  void On(const LoadPolled& aEvent, Time aNow, EntryEffects& aEffects);
+  void On(const CacheChanged& aEvent, Time aNow, EntryEffects& aEffects);
+  void On(const RatingArrived& aEvent, Time aNow, EntryEffects& aEffects);
+  void On(const MessageReceived& aEvent, Time aNow, EntryEffects& aEffects);
+  void On(const DatagramReceived& aEvent, Time aNow, EntryEffects& aEffects);
+  void On(const PlatformReply& aEvent, Time aNow, EntryEffects& aEffects);
+  void On(const Tick& aEvent, Time aNow, EntryEffects& aEffects);
+  void On(const StopRequested& aEvent, Time aNow, EntryEffects& aEffects);
+
+  void Follow(const std::vector<MembershipOutcome>& aOutcomes, Time aNow, EntryEffects& aEffects);
+  void Follow(const std::vector<ConfigurationOutcome>& aOutcomes, Time aNow,
+              EntryEffects& aEffects);
+  void Follow(const std::vector<UsageHeld>& aOutcomes, Time aNow, EntryEffects& aEffects);
+  void OnMembersChanged(Time aNow, EntryEffects& aEffects);
+  void OnConfiguration(const Configuration& aConfiguration, Time aNow, EntryEffects& aEffects);
+  void BeginLeaving(Time aNow, EntryEffects& aEffects);
+  void ContinueStop(Time aNow, EntryEffects& aEffects);
+
+  EntryParts m_parts;
+  RequestPipeline m_pipeline;
+  std::map<EntryId, std::string> m_streamAddresses;
+  bool m_leaving = false;
+  bool m_flushed = false;
+  bool m_stopped = false;
+  Time m_stopLimit = kNever;
+};
+
+} // namespace fennelline
--- a/Services/Entry/Event.h
+++ b/Services/Entry/Event.h
@@ -89,6 +89,7 @@
   BackendCallId m_call = 0;
   BackendFailure m_failure = BackendFailure::Broken;
   std::string m_detail;
+  BackendServerId m_backendServer;
 };
 
 /// A VM of the platform's list.
@@ -110,6 +111,9 @@
 struct LoadPolled {
   BackendServerId m_backendServer;
   bool m_reached = false;
+  /// Where it was not reached: nothing listens at its address, as after a crash. Otherwise the
+  /// connection went silent, which says little about the server.
+  bool m_refused = false;
   LoadReport m_report;
   std::int64_t m_slots = 0;
   bool m_leaving = false;
--- a/Services/Entry/Requests/Problem.h
+++ b/Services/Entry/Requests/Problem.h
@@ -7,7 +7,8 @@
 
 namespace fennelline {
 
-/// Whether a refused request ran. "No" is a promise; see docs/API.md for why it is true at each code.
+/// Whether a refused request ran. "No" is a promise; see docs/API.md for why it is true at each
+/// code.
 enum class Ran : std::uint8_t { No, Unknown, Yes };
 
 /// Every way in which a request ends without its answer.
--- a/Services/Entry/Requests/RequestAnswers.cpp
+++ b/Services/Entry/Requests/RequestAnswers.cpp
@@ -34,8 +34,7 @@
 }
 
 RequestIdentity RequestPipeline::BillSlot(const ActiveRequest& aActive) {
-  return ClaimIdentity(ClaimPurpose::Bill, aActive.m_identity.m_customer,
-                       aActive.m_identity.m_key);
+  return ClaimIdentity(ClaimPurpose::Bill, aActive.m_identity.m_customer, aActive.m_identity.m_key);
 }
 
 void RequestPipeline::RecordEvent(const ActiveRequest& aActive, std::string aName,
@@ -149,10 +148,9 @@
   // sent again is answered without one. It should look for the record among the peers.
   aActive.m_phase = RequestPhase::AwaitingBill;
   const std::uint64_t ticket = TicketOf(aActive.m_request.m_caller, ClaimPurpose::Bill);
-  const std::vector<ClaimOutcomeReport> outcomes =
-    Emit(m_parts.m_claims.Begin(ticket, BillSlot(aActive), aActive.m_bodyHash, aActive.m_deadline,
-                                aNow),
-         aEffects);
+  const std::vector<ClaimOutcomeReport> outcomes = Emit(
+    m_parts.m_claims.Begin(ticket, BillSlot(aActive), aActive.m_bodyHash, aActive.m_deadline, aNow),
+    aEffects);
   OnClaimOutcomes(outcomes, aNow, aEffects);
 }
 
@@ -222,8 +220,7 @@
     headers.emplace_back("Fennelline-Version", aVersion);
   }
   if (!aActive.m_sessionName.empty() && !aActive.m_pinnedVersion.empty()) {
-    const SessionToken token{.m_name = aActive.m_sessionName,
-                             .m_version = aActive.m_pinnedVersion};
+    const SessionToken token{.m_name = aActive.m_sessionName, .m_version = aActive.m_pinnedVersion};
     headers.emplace_back("Fennelline-Session",
                          m_parts.m_sessionTokens.Sign(aActive.m_identity.m_customer, token));
   }
@@ -291,8 +288,7 @@
 void RequestPipeline::SampleRating(ActiveRequest& aActive, Time aNow, EntryEffects& aEffects) {
   const std::string& version = aActive.m_answer.m_version;
   const bool judgedAlready = aActive.m_rating != 0 && aActive.m_step == 0;
-  if (version.empty() || judgedAlready ||
-      !m_parts.m_evidence.ChosenForRating(ClusterOf(aActive))) {
+  if (version.empty() || judgedAlready || !m_parts.m_evidence.ChosenForRating(ClusterOf(aActive))) {
     return;
   }
   const std::uint64_t rating = m_nextRating++;
@@ -397,8 +393,8 @@
 
 void RequestPipeline::TickRequest(ActiveRequest& aActive, Time aNow, EntryEffects& aEffects) {
   // An answer that is whole leaves as soon as its bill is safe, if late: it is better than none.
-  const bool ending = aActive.m_phase == RequestPhase::AwaitingUsage ||
-                      aActive.m_phase == RequestPhase::AwaitingBill;
+  const bool ending =
+    aActive.m_phase == RequestPhase::AwaitingUsage || aActive.m_phase == RequestPhase::AwaitingBill;
   if (ending) {
     return;
   }
@@ -438,9 +434,8 @@
       TickRequest(found->second, aNow, aEffects);
     }
   }
-  std::erase_if(m_ratings, [aNow](const auto& aItem) {
-    return aNow - aItem.second.m_asked > kRatingMemory;
-  });
+  std::erase_if(m_ratings,
+                [aNow](const auto& aItem) { return aNow - aItem.second.m_asked > kRatingMemory; });
 }
 
 void RequestPipeline::Count(const std::string& aOutcome, Duration aTime, bool aLate) {
--- a/Services/Entry/Requests/RequestCalls.cpp
+++ b/Services/Entry/Requests/RequestCalls.cpp
@@ -40,8 +40,8 @@
 
 ReplicaQuery QueryOf(const ActiveRequest& aActive, std::size_t aEntries) {
   ReplicaQuery query;
-  query.m_inputTokens = static_cast<std::int64_t>(aActive.m_prefixHashes.size()) *
-                        kTokensPerPrefixBlock;
+  query.m_inputTokens =
+    static_cast<std::int64_t>(aActive.m_prefixHashes.size()) * kTokensPerPrefixBlock;
   query.m_outputTokens = aActive.m_request.m_mostOutputTokens;
   query.m_entryCount = static_cast<std::int64_t>(aEntries);
   query.m_jumpsQueue = aActive.m_kind.m_urgency == Urgency::Counter;
@@ -109,10 +109,9 @@
                                                   EntryEffects& aEffects) {
   std::string version = aActive.m_plan.m_steps[aActive.m_step].m_version;
   const std::shared_ptr<const Configuration> configuration = m_parts.m_configuration.Current();
-  const bool allowed =
-    !IsModelWork(aActive) ||
-    MaySendTo(*configuration, aActive.m_identity.m_customer, aActive.m_kind.m_name, version,
-              !aActive.m_pinnedVersion.empty());
+  const bool allowed = !IsModelWork(aActive) ||
+                       MaySendTo(*configuration, aActive.m_identity.m_customer,
+                                 aActive.m_kind.m_name, version, !aActive.m_pinnedVersion.empty());
   if (!allowed) {
     // The version went away since the plan was made.
     if (aHedge || !PlanModelWork(aActive, aNow, aEffects)) {
@@ -210,8 +209,7 @@
   }
   m_parts.m_backends.OnEnded(call->m_work, aFailed);
   m_calls.erase(aCall);
-  std::erase_if(aActive.m_calls,
-                [aCall](const RunningCall& aItem) { return aItem.m_id == aCall; });
+  std::erase_if(aActive.m_calls, [aCall](const RunningCall& aItem) { return aItem.m_id == aCall; });
 }
 
 void RequestPipeline::CancelCalls(ActiveRequest& aActive, BackendCallId aExcept,
@@ -299,8 +297,7 @@
   observation.m_total = aNow - call.m_work.m_sent;
   observation.m_inputTokens = aEvent.m_inputTokens;
   observation.m_outputTokens = aEvent.m_outputTokens;
-  const std::string version =
-    IsModelWork(*active) ? call.m_version : ServiceVersion(*active);
+  const std::string version = IsModelWork(*active) ? call.m_version : ServiceVersion(*active);
   m_parts.m_estimates.Observe(active->m_kind.m_name, version, observation, aNow);
   StepFinished(*active, call, aEvent, aNow, aEffects);
 }
@@ -330,8 +327,8 @@
 
 void RequestPipeline::NoteFailure(ActiveRequest& aActive, const RunningCall& aCall,
                                   const BackendFailed& aEvent, Time aNow) {
-  const bool mayHaveRun = aEvent.m_failure != BackendFailure::NotSent &&
-                          aEvent.m_failure != BackendFailure::Refused;
+  const bool mayHaveRun =
+    aEvent.m_failure != BackendFailure::NotSent && aEvent.m_failure != BackendFailure::Refused;
   if (!mayHaveRun) {
     return;
   }
@@ -341,7 +338,8 @@
     m_parts.m_evidence.OnAnswer(aCall.m_version, aActive.m_kind.m_name, cluster,
                                 AnswerEvidence{.m_error = true}, aNow);
   }
-  if (aEvent.m_failure == BackendFailure::Broken || aEvent.m_failure == BackendFailure::StreamLost) {
+  if (aEvent.m_failure == BackendFailure::Broken ||
+      aEvent.m_failure == BackendFailure::StreamLost) {
     aActive.m_crashes += 1;
     m_suspicions.push_back({.m_fingerprint = aActive.m_fingerprint,
                             .m_server = aCall.m_work.m_server,
@@ -373,8 +371,8 @@
 
 void RequestPipeline::AfterFailure(ActiveRequest& aActive, const BackendFailed& aEvent, Time aNow,
                                    EntryEffects& aEffects) {
-  const bool surelyNotRun = aEvent.m_failure == BackendFailure::NotSent ||
-                            aEvent.m_failure == BackendFailure::Refused;
+  const bool surelyNotRun =
+    aEvent.m_failure == BackendFailure::NotSent || aEvent.m_failure == BackendFailure::Refused;
   if (surelyNotRun && aActive.m_claim) {
     m_parts.m_claims.MarkNotSent(RunSlot(aActive), *aActive.m_claim);
   }
@@ -390,8 +388,8 @@
     return;
   }
   const bool mayRunAgain = surelyNotRun || aActive.m_idempotent;
-  const bool poison = aActive.m_crashes >= kMostCrashes ||
-                      m_parts.m_crashes.IsPoison(aActive.m_fingerprint, aNow);
+  const bool poison =
+    aActive.m_crashes >= kMostCrashes || m_parts.m_crashes.IsPoison(aActive.m_fingerprint, aNow);
   const bool inTime = aNow + aActive.m_expectedTime < aActive.m_deadline;
   if (mayRunAgain && !poison && inTime && m_parts.m_retryBudget.TrySpend()) {
     const SendResult result = Send(aActive, false, aNow, aEffects);
--- a/Services/Entry/Requests/RequestPipeline.cpp
+++ b/Services/Entry/Requests/RequestPipeline.cpp
@@ -20,10 +20,8 @@
 constexpr double kExploreShare = 0.02;
 
 Problem Refusal(ProblemCode aCode, std::string aDetail, Duration aRetryAfter) {
-  return Problem{.m_code = aCode,
-                 .m_ran = Ran::No,
-                 .m_detail = std::move(aDetail),
-                 .m_retryAfter = aRetryAfter};
+  return Problem{
+    .m_code = aCode, .m_ran = Ran::No, .m_detail = std::move(aDetail), .m_retryAfter = aRetryAfter};
 }
 
 /// Uniform in [0, 1), the same on every entry.
@@ -95,15 +93,14 @@
   Start(active, aNow, aEffects);
 }
 
-ActiveRequest RequestPipeline::MakeActive(const CallerRequest& aRequest,
-                                          const ValidRequest& aValid, Time aNow) {
+ActiveRequest RequestPipeline::MakeActive(const CallerRequest& aRequest, const ValidRequest& aValid,
+                                          Time aNow) {
   ActiveRequest active;
   active.m_request = aRequest;
   active.m_keyed = !aRequest.m_idempotencyKey.empty();
   active.m_identity.m_customer = aValid.m_contract->m_customer;
-  active.m_identity.m_key = active.m_keyed
-                              ? aRequest.m_idempotencyKey
-                              : m_parts.m_self + "/" + std::to_string(m_nextKey++);
+  active.m_identity.m_key =
+    active.m_keyed ? aRequest.m_idempotencyKey : m_parts.m_self + "/" + std::to_string(m_nextKey++);
   active.m_kind = *aValid.m_kind;
   active.m_share = aValid.m_contract->m_share;
   if (aValid.m_operation != nullptr) {
@@ -112,8 +109,8 @@
   }
   const std::string path = aRequest.m_service + "/" + aRequest.m_operation + "\n";
   active.m_bodyHash = Sha256Hex(path + aRequest.m_kind + "\n" + aRequest.m_body);
-  active.m_fingerprint = Sha256Hex(path + aRequest.m_prompt +
-                                   (aRequest.m_prompt.empty() ? aRequest.m_body : ""));
+  active.m_fingerprint =
+    Sha256Hex(path + aRequest.m_prompt + (aRequest.m_prompt.empty() ? aRequest.m_body : ""));
   active.m_arrival = aNow;
   active.m_deadline = aNow + aValid.m_deadline;
   active.m_prefixHashes = PrefixHashes(aRequest.m_prompt);
@@ -152,8 +149,8 @@
 
 void RequestPipeline::Start(ActiveRequest& aActive, Time aNow, EntryEffects& aEffects) {
   const bool isModel = aActive.m_request.m_target == CallerRequest::Target::Model;
-  const bool planned = isModel ? PlanModelWork(aActive, aNow, aEffects)
-                               : PlanServiceWork(aActive, aNow, aEffects);
+  const bool planned =
+    isModel ? PlanModelWork(aActive, aNow, aEffects) : PlanServiceWork(aActive, aNow, aEffects);
   if (!planned) {
     return;
   }
@@ -199,13 +196,12 @@
     if (!m_parts.m_backends.HasLiveServer(version->m_name)) {
       continue;
     }
-    candidates.push_back(
-      {.m_version = version->m_name,
-       .m_estimate = m_parts.m_estimates.Get(aActive.m_kind.m_name, version->m_name,
-                                             version->m_priorQuality),
-       .m_inputMicrosPer1000Tokens = version->m_inputMicrosPer1000Tokens,
-       .m_outputMicrosPer1000Tokens = version->m_outputMicrosPer1000Tokens,
-       .m_expectedWait = ForeseeWait(aActive, version->m_name, aNow)});
+    candidates.push_back({.m_version = version->m_name,
+                          .m_estimate = m_parts.m_estimates.Get(
+                            aActive.m_kind.m_name, version->m_name, version->m_priorQuality),
+                          .m_inputMicrosPer1000Tokens = version->m_inputMicrosPer1000Tokens,
+                          .m_outputMicrosPer1000Tokens = version->m_outputMicrosPer1000Tokens,
+                          .m_expectedWait = ForeseeWait(aActive, version->m_name, aNow)});
   }
   const bool hasSession = !aActive.m_sessionName.empty();
   PlanQuery query;
@@ -235,17 +231,16 @@
   const double outputTokens = std::max(chosen->m_estimate.m_outputTokens, 1.0);
   aActive.m_expectedTime =
     chosen->m_expectedWait + chosen->m_estimate.m_firstToken +
-    Duration(static_cast<std::int64_t>(
-      outputTokens * static_cast<double>(chosen->m_estimate.m_perToken.count())));
+    Duration(static_cast<std::int64_t>(outputTokens *
+                                       static_cast<double>(chosen->m_estimate.m_perToken.count())));
   return true;
 }
 
 bool RequestPipeline::PlanServiceWork(ActiveRequest& aActive, Time aNow, EntryEffects& aEffects) {
   const std::string& service = aActive.m_request.m_service;
   const std::vector<const BackendServer*> servers = m_parts.m_backends.ForService(service);
-  const bool anyLive = std::any_of(servers.begin(), servers.end(), [](const auto* aServer) {
-    return TakesNewWork(*aServer);
-  });
+  const bool anyLive = std::any_of(servers.begin(), servers.end(),
+                                   [](const auto* aServer) { return TakesNewWork(*aServer); });
   if (!anyLive) {
     Refuse(aActive,
            Refusal(ProblemCode::NoBackendServer, "no backend server runs service " + service,
@@ -353,7 +348,8 @@
   aActive.m_phase = RequestPhase::AwaitingClaim;
   const std::uint64_t ticket = TicketOf(aActive.m_request.m_caller, ClaimPurpose::Run);
   const std::vector<ClaimOutcomeReport> outcomes = Emit(
-    m_parts.m_claims.Begin(ticket, RunSlot(aActive), aActive.m_bodyHash, aActive.m_deadline, aNow), aEffects);
+    m_parts.m_claims.Begin(ticket, RunSlot(aActive), aActive.m_bodyHash, aActive.m_deadline, aNow),
+    aEffects);
   OnClaimOutcomes(outcomes, aNow, aEffects);
 }
 
@@ -452,8 +448,8 @@
     return;
   }
   ActiveRequest& active = found->second;
-  const bool ending = active.m_phase == RequestPhase::AwaitingUsage ||
-                      active.m_phase == RequestPhase::AwaitingBill;
+  const bool ending =
+    active.m_phase == RequestPhase::AwaitingUsage || active.m_phase == RequestPhase::AwaitingBill;
   // A request that may run only once goes on without its caller: the answer is kept for when the
   // same key comes again. An answer that is complete is billed and kept as well.
   if (ending || (active.m_claim && active.m_sent)) {
--- a/Services/Entry/Requests/RequestPipeline.h
+++ b/Services/Entry/Requests/RequestPipeline.h
@@ -21,7 +21,8 @@
 /// last; copy the usage record; claim the bill, when the same key may have run elsewhere; end.
 class RequestPipeline {
 public:
-  explicit RequestPipeline(EntryParts& aParts) : m_parts(aParts) {}
+  explicit RequestPipeline(EntryParts& aParts)
+    : m_parts(aParts) {}
 
   void OnCallerRequest(const CallerRequest& aRequest, Time aNow, EntryEffects& aEffects);
   void OnCallerGone(CallerId aCaller, Time aNow, EntryEffects& aEffects);
@@ -90,15 +91,15 @@
   void CancelCalls(ActiveRequest& aActive, BackendCallId aExcept, EntryEffects& aEffects);
   void AfterFailure(ActiveRequest& aActive, const BackendFailed& aEvent, Time aNow,
                     EntryEffects& aEffects);
-  void NoteFailure(ActiveRequest& aActive, const RunningCall& aCall,
-                   const BackendFailed& aEvent, Time aNow);
+  void NoteFailure(ActiveRequest& aActive, const RunningCall& aCall, const BackendFailed& aEvent,
+                   Time aNow);
   void MaybeHedge(ActiveRequest& aActive, Time aNow, EntryEffects& aEffects);
   ActiveRequest* FindByCall(BackendCallId aCall);
   static RunningCall* FindCall(ActiveRequest& aActive, BackendCallId aCall);
 
   // Answers, in RequestAnswers.cpp.
-  void StepFinished(ActiveRequest& aActive, const RunningCall& aCall,
-                    const BackendFinished& aEvent, Time aNow, EntryEffects& aEffects);
+  void StepFinished(ActiveRequest& aActive, const RunningCall& aCall, const BackendFinished& aEvent,
+                    Time aNow, EntryEffects& aEffects);
   /// The cascade goes on with its next version.
   void NextStep(ActiveRequest& aActive, Time aNow, EntryEffects& aEffects);
   void BillAndDeliver(ActiveRequest& aActive, Time aNow, EntryEffects& aEffects);
@@ -121,8 +122,8 @@
   static void RecordEvent(const ActiveRequest& aActive, std::string aName, std::string aVersion,
                           std::vector<std::pair<std::string, std::string>> aFields,
                           EntryEffects& aEffects);
-  std::vector<std::pair<std::string, std::string>> AnswerHeaders(
-    const ActiveRequest& aActive, const std::string& aVersion) const;
+  std::vector<std::pair<std::string, std::string>> AnswerHeaders(const ActiveRequest& aActive,
+                                                                 const std::string& aVersion) const;
 
   struct RatingInFlight {
     CallerId m_judging = 0;
--- a/Services/Entry/Requests/ValidateRequest.cpp
+++ b/Services/Entry/Requests/ValidateRequest.cpp
@@ -51,8 +51,7 @@
                 const KindRule& aKind, const std::string& aModel) {
   return std::any_of(aConfiguration.m_versions.begin(), aConfiguration.m_versions.end(),
                      [&](const ModelVersion& aVersion) {
-                       const bool named =
-                         aModel == aVersion.m_name || aModel == aVersion.m_model;
+                       const bool named = aModel == aVersion.m_name || aModel == aVersion.m_model;
                        return named && IsAllowed(aContract, aKind, aVersion);
                      });
 }
@@ -75,9 +74,9 @@
   valid.m_kind = aRequest.m_kind.empty() ? KindOfOperation(aContract, aRequest)
                                          : FindKind(aContract, aRequest.m_kind);
   if (valid.m_kind == nullptr || !KindFitsTarget(*valid.m_kind, aRequest)) {
-    return Refuse(ProblemCode::UnknownKind, "\"" + aRequest.m_kind +
-                                              "\" is not a kind for this; one of: " +
-                                              KindNames(aContract));
+    return Refuse(ProblemCode::UnknownKind,
+                  "\"" + aRequest.m_kind +
+                    "\" is not a kind for this; one of: " + KindNames(aContract));
   }
   valid.m_deadline = valid.m_kind->m_deadline;
   if (aRequest.m_deadlineMs > 0) {
--- /dev/null
+++ b/Services/Entry/Shell/AnswerBoard.cpp
@@ -0,0 +1,35 @@
+#include "Services/Entry/Shell/AnswerBoard.h"
+
+namespace fennelline {
+
+AnswerBoard::Place AnswerBoard::Open() {
+  Place place{.m_caller = m_next.fetch_add(1), .m_channel = std::make_shared<AnswerChannel>()};
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  m_channels[place.m_caller] = place.m_channel;
+  return place;
+}
+
+void AnswerBoard::Close(CallerId aCaller) {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  m_channels.erase(aCaller);
+}
+
+void AnswerBoard::Push(CallerId aCaller, AnswerPart aPart) {
+  std::shared_ptr<AnswerChannel> channel;
+  {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    const auto found = m_channels.find(aCaller);
+    if (found == m_channels.end()) {
+      return;
+    }
+    channel = found->second;
+  }
+  channel->Push(std::move(aPart));
+}
+
+std::size_t AnswerBoard::OpenCount() {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  return m_channels.size();
+}
+
+} // namespace fennelline
--- /dev/null
+++ b/Services/Entry/Shell/AnswerBoard.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "Services/Entry/Shell/AnswerChannel.h"
+
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <unordered_map>
+
+namespace fennelline {
+
+/// The channels of the callers that wait for an answer, by caller.
+class AnswerBoard {
+public:
+  struct Place {
+    CallerId m_caller = 0;
+    std::shared_ptr<AnswerChannel> m_channel;
+  };
+
+  /// Opens a channel for a new request.
+  Place Open();
+  /// The caller waits no longer. Parts that still come find no taker.
+  void Close(CallerId aCaller);
+  void Push(CallerId aCaller, AnswerPart aPart);
+  std::size_t OpenCount();
+
+private:
+  std::atomic<CallerId> m_next{1};
+  std::mutex m_mutex;
+  std::unordered_map<CallerId, std::shared_ptr<AnswerChannel>> m_channels;
+};
+
+} // namespace fennelline
