--- a/Libraries/LibCoordination/Configuration/ApplyOperation.h
+++ b/Libraries/LibCoordination/Configuration/ApplyOperation.h
@@ -68,12 +68,14 @@
 private:
   enum class Phase : std::uint8_t { Writing, ReadingBack, Waiting };
 
+  Step<ApplyOutcome> Call(PlatformRequest aRequest, Phase aPhase, Time aNow);
   Step<ApplyOutcome> Write(Time aNow);
   Step<ApplyOutcome> ReadBack(Time aNow);
   Step<ApplyOutcome> OnWritten(const PlatformReply& aReply, Time aNow);
   Step<ApplyOutcome> OnReadBack(const PlatformReply& aReply, Time aNow);
   Step<ApplyOutcome> Judge(const PlatformReply& aReply, Time aNow);
   Step<ApplyOutcome> RetryLater(Time aNow);
+  Step<ApplyOutcome> GiveUp();
   Step<ApplyOutcome> Finish(ApplyOutcome aOutcome);
 
   ApplyInput m_input;
@@ -83,7 +85,6 @@
   Time m_phaseEnds = kNever;
   /// A write may have taken effect without our knowing.
   bool m_mayBeWritten = false;
-  bool m_started = false;
   bool m_done = false;
 };
 
--- a/Libraries/LibCoordination/Configuration/ConfigurationSpread.cpp
+++ b/Libraries/LibCoordination/Configuration/ConfigurationSpread.cpp
@@ -1,31 +1,214 @@
 #include "LibCoordination/Configuration/ConfigurationSpread.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace fennelline {
+
+namespace {
+
+/// The least time between two calls to the platform, whatever it answers.
+constexpr Duration kLeastCallSpacing = Milliseconds(20);
+/// The least time between the calls of an entry that is no watcher.
+constexpr Duration kLeastSilentWait = Seconds(1);
+
+TimelineRecord MakeRecord(std::string aName, Revision aRevision) {
+  TimelineRecord record;
+  record.m_name = std::move(aName);
+  record.m_fields.emplace_back("revision", std::to_string(aRevision));
+  return record;
+}
+
+} // namespace
+
 ConfigurationSpread::ConfigurationSpread(ConfigurationSettings aSettings, EntryId aSelf,
                                          DataCentre aDataCentre, std::uint64_t aSeed)
   : m_settings(std::move(aSettings))
   , m_self(std::move(aSelf))
   , m_dataCentre(std::move(aDataCentre))
-  , m_random(aSeed) {}
-Step<ConfigurationOutcome> ConfigurationSpread::OnMessage(const EntryId&, const Message&, Time) {
-  return {};
+  , m_random(aSeed)
+  , m_history(m_settings.m_pastDocuments) {}
+
+Step<ConfigurationOutcome> ConfigurationSpread::Tick(Time aNow) {
+  Outcomes step;
+  Begin(aNow);
+  ExpireCall(aNow);
+  CallPlatformIfDue(step, aNow);
+  FetchIfDue(step, aNow);
+  AskPeersIfDue(step, aNow);
+  return step;
 }
-Step<ConfigurationOutcome> ConfigurationSpread::OnPlatformReply(const PlatformReply&, Time) {
-  return {};
+
+Step<ConfigurationOutcome> ConfigurationSpread::OnPlatformReply(const PlatformReply& aReply,
+                                                                Time aNow) {
+  const bool isExpected = m_call && aReply.m_call.m_part == Part::Configuration &&
+                          aReply.m_call.m_number == m_call->m_number;
+  if (!isExpected) {
+    return {};
+  }
+  const Time sent = m_call->m_sent;
+  m_call.reset();
+  m_nextCall = aNow + (m_watcher ? m_settings.m_retryWait : WaitBetweenCalls());
+  if (aReply.m_status == PlatformStatus::NotFound) {
+    // The service may have dropped the history that the watch asked for: read the key next.
+    m_watchAfter = 0;
+    return {};
+  }
+  if (aReply.m_status != PlatformStatus::Ok || !IsBelievable(aReply)) {
+    return {};
+  }
+  if (m_watcher) {
+    m_nextCall = std::max(aNow, sent + kLeastCallSpacing);
+  }
+  return OnKeys(aReply, sent, aNow);
+}
+
+ConfigurationStanding ConfigurationSpread::Standing(Time aNow) const {
+  const bool mayHearMore =
+    !m_heardPeer && (!m_started || aNow - *m_started < m_settings.m_startWait);
+  if (m_current == nullptr || mayHearMore) {
+    return ConfigurationStanding::Starting;
+  }
+  if (Age(aNow) <= m_settings.m_cutOffLimit) {
+    return ConfigurationStanding::Current;
+  }
+  if (IsDownForAll(aNow)) {
+    return ConfigurationStanding::PlatformDownForAll;
+  }
+  return m_confirmed ? ConfigurationStanding::CutOff : ConfigurationStanding::Starting;
 }
-Step<ConfigurationOutcome> ConfigurationSpread::OnMembers(std::span<const MemberDigest>, Time) {
-  return {};
+
+Duration ConfigurationSpread::Age(Time aNow) const {
+  return m_confirmed ? aNow - *m_confirmed : Duration::max();
 }
-Step<ConfigurationOutcome> ConfigurationSpread::OnPeerRevision(const EntryId&, Revision, Time) {
-  return {};
+
+void ConfigurationSpread::Begin(Time aNow) {
+  if (!m_started) {
+    m_started = aNow;
+  }
 }
-Step<ConfigurationOutcome> ConfigurationSpread::Tick(Time) {
-  return {};
+
+Step<ConfigurationOutcome> ConfigurationSpread::Take(ConfigurationText aDocument, Time aNow) {
+  Outcomes step;
+  const Revision revision = aDocument.m_revision;
+  m_highestHeard = std::max(m_highestHeard, revision);
+  if (revision <= NewestRevision()) {
+    return step;
+  }
+  m_watchAfter = std::max(m_watchAfter, revision);
+  Result<Configuration> parsed = ParseConfiguration(aDocument.m_text);
+  // A document that this program cannot read still goes on to peers that can.
+  m_history.Add(std::move(aDocument));
+  if (parsed.IsError()) {
+    step.m_effects.emplace_back(RecordTimeline{MakeRecord("configuration.unreadable", revision)});
+    step.m_outcomes.emplace_back(ConfigurationUnreadable{revision, parsed.GetError().m_detail});
+  } else {
+    Configuration configuration = parsed.Take();
+    configuration.m_revision = revision;
+    m_current = std::make_shared<const Configuration>(std::move(configuration));
+    step.m_effects.emplace_back(RecordTimeline{MakeRecord("configuration.in-force", revision)});
+    step.m_outcomes.emplace_back(ConfigurationInForce{m_current});
+  }
+  Announce(step, aNow);
+  return step;
 }
-ConfigurationStanding ConfigurationSpread::Standing(Time) const {
-  return ConfigurationStanding::Starting;
+
+void ConfigurationSpread::Confirm(Time aAsOf) {
+  m_confirmed = m_confirmed ? std::max(*m_confirmed, aAsOf) : aAsOf;
 }
-Duration ConfigurationSpread::Age(Time) const {
-  return Duration::max();
+
+void ConfigurationSpread::ExpireCall(Time aNow) {
+  if (m_call && aNow - m_call->m_sent >= m_settings.m_callTimeout) {
+    m_call.reset();
+    m_nextCall = aNow + (m_watcher ? m_settings.m_retryWait : WaitBetweenCalls());
+  }
 }
+
+bool ConfigurationSpread::IsCallWanted(Time aNow) const {
+  if (m_call || aNow < m_nextCall) {
+    return false;
+  }
+  // An entry that is no watcher calls only where the watchers and the peers leave it in doubt.
+  return m_watcher || NewestRevision() == 0 || Age(aNow) > m_settings.m_outOfReachAfter;
+}
+
+void ConfigurationSpread::CallPlatformIfDue(Outcomes& aStep, Time aNow) {
+  if (!IsCallWanted(aNow)) {
+    return;
+  }
+  m_call = Call{.m_number = ++m_lastNumber, .m_sent = aNow};
+  aStep.m_effects.emplace_back(
+    CallPlatform{.m_call = {.m_part = Part::Configuration, .m_number = m_lastNumber},
+                 .m_request = MakeRequest()});
+}
+
+PlatformRequest ConfigurationSpread::MakeRequest() const {
+  if (m_watchAfter == 0) {
+    return GetKey{.m_key = m_settings.m_key};
+  }
+  const Duration wait = m_watcher ? m_settings.m_watchWait : Duration{0};
+  return WatchKeys{.m_prefix = m_settings.m_key,
+                   .m_after = m_watchAfter,
+                   .m_waitMilliseconds = InMilliseconds(wait)};
+}
+
+Duration ConfigurationSpread::WaitBetweenCalls() {
+  const std::int64_t fleet = static_cast<std::int64_t>(m_peers.size()) + 1;
+  const Duration wait = std::max(kLeastSilentWait, m_settings.m_fleetCallSpacing * fleet);
+  const double spread = 0.5 + m_random.Uniform();
+  return std::chrono::duration_cast<Duration>(wait * spread);
+}
+
+bool ConfigurationSpread::IsBelievable(const PlatformReply& aReply) const {
+  // A service that was set back, or a part of it that lags, must not be taken for the newest.
+  Revision told = aReply.m_revision;
+  for (const KeyValue& key : aReply.m_keys) {
+    told = std::max(told, key.m_revision);
+  }
+  return told >= m_highestHeard;
+}
+
+Step<ConfigurationOutcome> ConfigurationSpread::OnKeys(const PlatformReply& aReply, Time aSent,
+                                                       Time aNow) {
+  Outcomes step;
+  for (const KeyValue& key : aReply.m_keys) {
+    if (key.m_key != m_settings.m_key) {
+      continue;
+    }
+    m_watchAfter = std::max(m_watchAfter, key.m_revision);
+    // A removed key has an empty value. The last document stays in force.
+    if (!key.m_value.empty()) {
+      step.Append(Take({.m_revision = key.m_revision, .m_text = key.m_value}, aNow));
+    }
+  }
+  if (NewestRevision() == 0) {
+    return step;
+  }
+  // The service is at m_highestHeard or beyond and has told all changes: nothing newer is there.
+  m_highestHeard = NewestRevision();
+  Confirm(aSent);
+  return step;
+}
+
+bool ConfigurationSpread::IsDownForAll(Time aNow) const {
+  if (NewestRevision() < m_highestHeard) {
+    return false;
+  }
+  std::size_t confirmed = 0;
+  for (const auto& [dataCentre, seen] : m_dataCentres) {
+    const bool isFresh =
+      seen.m_confirmedDown && aNow - *seen.m_confirmedDown <= m_settings.m_cutOffLimit;
+    if (isFresh) {
+      ++confirmed;
+      continue;
+    }
+    const bool isForgotten = aNow - seen.m_alive > m_settings.m_dataCentreMemory;
+    // This entry itself stands for its own data centre.
+    if (!isForgotten && dataCentre != m_dataCentre) {
+      return false;
+    }
+  }
+  return confirmed > 0;
+}
+
 } // namespace fennelline
--- a/Libraries/LibCoordination/Configuration/ConfigurationSpread.h
+++ b/Libraries/LibCoordination/Configuration/ConfigurationSpread.h
@@ -3,13 +3,13 @@
 #include "LibBase/Random.h"
 #include "LibBase/Time.h"
 #include "LibContract/Configuration.h"
+#include "LibCoordination/Configuration/ConfigurationHistory.h"
 #include "LibCoordination/ConfigurationMessages.h"
 #include "LibCoordination/MembershipMessages.h"
 #include "LibCoordination/Message.h"
 #include "LibCoordination/Step.h"
 
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -38,6 +38,10 @@
   /// The wait between questions to peers while the knowledge is older than m_askAfter.
   Duration m_askInterval = Milliseconds(250);
   Duration m_askAfter = Milliseconds(600);
+  /// A peer that has not reached the platform for this long counts as out of its reach.
+  Duration m_outOfReachAfter = Milliseconds(1500);
+  /// Every data centre is asked this often while the platform is out of reach.
+  Duration m_askAllInterval = Seconds(1);
   /// Without a confirmation for this long, new work is refused as not run.
   Duration m_cutOffLimit = Seconds(3);
   /// A starting entry that hears from no peer goes on by the platform alone after this time.
@@ -111,7 +115,7 @@
   /// The configuration in force; null while there is none.
   std::shared_ptr<const Configuration> Current() const { return m_current; }
   /// The newest revision held here, readable or not. Zero while there is none.
-  Revision NewestRevision() const { return m_newest.m_revision; }
+  Revision NewestRevision() const { return m_history.Newest().m_revision; }
   /// Time since what is held was last known to be the platform's newest.
   Duration Age(Time aNow) const;
   bool IsWatcher() const { return m_watcher; }
@@ -119,48 +123,55 @@
 private:
   using Outcomes = Step<ConfigurationOutcome>;
 
-  struct Document {
-    Revision m_revision = 0;
-    std::string m_text;
-  };
   struct Peer {
     EntryId m_entry;
     DataCentre m_dataCentre;
+    bool m_leaving = false;
   };
   struct Question {
     EntryId m_peer;
     Time m_asked;
   };
   struct DataCentreSeen {
-    /// When a member was last known to be alive there.
+    /// When a member was last known to be there.
     Time m_alive;
-    /// When a question was sent whose answer confirmed that the platform is out of reach there.
+    /// When the question was sent whose answer said that the platform is out of reach there.
     std::optional<Time> m_confirmedDown;
   };
-  struct PlatformCall {
+  struct Call {
     std::uint64_t m_number = 0;
     Time m_sent;
   };
 
-  Outcomes OnOffer(const EntryId& aFrom, const ConfigurationOffer& aOffer, Time aNow);
-  Outcomes OnRequest(const EntryId& aFrom, const ConfigurationRequest& aRequest, Time aNow);
-  Outcomes OnDelta(const EntryId& aFrom, const ConfigurationDelta& aDelta, Time aNow);
-  Outcomes Take(Document aDocument, Time aNow);
-  Outcomes Fetch(const EntryId& aFrom, Revision aRevision, Time aNow);
-  void OnAnswer(const Question& aQuestion, const ConfigurationOffer& aOffer, Time aNow);
+  // ConfigurationSpread.cpp
+  void Begin(Time aNow);
+  Outcomes Take(ConfigurationText aDocument, Time aNow);
   void Confirm(Time aAsOf);
   void CallPlatformIfDue(Outcomes& aStep, Time aNow);
+  bool IsCallWanted(Time aNow) const;
+  void ExpireCall(Time aNow);
+  PlatformRequest MakeRequest() const;
+  Duration WaitBetweenCalls();
+  bool IsBelievable(const PlatformReply& aReply) const;
+  Outcomes OnKeys(const PlatformReply& aReply, Time aSent, Time aNow);
+  bool IsDownForAll(Time aNow) const;
+
+  // ConfigurationPeers.cpp
+  Outcomes OnOffer(const EntryId& aFrom, const ConfigurationOffer& aOffer, Time aNow);
+  Outcomes OnRequest(const EntryId& aFrom, const ConfigurationRequest& aRequest);
+  Outcomes OnDocument(const ConfigurationDocument& aDocument, Time aNow);
+  Outcomes OnDelta(const EntryId& aFrom, const ConfigurationDelta& aDelta, Time aNow);
+  void OnAnswer(const EntryId& aFrom, const ConfigurationOffer& aOffer, Time aNow);
+  void HearOf(const EntryId& aFrom, Revision aRevision);
+  void FetchIfDue(Outcomes& aStep, Time aNow);
   void AskPeersIfDue(Outcomes& aStep, Time aNow);
-  void Ask(Outcomes& aStep, const Peer& aPeer, Time aNow);
   void AskEachDataCentre(Outcomes& aStep, Time aNow);
+  void Ask(Outcomes& aStep, const EntryId& aPeer, Time aNow);
   void Announce(Outcomes& aStep, Time aNow);
-  void ChooseWatchers();
-  Duration SilentCallWait();
   ConfigurationOffer MakeOffer(Time aNow) const;
-  Message MakeDocument(Revision aBase) const;
-  const Peer* RandomPeer(bool aNear);
+  void ChooseWatchers();
+  std::vector<EntryId> RandomPeers(bool aNear, std::size_t aCount);
   const Peer* FindPeer(const EntryId& aEntry) const;
-  bool IsDownForAll(Time aNow) const;
 
   ConfigurationSettings m_settings;
   EntryId m_self;
@@ -168,10 +179,11 @@
   Random m_random;
 
   std::shared_ptr<const Configuration> m_current;
-  Document m_newest;
-  std::deque<Document> m_past;
-  /// The highest revision that anyone spoke of: the platform's replies below it are not believed.
+  ConfigurationHistory m_history;
+  /// The highest revision that anyone spoke of: platform replies below it are not believed.
   Revision m_highestHeard = 0;
+  /// The peer that last spoke of a revision newer than what is held.
+  EntryId m_newerAt;
   /// What is held was the platform's newest at this instant.
   std::optional<Time> m_confirmed;
   std::optional<Time> m_started;
@@ -181,11 +193,15 @@
   std::vector<EntryId> m_watchersHere;
   std::map<DataCentre, DataCentreSeen> m_dataCentres;
   bool m_watcher = true;
+  bool m_selfLeaving = false;
 
   std::uint64_t m_lastNumber = 0;
-  std::optional<PlatformCall> m_call;
+  std::optional<Call> m_call;
+  /// Changes up to here were looked at.
+  Revision m_watchAfter = 0;
   Time m_nextCall{};
   Time m_nextAsk{};
+  Time m_nextAskAll{};
   Time m_nextFetch{};
   bool m_askWatcher = true;
   std::map<std::uint64_t, Question> m_questions;
--- a/Libraries/LibCoordination/Lease/LeaseKeeper.cpp
+++ b/Libraries/LibCoordination/Lease/LeaseKeeper.cpp
@@ -1,19 +1,195 @@
 #include "LibCoordination/Lease/LeaseKeeper.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace fennelline {
+
 LeaseKeeper::LeaseKeeper(LeaseSettings aSettings, std::uint64_t aSeed)
   : m_settings(std::move(aSettings))
   , m_random(aSeed) {}
-Step<LeaseOutcome> LeaseKeeper::Tick(Time) {
+
+Step<LeaseOutcome> LeaseKeeper::Tick(Time aNow) {
+  Step<LeaseOutcome> step;
+  if (m_phase == Phase::Released) {
+    return step;
+  }
+  if (m_fence && !IsHeld(aNow)) {
+    step.Append(Lose(aNow));
+  }
+  if (m_callOpen && aNow - m_callSent >= m_settings.m_callTimeout) {
+    step.Append(OnCallLost(aNow));
+  }
+  if (!m_callOpen && aNow >= m_next) {
+    step.Append(CallNext(aNow));
+  }
+  return step;
+}
+
+Step<LeaseOutcome> LeaseKeeper::OnPlatformReply(const PlatformReply& aReply, Time aNow) {
+  const bool isExpected =
+    m_callOpen && aReply.m_call == CallId{.m_part = Part::Lease, .m_number = m_number};
+  if (!isExpected || m_phase == Phase::Released) {
+    return {};
+  }
+  m_callOpen = false;
+  const bool isLost =
+    aReply.m_status == PlatformStatus::Unavailable || aReply.m_status == PlatformStatus::Unknown;
+  if (isLost) {
+    return OnCallLost(aNow);
+  }
+  switch (m_phase) {
+    case Phase::Looking:
+      return OnLooked(aReply, aNow);
+    case Phase::Granting:
+      return OnGranted(aReply, aNow);
+    case Phase::Putting:
+      return OnPut(aReply, aNow);
+    case Phase::Held:
+      return OnRenewed(aReply, aNow);
+    case Phase::Released:
+      break;
+  }
   return {};
 }
-Step<LeaseOutcome> LeaseKeeper::OnPlatformReply(const PlatformReply&, Time) {
+
+Step<LeaseOutcome> LeaseKeeper::Release(Time aNow) {
+  Step<LeaseOutcome> step;
+  const std::uint64_t lease = std::exchange(m_lease, 0);
+  if (m_fence) {
+    step.Append(Lose(aNow));
+  }
+  m_phase = Phase::Released;
+  if (lease != 0) {
+    step.Append(Call(EndLease{.m_lease = lease}, aNow));
+  }
+  return step;
+}
+
+bool LeaseKeeper::IsHeld(Time aNow) const {
+  return m_fence && aNow < m_validFrom + m_settings.m_life - m_settings.m_margin;
+}
+
+Step<LeaseOutcome> LeaseKeeper::CallNext(Time aNow) {
+  switch (m_phase) {
+    case Phase::Looking:
+      return Call(GetKey{.m_key = m_settings.m_key}, aNow);
+    case Phase::Granting:
+      return Call(GrantLease{.m_milliseconds = InMilliseconds(m_settings.m_life)}, aNow);
+    case Phase::Putting:
+      return Call(PutKey{.m_key = m_settings.m_key,
+                         .m_value = KeyText(),
+                         .m_expected = kAbsent,
+                         .m_lease = m_lease},
+                  aNow);
+    case Phase::Held:
+      return Call(RenewLease{.m_lease = m_lease}, aNow);
+    case Phase::Released:
+      break;
+  }
   return {};
 }
-Step<LeaseOutcome> LeaseKeeper::Release(Time) {
+
+Step<LeaseOutcome> LeaseKeeper::Call(PlatformRequest aRequest, Time aNow) {
+  Step<LeaseOutcome> step;
+  m_callOpen = true;
+  m_callSent = aNow;
+  step.m_effects.emplace_back(CallPlatform{
+    .m_call = {.m_part = Part::Lease, .m_number = ++m_number}, .m_request = std::move(aRequest)});
+  return step;
+}
+
+Step<LeaseOutcome> LeaseKeeper::OnLooked(const PlatformReply& aReply, Time aNow) {
+  const bool isThere = aReply.m_status == PlatformStatus::Ok && !aReply.m_keys.empty();
+  if (!isThere) {
+    m_holderSeen.clear();
+    m_phase = m_lease == 0 ? Phase::Granting : Phase::Putting;
+    return CallNext(aNow);
+  }
+  const KeyValue& key = aReply.m_keys.front();
+  m_holderSeen = key.m_value.substr(0, key.m_value.find(' '));
+  // A write whose reply was lost may have taken the key. It is ours only under the lease that is
+  // kept now: a late write under an earlier lease ends with that one.
+  const bool isOurs = m_lease != 0 && key.m_value == KeyText();
+  return isOurs ? Take(key.m_revision, aNow) : WaitForTurn(aNow);
+}
+
+Step<LeaseOutcome> LeaseKeeper::OnGranted(const PlatformReply& aReply, Time aNow) {
+  if (aReply.m_status != PlatformStatus::Ok) {
+    return WaitForTurn(aNow);
+  }
+  m_lease = aReply.m_lease;
+  m_validFrom = m_callSent;
+  m_phase = Phase::Putting;
+  return CallNext(aNow);
+}
+
+Step<LeaseOutcome> LeaseKeeper::OnPut(const PlatformReply& aReply, Time aNow) {
+  if (aReply.m_status == PlatformStatus::Ok) {
+    return Take(aReply.m_revision, aNow);
+  }
+  if (aReply.m_status == PlatformStatus::NotFound) {
+    // The lease ended before the key was written: begin with a new one.
+    m_lease = 0;
+  }
+  return WaitForTurn(aNow);
+}
+
+Step<LeaseOutcome> LeaseKeeper::OnRenewed(const PlatformReply& aReply, Time aNow) {
+  if (aReply.m_status != PlatformStatus::Ok) {
+    m_lease = 0;
+    return Lose(aNow);
+  }
+  m_validFrom = m_callSent;
+  m_next = aNow + m_settings.m_renewInterval;
   return {};
 }
-bool LeaseKeeper::IsHeld(Time) const {
-  return false;
+
+Step<LeaseOutcome> LeaseKeeper::Take(Revision aFence, Time aNow) {
+  Step<LeaseOutcome> step;
+  m_phase = Phase::Held;
+  m_fence = aFence;
+  m_holderSeen = m_settings.m_holder;
+  m_next = aNow + m_settings.m_renewInterval;
+  if (!IsHeld(aNow)) {
+    // The replies were so slow that the lease may have ended meanwhile.
+    step.Append(Lose(aNow));
+    return step;
+  }
+  step.m_outcomes.emplace_back(LeaseTaken{aFence});
+  return step;
+}
+
+Step<LeaseOutcome> LeaseKeeper::Lose(Time aNow) {
+  Step<LeaseOutcome> step;
+  const Revision fence = *m_fence;
+  m_fence.reset();
+  m_lease = 0;
+  m_callOpen = false;
+  m_phase = Phase::Looking;
+  m_next = aNow + m_settings.m_margin;
+  step.m_outcomes.emplace_back(LeaseLost{fence});
+  return step;
 }
+
+Step<LeaseOutcome> LeaseKeeper::WaitForTurn(Time aNow) {
+  m_phase = Phase::Looking;
+  const double spread = 0.5 + m_random.Uniform();
+  m_next = aNow + std::chrono::duration_cast<Duration>(m_settings.m_pollInterval * spread);
+  return {};
+}
+
+Step<LeaseOutcome> LeaseKeeper::OnCallLost(Time aNow) {
+  m_callOpen = false;
+  m_next = aNow + m_settings.m_retryWait;
+  if (m_phase == Phase::Putting) {
+    m_phase = Phase::Looking;
+  }
+  return {};
+}
+
+std::string LeaseKeeper::KeyText() const {
+  return m_settings.m_holder + " " + std::to_string(m_lease);
+}
+
 } // namespace fennelline
--- a/Libraries/LibCoordination/Lease/LeaseKeeper.h
+++ b/Libraries/LibCoordination/Lease/LeaseKeeper.h
@@ -15,7 +15,7 @@
 struct LeaseSettings {
   /// The key that the holder owns.
   std::string m_key;
-  /// What the key says of the holder; unique for each process.
+  /// What the key says of the holder, without spaces; unique for each process.
   std::string m_holder;
   Duration m_life = Seconds(10);
   Duration m_renewInterval = Seconds(3);
@@ -24,6 +24,7 @@
   /// While another holds it, the key is looked at this often, spread by half of it either way.
   Duration m_pollInterval = Seconds(5);
   Duration m_callTimeout = Seconds(2);
+  Duration m_retryWait = Milliseconds(300);
 };
 
 /// The lease is held. Orders carry the fencing number; it grows from one holder to the next.
@@ -64,37 +65,32 @@
   const std::string& Holder() const { return m_holderSeen; }
 
 private:
-  enum class Phase : std::uint8_t {
-    Idle,
-    Granting,
-    Putting,
-    ReadingBack,
-    Held,
-    Renewing,
-    Released
-  };
+  /// What is done, or will be done next. Calls that fail are repeated in their phase.
+  enum class Phase : std::uint8_t { Looking, Granting, Putting, Held, Released };
 
-  Step<LeaseOutcome> Call(PlatformRequest aRequest, Phase aPhase, Time aNow);
+  Step<LeaseOutcome> CallNext(Time aNow);
+  Step<LeaseOutcome> Call(PlatformRequest aRequest, Time aNow);
+  Step<LeaseOutcome> OnLooked(const PlatformReply& aReply, Time aNow);
   Step<LeaseOutcome> OnGranted(const PlatformReply& aReply, Time aNow);
   Step<LeaseOutcome> OnPut(const PlatformReply& aReply, Time aNow);
-  Step<LeaseOutcome> OnReadBack(const PlatformReply& aReply, Time aNow);
   Step<LeaseOutcome> OnRenewed(const PlatformReply& aReply, Time aNow);
   Step<LeaseOutcome> Take(Revision aFence, Time aNow);
-  Step<LeaseOutcome> Lose();
+  Step<LeaseOutcome> Lose(Time aNow);
   Step<LeaseOutcome> WaitForTurn(Time aNow);
   Step<LeaseOutcome> OnCallLost(Time aNow);
+  std::string KeyText() const;
 
   LeaseSettings m_settings;
   Random m_random;
-  Phase m_phase = Phase::Idle;
+  Phase m_phase = Phase::Looking;
   std::uint64_t m_number = 0;
+  bool m_callOpen = false;
+  Time m_callSent{};
   std::uint64_t m_lease = 0;
   std::optional<Revision> m_fence;
-  /// The lease lasts until m_life after the last grant or renewal was sent, and no less.
+  /// When the last grant or renewal that succeeded was sent: the lease lasts from then, or later.
   Time m_validFrom{};
-  Time m_callSent{};
   Time m_next{};
-  bool m_look = true;
   std::string m_holderSeen;
 };
 
--- a/Libraries/LibCoordination/Membership/LeavingTable.cpp
+++ b/Libraries/LibCoordination/Membership/LeavingTable.cpp
@@ -4,12 +4,14 @@
 
 bool LeavingTable::Mark(const BackendServerId& aServer, Time aNow) {
   LeavingMark& mark = m_marks[aServer];
-  const bool isNews = mark.m_version == 0 || !mark.m_leaving;
+  // A mark that is still true is told anew before it would end at the other entries.
+  const bool isOld = aNow - mark.m_since > m_settings.m_life / 2;
+  const bool isNews = !mark.m_leaving || isOld;
   if (isNews) {
     ++mark.m_version;
     mark.m_leaving = true;
+    mark.m_since = aNow;
   }
-  mark.m_since = aNow;
   return isNews;
 }
 
@@ -30,7 +32,7 @@
 
 bool LeavingTable::Merge(const LeavingDigest& aDigest, Time aNow) {
   const Duration age = Milliseconds(aDigest.m_ageMilliseconds);
-  if (age >= m_settings.m_life) {
+  if (age >= m_settings.m_life || aDigest.m_version == 0) {
     return false;
   }
   LeavingMark& mark = m_marks[aDigest.m_backendServer];
--- a/Libraries/LibCoordination/Membership/LeavingTable.h
+++ b/Libraries/LibCoordination/Membership/LeavingTable.h
@@ -42,7 +42,7 @@
 private:
   struct LeavingMark {
     std::uint64_t m_version = 0;
-    bool m_leaving = true;
+    bool m_leaving = false;
     Time m_since{};
   };
 
--- a/Libraries/LibCoordination/Membership/Membership.h
+++ b/Libraries/LibCoordination/Membership/Membership.h
@@ -11,7 +11,6 @@
 #include <deque>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -52,6 +51,8 @@
   /// The wait before a member known from others only is asked itself, and between questions.
   Duration m_verifyInterval = Milliseconds(500);
   int m_verifyTries = 4;
+  /// The least time between two such questions to different members.
+  Duration m_verifySpacing = Milliseconds(20);
   /// The longest datagram, without IP and UDP headers.
   std::size_t m_datagramBytes = 1200;
   /// Urgent news goes to this many members at once, this many times.
@@ -121,71 +122,87 @@
 
   struct Member {
     MemberDigest m_digest;
-    Time m_heard{};
+    Time m_since{};
     /// When a suspect is dead, or a dead member is forgotten.
     Time m_ends = kNever;
   };
-  /// Known from others only, not yet heard.
+  /// Known from others only; it has not answered this entry yet.
   struct Candidate {
     MemberDigest m_digest;
+    std::uint64_t m_number = 0;
     Time m_nextTry{};
     int m_triesLeft = 0;
+    /// It spoke to this entry itself, so it may be new to others too.
+    bool m_introduced = false;
   };
   struct Probe {
     std::uint64_t m_number = 0;
     EntryId m_target;
     Time m_sent{};
-    bool m_indirect = false;
+    bool m_throughOthers = false;
   };
   /// A probe made for another member.
   struct Relay {
     std::uint64_t m_number = 0;
-    std::string m_address;
-    EntryId m_target;
+    MembershipDatagram m_request;
     Time m_sent{};
   };
-  struct Rumour {
-    int m_sendsLeft = 0;
+  struct ProbeResult {
+    EntryId m_target;
+    bool m_answered = false;
   };
 
-  // Membership.cpp
+  // Membership.cpp: what is known, and what others tell.
   void Advance(Time aNow);
   void TakeNews(Outcomes& aStep, const MembershipDatagram& aDatagram, Time aNow);
-  void TakeDigest(Outcomes& aStep, const MemberDigest& aDigest, bool aFromItself, Time aNow);
-  void TakeOwnDigest(Outcomes& aStep, const MemberDigest& aDigest, Time aNow);
-  void TakeCandidate(const MemberDigest& aDigest, Time aNow);
+  void TakeDigest(Outcomes& aStep, const MemberDigest& aDigest, Time aNow);
+  void TakeDeath(Outcomes& aStep, Member& aMember, MemberDigest aDigest, Time aNow);
+  void Refute(Outcomes& aStep, const MemberDigest& aDigest, Time aNow);
+  void TakeCandidate(const MemberDigest& aDigest, bool aFromItself, Time aNow);
+  void TakeLeaving(Outcomes& aStep, const LeavingDigest& aDigest, Time aNow);
   void Admit(Outcomes& aStep, const MemberDigest& aDigest, Time aNow);
-  void Change(Outcomes& aStep, Member& aMember, const MemberDigest& aDigest, Time aNow);
-  void HearFrom(Outcomes& aStep, const MembershipDatagram& aDatagram, Time aNow);
-  void Answer(Outcomes& aStep, const MembershipDatagram& aDatagram, Time aNow);
+  void Set(Outcomes& aStep, Member& aMember, MemberDigest aDigest, Time aNow);
+  /// Sets the digest and tells all others at once.
+  void Change(Outcomes& aStep, Member& aMember, MemberDigest aDigest, Time aNow);
+  void TellLeaving(Outcomes& aStep, const BackendServerId& aServer);
+  std::size_t OtherCount() const;
+
+  // MembershipProbes.cpp: finding out who answers.
+  void OnPing(Outcomes& aStep, const MembershipDatagram& aDatagram, Time aNow);
   void OnAck(Outcomes& aStep, const MembershipDatagram& aDatagram, Time aNow);
+  void OnProbeAck(Outcomes& aStep, const MembershipDatagram& aDatagram, Time aNow);
+  void OnRelayAck(Outcomes& aStep, const MembershipDatagram& aDatagram);
   void OnIndirectPing(Outcomes& aStep, const MembershipDatagram& aDatagram, Time aNow);
-  void OnJoin(Outcomes& aStep, const MembershipDatagram& aDatagram, Time aNow);
-  void TakeLeaving(Outcomes& aStep, const LeavingDigest& aDigest, Time aNow);
-
-  // MembershipProbes.cpp
+  void OnIndirectAck(Outcomes& aStep, const MembershipDatagram& aDatagram, Time aNow);
   void ProbeIfDue(Outcomes& aStep, Time aNow);
   void StartProbe(Outcomes& aStep, Time aNow);
-  void ProbeThroughOthers(Outcomes& aStep);
+  void ProbeThroughOthers(Outcomes& aStep, Time aNow);
   void EndProbe(Outcomes& aStep, bool aAnswered, Time aNow);
   void Suspect(Outcomes& aStep, Member& aMember, Time aNow);
-  void ExpireSuspects(Outcomes& aStep, Time aNow);
-  void ForgetDead(Time aNow);
+  void CheckEnds(Outcomes& aStep, Time aNow);
   void VerifyCandidates(Outcomes& aStep, Time aNow);
   EntryId NextTarget();
 
-  // MembershipSpread.cpp
+  // MembershipSpread.cpp: what is sent, and joining.
+  void OnJoin(Outcomes& aStep, const MembershipDatagram& aDatagram, Time aNow);
+  void OnPage(const MembershipDatagram& aDatagram);
   void SendUrgent(Outcomes& aStep, Time aNow);
   void SyncIfDue(Outcomes& aStep, Time aNow);
   void TrySeeds(Outcomes& aStep, Time aNow);
-  void Spread(const EntryId& aEntry, bool aUrgent);
-  void SpreadLeaving(const BackendServerId& aServer);
+  void SendJoin(Outcomes& aStep, const std::string& aAddress, const EntryId& aTo, Time aNow);
+  std::vector<std::string> AddressesToTry() const;
+  void SpreadMember(const EntryId& aEntry);
+  void SpreadMemberUrgently(const EntryId& aEntry, Time aNow);
+  void SpreadLeaving(const BackendServerId& aServer, Time aNow);
+  void MakeUrgent(Time aNow);
   int RumourSends() const;
   MembershipDatagram MakeDatagram(DatagramKind aKind, std::uint64_t aNumber) const;
-  void AddNews(MembershipDatagram& aDatagram);
-  void Send(Outcomes& aStep, const std::string& aAddress, MembershipDatagram aDatagram);
+  /// Adds the receiver's own state where it should know it, then news as far as there is room.
+  void AddNews(MembershipDatagram& aDatagram, const EntryId& aReceiver, Time aNow);
+  void AddLeavingNews(MembershipDatagram& aDatagram, std::size_t& aRoom, Time aNow);
+  void AddMemberNews(MembershipDatagram& aDatagram, std::size_t& aRoom);
+  const MemberDigest* FindDigest(const EntryId& aEntry) const;
   std::vector<const Member*> RandomMembers(std::size_t aCount, const EntryId& aExcept);
-  std::size_t LiveCount() const;
 
   MembershipSettings m_settings;
   MemberDigest m_self;
@@ -195,8 +212,9 @@
   std::map<EntryId, Member> m_members;
   std::map<EntryId, Candidate> m_candidates;
   LeavingTable m_leaving;
-  std::map<EntryId, Rumour> m_rumours;
-  std::map<BackendServerId, Rumour> m_leavingRumours;
+  /// How often each piece of news is still sent.
+  std::map<EntryId, int> m_rumours;
+  std::map<BackendServerId, int> m_leavingRumours;
   std::vector<std::string> m_seeds;
 
   std::optional<Time> m_lastCalled;
@@ -204,17 +222,20 @@
   std::optional<Probe> m_probe;
   std::vector<Relay> m_relays;
   std::vector<EntryId> m_probeOrder;
-  std::deque<bool> m_probeResults;
+  /// The latest result for each of the members last probed, oldest first.
+  std::deque<ProbeResult> m_probeResults;
   Time m_nextProbe{};
+  Time m_nextCheck{};
+  Time m_nextVerify{};
   Time m_nextSync{};
   Time m_nextSeed{};
-  Time m_nextUrgent{};
-  Time m_nextExpiry{};
+  Time m_nextUrgent = kNever;
   int m_urgentRoundsLeft = 0;
-  double m_urgentBudget = 0.0;
-  Time m_budgetAsOf{};
-  /// The page of the member table to ask for next, and whether the first pass is still on.
-  EntryId m_syncAfter;
+  double m_urgentBytes = 0.0;
+  Time m_urgentBytesAsOf{};
+  /// The numbers of the last questions for pages, and where the next page begins.
+  std::deque<std::uint64_t> m_pageNumbers;
+  EntryId m_pageAfter;
   bool m_joining = true;
 };
 
