--- /dev/null
+++ b/Libraries/LibCoordination/Observation/EvidenceCounter.cpp
@@ -0,0 +1,90 @@
+#include "LibCoordination/Observation/EvidenceCounter.h"
+
+#include <functional>
+
+namespace fennelline {
+
+namespace {
+
+/// Judged clusters remembered at most. One that is forgotten and judged again counts twice.
+constexpr std::size_t kMostClusters = 20'000;
+
+/// FNV-1a with a final mix: the same on every machine.
+std::uint64_t HashOf(const std::string& aBytes) {
+  constexpr std::uint64_t kOffset = 0xcbf29ce484222325ULL;
+  constexpr std::uint64_t kPrime = 0x100000001b3ULL;
+  constexpr std::uint64_t kMix = 0xff51afd7ed558ccdULL;
+  std::uint64_t hash = kOffset;
+  for (const char byte : aBytes) {
+    hash = (hash ^ static_cast<unsigned char>(byte)) * kPrime;
+  }
+  hash = (hash ^ (hash >> 33U)) * kMix;
+  return hash ^ (hash >> 33U);
+}
+
+} // namespace
+
+bool EvidenceCounter::ChosenForRating(const std::string& aCluster) const {
+  constexpr double kTwoToMinus53 = 0x1.0p-53;
+  const double position = static_cast<double>(HashOf(aCluster) >> 11U) * kTwoToMinus53;
+  return position < m_ratedShare;
+}
+
+VersionEvidence& EvidenceCounter::RowOf(const std::string& aVersion, const std::string& aKind) {
+  VersionEvidence& row = m_rows[{aVersion, aKind}];
+  row.m_version = aVersion;
+  row.m_kind = aKind;
+  return row;
+}
+
+void EvidenceCounter::JudgeCluster(VersionEvidence& aRow, const std::string& aCluster, bool aBad) {
+  std::string key = aRow.m_version + " " + aRow.m_kind + " " + aCluster;
+  const auto [found, isNew] = m_clusters.try_emplace(std::move(key));
+  if (isNew) {
+    ++aRow.m_sessions;
+    m_order.push_back(found->first);
+  }
+  if (aBad && !found->second.m_bad) {
+    found->second.m_bad = true;
+    ++aRow.m_badSessions;
+  }
+  if (m_order.size() > kMostClusters) {
+    m_clusters.erase(m_order.front());
+    m_order.pop_front();
+  }
+}
+
+void EvidenceCounter::OnAnswer(const std::string& aVersion, const std::string& aKind,
+                               const std::string& aCluster, const AnswerEvidence& aEvidence,
+                               Time /*aNow*/) {
+  VersionEvidence& row = RowOf(aVersion, aKind);
+  ++row.m_requests;
+  row.m_errors += aEvidence.m_error ? 1 : 0;
+  row.m_crashes += aEvidence.m_crash ? 1 : 0;
+  row.m_late += aEvidence.m_late ? 1 : 0;
+  row.m_costMicros += aEvidence.m_costMicros;
+  row.m_milliseconds += InMilliseconds(aEvidence.m_time);
+  // Lateness comes from load as well, so it has a test of its own and makes no cluster bad.
+  if ((aEvidence.m_error || aEvidence.m_crash) && ChosenForRating(aCluster)) {
+    JudgeCluster(row, aCluster, true);
+  }
+}
+
+void EvidenceCounter::OnRating(const std::string& aVersion, const std::string& aKind,
+                               const std::string& aCluster, bool aGood, Time /*aNow*/) {
+  VersionEvidence& row = RowOf(aVersion, aKind);
+  ++row.m_rated;
+  row.m_ratedBad += aGood ? 0 : 1;
+  JudgeCluster(row, aCluster, !aGood);
+}
+
+std::vector<VersionEvidence> EvidenceCounter::Evidence() const {
+  std::vector<VersionEvidence> rows;
+  rows.reserve(m_rows.size());
+  for (const auto& [name, row] : m_rows) {
+    rows.push_back(row);
+  }
+  return rows;
+}
+
+} // namespace fennelline
--- a/Libraries/LibDecision/ReplicaChoice.cpp
+++ b/Libraries/LibDecision/ReplicaChoice.cpp
@@ -47,10 +47,6 @@
 
 /// Tokens of one request that is there, as far as known.
 double TokensPerRequest(const ReplicaView& aReplica, const ReplicaQuery& aQuery) {
-  if (aReplica.m_reportedQueued > 0 && aReplica.m_reportedQueuedTokens > 0) {
-    return static_cast<double>(aReplica.m_reportedQueuedTokens) /
-           static_cast<double>(aReplica.m_reportedQueued);
-  }
   if (aReplica.m_ownOutstanding > 0 && aReplica.m_ownOutstandingTokens > 0) {
     return static_cast<double>(aReplica.m_ownOutstandingTokens) /
            static_cast<double>(aReplica.m_ownOutstanding);
--- /dev/null
+++ b/Utilities/Policy/OverloadExperiment.cpp
@@ -0,0 +1,6 @@
+#include "Utilities/Policy/Experiments.h"
+namespace fennelline {
+Report RunOverload(const ExperimentOptions& aOptions) {
+  return Report{.m_seeds = aOptions.m_seeds};
+}
+} // namespace fennelline
