Build the claim table: holders, views and claimants

Cause: non-idempotent requests must run at most once, with the platform down as well. Weighed: a lost view needs a bound on how long cut-off holders go on granting; without one, a key could run on both sides of a cut. Chosen: holders grant only within m_viewTrust of a reading of the platform, and the lost period is the retry window plus that time. Before: claims were decided within one process. After: three holders per shard, handover, views.

--- a/Libraries/LibCoordination/ClaimMessages.h
+++ b/Libraries/LibCoordination/ClaimMessages.h
@@ -10,18 +10,27 @@
 namespace fennelline {
 
 /// The holders of one shard of the claim table, as the platform's key-value service records them.
-/// The view's number is the revision of that record.
 struct ClaimView {
   std::uint32_t m_shard = 0;
+  /// The revision of the write that last changed the holders. Votes count within one number.
   Revision m_number = 0;
+  /// The revision of the last write of all. Of two copies, the one with the higher revision is
+  /// newer.
+  Revision m_revision = 0;
   /// Three entries, in different data centres where there are that many.
   std::vector<EntryId> m_holders;
+  /// For each holder, the number of the view since which it has held all slots without a gap.
+  std::vector<Revision> m_since;
+  /// The holder that is still taking over slots from all others; empty when there is none.
+  EntryId m_joining;
+  /// The view was made after slots were lost: see ClaimHolder.
+  bool m_lost = false;
 
   friend bool operator==(const ClaimView&, const ClaimView&) = default;
 
   template<typename Visitor>
   void VisitFields(Visitor& aVisitor) {
-    aVisitor(m_shard, m_number, m_holders);
+    aVisitor(m_shard, m_number, m_revision, m_holders, m_since, m_joining, m_lost);
   }
 };
 
@@ -90,8 +99,10 @@
   BodyDiffers,
   /// The holder has adopted another view; m_view tells which.
   OtherView,
-  /// The holder has not yet adopted the table's content.
+  /// The holder has not yet adopted the table's content, or may not vote now.
   NotServing,
+  /// The slot is free, but slots of this shard were lost: the key may have been claimed before.
+  Lost,
 };
 
 struct ClaimReply {
@@ -158,14 +169,16 @@
   RequestIdentity m_identity;
   AttemptId m_attempt;
   ClaimSlot m_slot;
+  /// For Held: the attempt has its votes, so it may have been sent.
+  bool m_granted = false;
 
   template<typename Visitor>
   void VisitFields(Visitor& aVisitor) {
-    aVisitor(m_identity, m_attempt, m_slot);
+    aVisitor(m_identity, m_attempt, m_slot, m_granted);
   }
 };
 
-/// Asks a remaining holder to adopt a newer view and to hand over its slots.
+/// Tells of a view. A holder adopts it; from the joining holder it also asks for the slots.
 struct ViewAdopt {
   ClaimView m_view;
 
@@ -179,6 +192,8 @@
 struct ViewHandover {
   std::uint32_t m_shard = 0;
   Revision m_view = 0;
+  /// The pages of one snapshot are numbered from zero; those of two snapshots do not mix.
+  std::uint64_t m_snapshot = 0;
   std::uint32_t m_page = 0;
   bool m_last = false;
   std::vector<ClaimSlot> m_slots;
@@ -187,7 +202,7 @@
 
   template<typename Visitor>
   void VisitFields(Visitor& aVisitor) {
-    aVisitor(m_shard, m_view, m_page, m_last, m_slots, m_lostMilliseconds);
+    aVisitor(m_shard, m_view, m_snapshot, m_page, m_last, m_slots, m_lostMilliseconds);
   }
 };
 
--- /dev/null
+++ b/Libraries/LibCoordination/Claims/ClaimHolder.cpp
@@ -0,0 +1,254 @@
+#include "LibCoordination/Claims/ClaimHolder.h"
+
+#include "LibCoordination/Claims/ViewRecord.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace fennelline {
+
+ClaimHolder::ClaimHolder(const ClaimSettings& aSettings, EntryId aSelf, ViewDirectory& aViews)
+  : m_settings(aSettings)
+  , m_self(std::move(aSelf))
+  , m_views(aViews) {}
+
+Duration ClaimHolder::LostPeriod(const ClaimSettings& aSettings) {
+  return SlotStore::KeepTime(aSettings) + aSettings.m_viewTrust;
+}
+
+void ClaimHolder::Adopt(const ClaimView& aView, Effects& aEffects, Time aNow) {
+  if (!IsHolder(aView, m_self)) {
+    m_shards.erase(aView.m_shard);
+    return;
+  }
+  Shard& shard = m_shards.try_emplace(aView.m_shard, m_settings).first->second;
+  const Revision since = HolderSince(aView, m_self);
+  const bool isComplete = shard.m_isServing && shard.m_since == since;
+  const bool isNew = aView.m_number != shard.m_view;
+  shard.m_view = aView.m_number;
+  if (isComplete) {
+    shard.m_askAt = aView.m_joining.empty() ? kNever : aNow + m_settings.m_handoverTimeout;
+    return;
+  }
+  if (IsJoining(aView)) {
+    if (isNew) {
+      StartJoining(shard, aView, aEffects, aNow);
+    }
+    return;
+  }
+  // The very first view of a shard has its maker as the only holder: nothing can be missing.
+  const bool isFirst = aView.m_number == since && aView.m_holders.size() == 1 && !aView.m_lost;
+  shard.m_since = since;
+  shard.m_isServing = true;
+  shard.m_lostUntil = isFirst ? Time{} : aNow + LostPeriod(m_settings);
+  shard.m_askAt = kNever;
+}
+
+void ClaimHolder::StartJoining(Shard& aShard, const ClaimView& aView, Effects& aEffects,
+                               Time aNow) {
+  aShard.m_slots = SlotStore(m_settings);
+  aShard.m_since = 0;
+  aShard.m_isServing = false;
+  aShard.m_lostUntil = Time{};
+  aShard.m_intakes.clear();
+  AskForSlots(aShard, aView, aEffects, aNow);
+}
+
+void ClaimHolder::AskForSlots(Shard& aShard, const ClaimView& aView, Effects& aEffects, Time aNow) {
+  aShard.m_askAt = aNow + m_settings.m_handoverTimeout;
+  for (const EntryId& holder : aView.m_holders) {
+    const auto intake = aShard.m_intakes.find(holder);
+    const bool isWhole = intake != aShard.m_intakes.end() && intake->second.IsWhole();
+    if (holder != m_self && !isWhole) {
+      aEffects.push_back(SendMessage{.m_to = holder, .m_message = ViewAdopt{.m_view = aView}});
+    }
+  }
+}
+
+void ClaimHolder::HandOver(const EntryId& aTo, const ClaimView& aView, Effects& aEffects,
+                           Time aNow) {
+  const ClaimView* const known = m_views.Find(aView.m_shard);
+  const auto found = m_shards.find(aView.m_shard);
+  if (known == nullptr || found == m_shards.end() || known->m_joining != aTo ||
+      known->m_number != aView.m_number || !found->second.m_isServing) {
+    return;
+  }
+  const Shard& shard = found->second;
+  const Duration lostLeft = std::max(shard.m_lostUntil - aNow, Duration(0));
+  std::vector<std::vector<ClaimSlot>> pages = shard.m_slots.Pages(aNow);
+  const std::uint64_t snapshot = ++m_snapshots;
+  for (std::uint32_t page = 0; page < pages.size(); ++page) {
+    aEffects.push_back(
+      SendMessage{.m_to = aTo,
+                  .m_message = ViewHandover{.m_shard = aView.m_shard,
+                                            .m_view = aView.m_number,
+                                            .m_snapshot = snapshot,
+                                            .m_page = page,
+                                            .m_last = page + 1 == pages.size(),
+                                            .m_slots = std::move(pages[page]),
+                                            .m_lostMilliseconds = InMilliseconds(lostLeft) + 1}});
+  }
+}
+
+void ClaimHolder::OnHandover(const EntryId& aFrom, const ViewHandover& aPage, Effects& aEffects,
+                             Time aNow) {
+  const ClaimView* const view = m_views.Find(aPage.m_shard);
+  const auto found = m_shards.find(aPage.m_shard);
+  if (view == nullptr || found == m_shards.end() || found->second.m_isServing ||
+      view->m_number != aPage.m_view || !IsJoining(*view) || !IsHolder(*view, aFrom)) {
+    return;
+  }
+  Shard& shard = found->second;
+  Intake& intake = shard.m_intakes[aFrom];
+  if (aPage.m_snapshot < intake.m_snapshot || intake.IsWhole()) {
+    return;
+  }
+  if (aPage.m_snapshot > intake.m_snapshot) {
+    intake = {.m_snapshot = aPage.m_snapshot};
+  }
+  intake.m_pages[aPage.m_page] = aPage.m_slots;
+  intake.m_lostMilliseconds = aPage.m_lostMilliseconds;
+  if (aPage.m_last) {
+    intake.m_expected = aPage.m_page + 1;
+  }
+  FinishJoining(shard, *view, aEffects, aNow);
+}
+
+void ClaimHolder::FinishJoining(Shard& aShard, const ClaimView& aView, Effects& aEffects,
+                                Time aNow) {
+  for (const EntryId& holder : aView.m_holders) {
+    if (holder != m_self && !aShard.m_intakes[holder].IsWhole()) {
+      return;
+    }
+  }
+  for (const std::pair<const EntryId, Intake>& intake : aShard.m_intakes) {
+    for (const std::pair<const std::uint32_t, std::vector<ClaimSlot>>& page :
+         intake.second.m_pages) {
+      for (const ClaimSlot& slot : page.second) {
+        aShard.m_slots.Merge(slot, aNow);
+      }
+    }
+    const Time lostUntil = aNow + Milliseconds(intake.second.m_lostMilliseconds);
+    aShard.m_lostUntil = std::max(aShard.m_lostUntil, lostUntil);
+  }
+  aShard.m_intakes.clear();
+  aShard.m_since = HolderSince(aView, m_self);
+  aShard.m_isServing = true;
+  aShard.m_askAt = kNever;
+  m_views.ReportJoined(aView.m_shard, aView.m_number);
+  Announce(aView, aEffects);
+}
+
+void ClaimHolder::Announce(const ClaimView& aView, Effects& aEffects) const {
+  aEffects.push_back(
+    RecordTimeline{.m_record = {.m_name = "claims.joined",
+                                .m_fields = {{"shard", std::to_string(aView.m_shard)},
+                                             {"view", std::to_string(aView.m_number)}}}});
+}
+
+ClaimReply ClaimHolder::Vote(const ClaimRequest& aRequest, Time aNow) {
+  ClaimReply reply{.m_shard = aRequest.m_shard,
+                   .m_view = aRequest.m_view,
+                   .m_identity = aRequest.m_identity,
+                   .m_attempt = aRequest.m_attempt,
+                   .m_verdict = ClaimVerdict::NotServing};
+  const ClaimView* const view = m_views.Find(aRequest.m_shard);
+  const auto shard = m_shards.find(aRequest.m_shard);
+  if (view == nullptr || view->m_number != aRequest.m_view || !IsHolder(*view, m_self)) {
+    reply.m_verdict = ClaimVerdict::OtherView;
+    reply.m_view = view == nullptr ? 0 : view->m_number;
+    return reply;
+  }
+  if (shard == m_shards.end() || !shard->second.m_isServing || !m_views.IsTrusted(aNow)) {
+    return reply;
+  }
+  return VoteInShard(shard->second, aRequest, std::move(reply), aNow);
+}
+
+ClaimReply ClaimHolder::VoteInShard(Shard& aShard, const ClaimRequest& aRequest, ClaimReply aReply,
+                                    Time aNow) {
+  const bool isLost = aNow < aShard.m_lostUntil;
+  const HeldSlot* const slot = aShard.m_slots.Find(aRequest.m_identity);
+  if (slot == nullptr) {
+    if (isLost) {
+      aReply.m_verdict = ClaimVerdict::Lost;
+    } else if (!aShard.m_slots.IsFull()) {
+      aShard.m_slots.Hold(aRequest.m_identity, aRequest.m_bodyHash, aRequest.m_attempt, aNow);
+      aReply.m_verdict = ClaimVerdict::Granted;
+    }
+    return aReply;
+  }
+  const bool isOwn = slot->m_state == SlotState::Held && slot->m_attempts.size() == 1 &&
+                     slot->m_attempts.front() == aRequest.m_attempt;
+  if (isOwn) {
+    aReply.m_verdict = isLost ? ClaimVerdict::Lost : ClaimVerdict::Granted;
+    return aReply;
+  }
+  // Where the slot is ambiguous, name an attempt other than the one that asks.
+  const std::size_t other =
+    slot->m_attempts.size() > 1 && slot->m_attempts.front() == aRequest.m_attempt ? 1 : 0;
+  aReply.m_slot = SlotStore::Describe(aRequest.m_identity, *slot, other, aNow);
+  const bool isSameBody = slot->m_bodyHash == aRequest.m_bodyHash;
+  aReply.m_verdict = isSameBody ? ClaimVerdict::Taken : ClaimVerdict::BodyDiffers;
+  return aReply;
+}
+
+void ClaimHolder::Release(const ClaimRelease& aRelease) {
+  const auto shard = m_shards.find(aRelease.m_shard);
+  if (shard != m_shards.end()) {
+    shard->second.m_slots.Release(aRelease.m_identity, aRelease.m_attempt);
+  }
+}
+
+std::optional<ClaimOutcomeStored> ClaimHolder::Store(const ClaimOutcome& aOutcome, Time aNow) {
+  const auto shard = m_shards.find(aOutcome.m_shard);
+  if (shard == m_shards.end() || !shard->second.m_isServing) {
+    return std::nullopt;
+  }
+  shard->second.m_slots.Settle(aOutcome.m_slot, aNow);
+  return ClaimOutcomeStored{.m_shard = aOutcome.m_shard,
+                            .m_identity = aOutcome.m_slot.m_identity,
+                            .m_attempt = aOutcome.m_slot.m_attempt};
+}
+
+/// Tells the joining holder of its view again, in case the news was lost.
+void ClaimHolder::RemindJoining(Shard& aShard, const ClaimView& aView, Effects& aEffects,
+                                Time aNow) {
+  if (aView.m_joining.empty()) {
+    aShard.m_askAt = kNever;
+    return;
+  }
+  aShard.m_askAt = aNow + m_settings.m_handoverTimeout;
+  aEffects.push_back(SendMessage{.m_to = aView.m_joining, .m_message = ViewAdopt{.m_view = aView}});
+}
+
+void ClaimHolder::Tick(Effects& aEffects, Time aNow) {
+  for (std::pair<const std::uint32_t, Shard>& shard : m_shards) {
+    shard.second.m_slots.Expire(aNow);
+    const ClaimView* const view = m_views.Find(shard.first);
+    if (view == nullptr || aNow < shard.second.m_askAt) {
+      continue;
+    }
+    if (IsJoining(*view)) {
+      AskForSlots(shard.second, *view, aEffects, aNow);
+    } else {
+      RemindJoining(shard.second, *view, aEffects, aNow);
+    }
+  }
+}
+
+std::size_t ClaimHolder::ShardsServed() const {
+  return static_cast<std::size_t>(std::count_if(
+    m_shards.begin(), m_shards.end(),
+    [](const std::pair<const std::uint32_t, Shard>& aShard) { return aShard.second.m_isServing; }));
+}
+
+std::size_t ClaimHolder::Slots() const {
+  std::size_t slots = 0;
+  for (const std::pair<const std::uint32_t, Shard>& shard : m_shards) {
+    slots += shard.second.m_slots.Size();
+  }
+  return slots;
+}
+
+} // namespace fennelline
