Add the stand-ins for the platform, model engines and plain services

Cause: the whole path has to run as real processes on loopback. Weighed: a thread for each connection against a pool; streams and watches hold a thread for as long as they last, so a pool of any fixed size can starve. A lost reply sends a head and closes the connection after the write was done. Before: nothing to connect to.

--- /dev/null
+++ b/Utilities/StandinEngine/Engine.h
@@ -0,0 +1,126 @@
+#pragma once
+
+#include "LibBase/Random.h"
+#include "LibBase/Time.h"
+#include "Utilities/StandinEngine/PrefixCache.h"
+#include "Utilities/StandinEngine/Stream.h"
+#include "Utilities/StandinSupport/Journal.h"
+
+#include <condition_variable>
+#include <deque>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <string>
+#include <thread>
+
+namespace fennelline {
+
+struct EngineOptions {
+  std::set<std::string> m_versions;
+  std::int64_t m_slots = 8;
+  std::int64_t m_mostQueued = 64;
+  /// Tokens a second of one stream that runs alone.
+  double m_tokensPerSecond = 200.0;
+  /// Tokens of a prompt that are read in a second.
+  double m_promptTokensPerSecond = 20'000.0;
+  /// How much slower each stream is with all slots taken.
+  double m_fullBatchSlowdown = 1.5;
+  std::size_t m_cacheBlocks = 4096;
+  Duration m_cacheLag = Milliseconds(200);
+  Duration m_loadLag = Milliseconds(100);
+  Duration m_loadTime = Milliseconds(100);
+  std::string m_platformAddress;
+  bool m_checksFence = true;
+  std::uint64_t m_seed = 1;
+};
+
+struct EngineSwitches {
+  /// The share of bad answers of each version.
+  std::map<std::string, double> m_badRate;
+  /// The pace of each version, 1 where it is missing.
+  std::map<std::string, double> m_pace;
+  /// A prompt that contains this ends the process as soon as it starts to run.
+  std::string m_crashMarker;
+  bool m_leaving = false;
+  /// Connections stay open and nothing more is sent on them.
+  bool m_silent = false;
+  bool m_refuse = false;
+};
+
+/// What GET /load tells.
+struct EngineReport {
+  Time m_at;
+  std::int64_t m_running = 0;
+  std::int64_t m_queued = 0;
+  std::int64_t m_queuedTokens = 0;
+  double m_tokensPerSecond = 0.0;
+  bool m_leaving = false;
+};
+
+struct ChatRequest {
+  std::string m_attempt;
+  std::string m_version;
+  std::string m_prompt;
+  std::string m_body;
+  std::int64_t m_mostTokens = 0;
+  int m_priority = 0;
+};
+
+enum class SubmitStatus { Accepted, VersionNotLoaded, Refused, KnownAttempt };
+
+/// A model engine with continuous batching: each running stream gains tokens at each step, and a
+/// free slot goes to the queued stream of the highest priority. Thread-safe where it has functions;
+/// readers of streams hold m_mutex.
+class Engine {
+public:
+  explicit Engine(EngineOptions aOptions);
+  ~Engine();
+  Engine(const Engine&) = delete;
+  Engine& operator=(const Engine&) = delete;
+
+  SubmitStatus Submit(const ChatRequest& aRequest, std::shared_ptr<Stream>& aStream);
+  std::shared_ptr<Stream> Find(const std::string& aAttempt);
+  bool Cancel(const std::string& aAttempt);
+  EngineReport Report();
+  CacheNews CacheNewsAfter(std::uint64_t aNumber, Duration aWait);
+  /// Loses the news of cache changes that nobody could see yet. The caller holds m_mutex.
+  void DropPendingNews() { m_cache.DropPendingNews(m_clock.Now()); }
+  /// Wakes all who wait and lets their waits end.
+  void Stop();
+  const EngineOptions& Options() const { return m_options; }
+
+  std::mutex m_mutex;
+  /// Notified after each step and each change of a switch.
+  std::condition_variable m_changed;
+  SystemClock m_clock;
+  EngineSwitches m_switches;
+  std::set<std::string> m_versions;
+  std::uint64_t m_highestFence = 0;
+  bool m_checksFence = true;
+  bool m_stopping = false;
+  Journal m_journal{"version"};
+
+private:
+  void RunSteps();
+  void Step(Time aNow, Duration aElapsed);
+  void StartQueued(Time aNow);
+  void Start(Stream& aStream, Time aNow);
+  void Advance(Stream& aStream, Time aNow, double aTokens);
+  void ForgetEnded(Time aNow);
+  EngineReport ReportNow(Time aNow) const;
+  double StreamPace() const;
+
+  EngineOptions m_options;
+  Random m_random;
+  PrefixCache m_cache;
+  std::map<std::string, std::shared_ptr<Stream>> m_streams;
+  std::vector<std::shared_ptr<Stream>> m_running;
+  std::vector<std::shared_ptr<Stream>> m_queued;
+  std::deque<EngineReport> m_reports;
+  std::uint64_t m_arrivals = 0;
+  std::thread m_stepper;
+};
+
+} // namespace fennelline
--- /dev/null
+++ b/Utilities/StandinSupport/PortsFile.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "LibBase/Error.h"
+
+#include <string>
+
+namespace fennelline {
+
+/// Writes {"port": N} to the file at once: a reader sees the whole text or no file. Does nothing
+/// for an empty path.
+Result<void> WritePortsFile(const std::string& aPath, int aPort);
+
+} // namespace fennelline
