Carry messages between entries over HTTP/2 streams, datagrams over UDP

One connection to each peer that is sent to, one POST stream for each message, answered 204. A connection that brings nothing is asked by a PING after 500 ms and replaced after 1.5 s: open connections can go silent for good while new ones work, and that says nothing about the peer. What was not acknowledged goes once more over the new connection; the receiver tells duplicates by a number for each sender, so a message is handed over at most once.

Weighed: only sending again what had not been written to the socket. Ruled out: what was written within the silence is just what is lost. A number in the path costs some bytes a message and nothing in the HPACK table. Each stream shows a proof (HMAC over sender and receiver under the shared secret), which HPACK reduces to an index after the first; it is checked once for each connection. A message for an earlier process at the same address is refused, since a restarted process is a new member. A connection without messages is closed after 10 s, so that heartbeats cost only where there is traffic. After a pause of this process silence is measured anew.

--- a/Libraries/LibWire/DatagramSocket.cpp
+++ b/Libraries/LibWire/DatagramSocket.cpp
@@ -60,8 +60,8 @@
 }
 
 void DatagramSocket::Run() {
-  std::array<pollfd, 2> polled = {{{m_descriptors->m_socket.Number(), POLLIN, 0},
-                                   {m_descriptors->m_wakeup.Number(), POLLIN, 0}}};
+  std::array<pollfd, 2> polled = {
+    {{m_descriptors->m_socket.Number(), POLLIN, 0}, {m_descriptors->m_wakeup.Number(), POLLIN, 0}}};
   constexpr int kNoTimeout = -1;
   while (!m_descriptors->m_stopping) {
     if (::poll(polled.data(), polled.size(), kNoTimeout) > 0) {
--- /dev/null
+++ b/Libraries/LibWire/Http2Channel.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "LibBase/Time.h"
+#include "LibWire/PeerTransport.h"
+#include "LibWire/Poller.h"
+#include "LibWire/Socket.h"
+
+#include <memory>
+#include <nghttp2/nghttp2.h>
+#include <string>
+
+namespace fennelline {
+
+struct Http2SessionDeleter {
+  void operator()(nghttp2_session* aSession) const { nghttp2_session_del(aSession); }
+};
+using Http2Session = std::unique_ptr<nghttp2_session, Http2SessionDeleter>;
+
+struct Http2CallbacksDeleter {
+  void operator()(nghttp2_session_callbacks* aCallbacks) const {
+    nghttp2_session_callbacks_del(aCallbacks);
+  }
+};
+using Http2Callbacks = std::unique_ptr<nghttp2_session_callbacks, Http2CallbacksDeleter>;
+
+Http2Callbacks MakeHttp2Callbacks();
+
+/// Queues the settings and the flow-control window that both ends of a connection use.
+void SubmitHttp2Settings(nghttp2_session* aSession);
+
+/// The streams that may be open at once on one connection.
+constexpr std::size_t kMostStreams = 1'024;
+
+/// One HTTP/2 connection: a socket and the nghttp2 session that reads and writes its bytes.
+class Http2Channel {
+public:
+  /// Both must outlive the channel.
+  struct Context {
+    Poller& m_poller;
+    PeerTransportCounts& m_counts;
+  };
+
+  Http2Channel(Context aContext, FileDescriptor aSocket, Http2Session aSession,
+               std::uint64_t aToken, Time aNow);
+
+  nghttp2_session* Session() const { return m_session.get(); }
+  Time LastReceived() const { return m_lastReceived; }
+
+  /// Reads what has arrived. False once the connection has ended or broken the protocol.
+  bool Receive(Time aNow);
+  /// Writes what the socket takes and waits for the rest. False once the connection has ended.
+  bool Flush();
+  /// Asks by a PING when nothing has come for the interval. False when nothing has come for the
+  /// limit although asked.
+  bool CheckSilence(Time aNow, Duration aInterval, Duration aLimit);
+  /// Starts to measure silence anew, after this process was paused.
+  void RestartSilence(Time aNow);
+
+private:
+  void FillOutput();
+  bool WriteOutput();
+  void SetWriting(bool aWriting);
+
+  Context m_context;
+  FileDescriptor m_socket;
+  Http2Session m_session;
+  std::uint64_t m_token = 0;
+  std::string m_output;
+  std::size_t m_written = 0;
+  bool m_writing = true;
+  Time m_lastReceived;
+  bool m_asked = false;
+};
+
+} // namespace fennelline
--- a/Libraries/LibWire/PeerTransport.h
+++ b/Libraries/LibWire/PeerTransport.h
@@ -56,6 +56,8 @@
   std::uint64_t m_refused = 0;
   /// Connections replaced because they went silent.
   std::uint64_t m_replaced = 0;
+  /// Connections closed because no message used them.
+  std::uint64_t m_closedIdle = 0;
   std::uint64_t m_bytesSent = 0;
   std::uint64_t m_bytesReceived = 0;
 };
--- /dev/null
+++ b/Libraries/LibWire/Poller.cpp
@@ -0,0 +1,47 @@
+#include "LibWire/Poller.h"
+
+#include <array>
+#include <sys/epoll.h>
+
+namespace fennelline {
+
+Result<void> Poller::Open() {
+  m_epoll = FileDescriptor(epoll_create1(EPOLL_CLOEXEC));
+  if (!m_epoll.IsOpen()) {
+    return IoError("cannot make an epoll descriptor");
+  }
+  return {};
+}
+
+void Poller::Add(int aDescriptor, std::uint64_t aToken, bool aWriting) {
+  Control(EPOLL_CTL_ADD, aDescriptor, aToken, aWriting);
+}
+
+void Poller::Change(int aDescriptor, std::uint64_t aToken, bool aWriting) {
+  Control(EPOLL_CTL_MOD, aDescriptor, aToken, aWriting);
+}
+
+void Poller::Control(int aOperation, int aDescriptor, std::uint64_t aToken, bool aWriting) {
+  epoll_event event{};
+  event.events = EPOLLIN | (aWriting ? EPOLLOUT : 0U);
+  event.data.u64 = aToken;
+  epoll_ctl(m_epoll.Number(), aOperation, aDescriptor, &event);
+}
+
+std::vector<Readiness> Poller::Wait(Duration aTimeout) {
+  constexpr std::size_t kMostEvents = 256;
+  std::array<epoll_event, kMostEvents> events;
+  const int timeout = static_cast<int>(InMilliseconds(aTimeout));
+  const int count = epoll_wait(m_epoll.Number(), events.data(), kMostEvents, timeout);
+  std::vector<Readiness> ready;
+  for (int index = 0; index < count; ++index) {
+    const epoll_event& event = events[static_cast<std::size_t>(index)];
+    // An error or a hang-up shows itself when the descriptor is read.
+    const bool readable = (event.events & (EPOLLIN | EPOLLERR | EPOLLHUP)) != 0;
+    const bool writable = (event.events & EPOLLOUT) != 0;
+    ready.push_back({event.data.u64, readable, writable});
+  }
+  return ready;
+}
+
+} // namespace fennelline
