--- a/Libraries/LibDecision/ReplicaChoice.h
+++ b/Libraries/LibDecision/ReplicaChoice.h
@@ -25,6 +25,10 @@
   std::int64_t m_ownOutstandingTokens = 0;
   std::int64_t m_ownSinceReport = 0;
   std::int64_t m_ownTokensSinceReport = 0;
+  /// Own requests that were there when the report was made and have ended since.
+  std::int64_t m_ownEndedSinceReport = 0;
+  /// Prompt tokens, beyond those cached, of own requests there that have not shown a first token.
+  std::int64_t m_ownPromptTokens = 0;
   /// Leading tokens of the prompt believed to be in its prefix cache.
   std::int64_t m_cachedPrefixTokens = 0;
   /// One way.
--- a/Utilities/Policy/EntryBook.cpp
+++ b/Utilities/Policy/EntryBook.cpp
@@ -43,6 +43,9 @@
   while (!engine.m_sent.empty() && engine.m_sent.front().m_at <= aReport.m_madeAt) {
     engine.m_sent.pop_front();
   }
+  while (!engine.m_ended.empty() && engine.m_ended.front().m_at <= aReport.m_madeAt) {
+    engine.m_ended.pop_front();
+  }
 }
 
 void EntryBook::OnCacheChanges(std::size_t aEngine, std::span<const CacheChange> aChanges,
@@ -57,20 +60,32 @@
   m_prefixes.OnCacheEvents(EngineName(aEngine), added, removed, aGap);
 }
 
-void EntryBook::OnSent(std::size_t aEngine, const EngineRequest& aRequest,
-                       std::int64_t aExpectedTokens, Time aNow) {
+std::int64_t EntryBook::OnSent(std::size_t aEngine, const EngineRequest& aRequest,
+                               std::int64_t aExpectedTokens, Time aNow) {
   Engine& engine = m_engines[aEngine];
   ++engine.m_outstanding;
   engine.m_outstandingTokens += aExpectedTokens;
   engine.m_sent.push_back({.m_at = aNow, .m_tokens = aExpectedTokens});
+  std::int64_t promptTokens = aRequest.m_inputTokens;
   if (aRequest.m_prefix != 0) {
-    m_prefixes.OnSent(EngineName(aEngine), HashesOf(aRequest.m_prefix, aRequest.m_prefixTokens));
+    const std::vector<std::uint64_t> hashes = HashesOf(aRequest.m_prefix, aRequest.m_prefixTokens);
+    promptTokens -= m_prefixes.CachedTokens(EngineName(aEngine), hashes);
+    m_prefixes.OnSent(EngineName(aEngine), hashes);
   }
+  engine.m_promptTokens += promptTokens;
+  return promptTokens;
+}
+
+void EntryBook::OnPromptRead(std::size_t aEngine, std::int64_t aPromptTokens) {
+  m_engines[aEngine].m_promptTokens -= aPromptTokens;
 }
 
-void EntryBook::OnEnded(std::size_t aEngine, std::int64_t aTokens, bool aFailed) {
+void EntryBook::OnEnded(std::size_t aEngine, std::int64_t aTokens, Time aSentAt, bool aFailed,
+                        Time aNow) {
   Engine& engine = m_engines[aEngine];
   --engine.m_outstanding;
+  engine.m_ended.push_back({.m_sentAt = aSentAt, .m_at = aNow});
+  std::erase_if(engine.m_sent, [aSentAt](const Sent& aSent) { return aSent.m_at == aSentAt; });
   engine.m_outstandingTokens -= aTokens;
   engine.m_failureRate += ((aFailed ? 1.0 : 0.0) - engine.m_failureRate) * kFailureSmoothing;
 }
@@ -94,6 +109,11 @@
     for (const Sent& sent : engine.m_sent) {
       view.m_ownTokensSinceReport += sent.m_tokens;
     }
+    view.m_ownEndedSinceReport =
+      std::count_if(engine.m_ended.begin(), engine.m_ended.end(), [&engine](const Ended& aEnded) {
+        return aEnded.m_sentAt <= engine.m_report.m_madeAt;
+      });
+    view.m_ownPromptTokens = engine.m_promptTokens;
     view.m_cachedPrefixTokens =
       hashes.empty() ? 0 : m_prefixes.CachedTokens(EngineName(index), hashes);
     view.m_distance = engine.m_distance;
--- a/Utilities/Policy/EntryBook.h
+++ b/Utilities/Policy/EntryBook.h
@@ -35,9 +35,12 @@
 
   void OnReport(std::size_t aEngine, const EngineReport& aReport);
   void OnCacheChanges(std::size_t aEngine, std::span<const CacheChange> aChanges, bool aGap);
-  void OnSent(std::size_t aEngine, const EngineRequest& aRequest, std::int64_t aExpectedTokens,
-              Time aNow);
-  void OnEnded(std::size_t aEngine, std::int64_t aTokens, bool aFailed);
+  /// Returns the prompt tokens that are expected not to be cached, for OnPromptRead().
+  std::int64_t OnSent(std::size_t aEngine, const EngineRequest& aRequest,
+                      std::int64_t aExpectedTokens, Time aNow);
+  /// The request showed its first token, or ended without one.
+  void OnPromptRead(std::size_t aEngine, std::int64_t aPromptTokens);
+  void OnEnded(std::size_t aEngine, std::int64_t aTokens, Time aSentAt, bool aFailed, Time aNow);
   /// Views for a choice; valid until the next call.
   std::span<const ReplicaView> Views(std::uint64_t aPrefix, std::int64_t aPrefixTokens, Time aNow);
   /// The free share of all slots, as far as this entry knows.
@@ -52,12 +55,19 @@
     Time m_at{};
     std::int64_t m_tokens = 0;
   };
+  struct Ended {
+    Time m_sentAt{};
+    Time m_at{};
+  };
   struct Engine {
     EngineReport m_report;
     std::int64_t m_outstanding = 0;
     std::int64_t m_outstandingTokens = 0;
+    std::int64_t m_promptTokens = 0;
     /// Requests sent since the report was made.
     std::deque<Sent> m_sent;
+    /// Of the requests that ended since the report was made: when they were sent and ended.
+    std::deque<Ended> m_ended;
     double m_failureRate = 0.0;
     Duration m_distance{0};
   };
--- a/Utilities/Policy/RoutingRun.h
+++ b/Utilities/Policy/RoutingRun.h
@@ -49,6 +49,8 @@
     std::size_t m_entry = 0;
     std::size_t m_engine = 0;
     std::int64_t m_expectedTokens = 0;
+    /// Prompt tokens that the entry still counts as waiting at the engine.
+    std::int64_t m_promptTokens = 0;
     Time m_sentAt{};
     bool m_open = true;
     bool m_extra = false;
@@ -84,6 +86,8 @@
   bool Admit(std::size_t aRequest, const ReplicaChoice& aChoice, Duration* aRetryAfter);
   void End(std::size_t aRequest, RequestEnd aEnd);
   void CloseAttempts(std::size_t aRequest);
+  void CloseAttempt(std::size_t aAttempt, bool aFailed);
+  void CountPromptRead(Attempt& aAttempt);
   void Refuse(std::size_t aRequest, Duration aRetryAfter);
   std::optional<ReplicaChoice> Choose(std::size_t aRequest);
   void Observe(std::size_t aEngine);
--- a/Utilities/Policy/RoutingRunImpl.h
+++ b/Utilities/Policy/RoutingRunImpl.h
@@ -190,11 +190,13 @@
                         .m_sentAt = m_now,
                         .m_extra = aExtra});
   handling.m_attempts.push_back(id);
-  const Attempt& attempt = m_attempts.back();
+  Attempt& attempt = m_attempts.back();
   const Arrival& arrival = m_result.m_requests[aRequest].m_arrival;
-  const EngineRequest request{.m_prefix = arrival.m_prefix,
+  const EngineRequest request{.m_inputTokens = arrival.m_inputTokens,
+                              .m_prefix = arrival.m_prefix,
                               .m_prefixTokens = arrival.m_prefixTokens};
-  m_entries[attempt.m_entry].OnSent(attempt.m_engine, request, attempt.m_expectedTokens, m_now);
+  attempt.m_promptTokens =
+    m_entries[attempt.m_entry].OnSent(attempt.m_engine, request, attempt.m_expectedTokens, m_now);
   ++m_result.m_sent;
   m_result.m_extraAttempts += aExtra ? 1 : 0;
   Push(m_now + Distance(attempt.m_entry, attempt.m_engine), EventKind::Submit, id);
@@ -241,21 +243,36 @@
   }
 }
 
+template<ReplicaPolicy Policy>
+void RoutingRun<Policy>::CountPromptRead(Attempt& aAttempt) {
+  m_entries[aAttempt.m_entry].OnPromptRead(aAttempt.m_engine, aAttempt.m_promptTokens);
+  aAttempt.m_promptTokens = 0;
+}
+
+/// The entry counts the attempt as over.
+template<ReplicaPolicy Policy>
+void RoutingRun<Policy>::CloseAttempt(std::size_t aAttempt, bool aFailed) {
+  Attempt& attempt = m_attempts[aAttempt];
+  attempt.m_open = false;
+  CountPromptRead(attempt);
+  m_entries[attempt.m_entry].OnEnded(attempt.m_engine, attempt.m_expectedTokens, attempt.m_sentAt,
+                                     aFailed, m_now);
+}
+
 template<ReplicaPolicy Policy>
 void RoutingRun<Policy>::OnFirstToken(std::size_t aAttempt) {
-  const Attempt& attempt = m_attempts[aAttempt];
+  Attempt& attempt = m_attempts[aAttempt];
   if (!attempt.m_open || m_handling[attempt.m_request].m_started) {
     return;
   }
+  CountPromptRead(attempt);
   m_handling[attempt.m_request].m_started = true;
   m_result.m_requests[attempt.m_request].m_firstToken = m_now + kCallerDistance;
   // The first answer to start wins; the others are cancelled.
   const std::vector<std::size_t> all = m_handling[attempt.m_request].m_attempts;
   for (const std::size_t other : all) {
     if (other != aAttempt && m_attempts[other].m_open) {
-      m_attempts[other].m_open = false;
-      m_entries[attempt.m_entry].OnEnded(m_attempts[other].m_engine,
-                                         m_attempts[other].m_expectedTokens, false);
+      CloseAttempt(other, false);
       m_engines[m_attempts[other].m_engine].Cancel(other, m_now);
       Observe(m_attempts[other].m_engine);
     }
@@ -269,9 +286,8 @@
     return;
   }
   RequestRecord& record = m_result.m_requests[attempt.m_request];
-  attempt.m_open = false;
+  CloseAttempt(aAttempt, false);
   EntryBook& entry = m_entries[attempt.m_entry];
-  entry.OnEnded(attempt.m_engine, attempt.m_expectedTokens, false);
   const Duration first = std::max(Duration(0), record.m_firstToken - attempt.m_sentAt);
   entry.m_estimates.Observe(KindOf(attempt.m_request).m_name, kRunVersion,
                             {.m_firstToken = first,
@@ -313,12 +329,10 @@
 void RoutingRun<Policy>::CloseAttempts(std::size_t aRequest) {
   const std::vector<std::size_t> all = m_handling[aRequest].m_attempts;
   for (const std::size_t id : all) {
-    Attempt& attempt = m_attempts[id];
-    if (attempt.m_open) {
-      attempt.m_open = false;
-      m_entries[attempt.m_entry].OnEnded(attempt.m_engine, attempt.m_expectedTokens, false);
-      m_engines[attempt.m_engine].Cancel(id, m_now);
-      Observe(attempt.m_engine);
+    if (m_attempts[id].m_open) {
+      CloseAttempt(id, false);
+      m_engines[m_attempts[id].m_engine].Cancel(id, m_now);
+      Observe(m_attempts[id].m_engine);
     }
   }
 }
@@ -406,13 +420,12 @@
 
 template<ReplicaPolicy Policy>
 void RoutingRun<Policy>::OnLost(std::size_t aAttempt) {
-  Attempt& attempt = m_attempts[aAttempt];
+  const Attempt& attempt = m_attempts[aAttempt];
   if (!attempt.m_open) {
     return;
   }
-  attempt.m_open = false;
+  CloseAttempt(aAttempt, true);
   EntryBook& entry = m_entries[attempt.m_entry];
-  entry.OnEnded(attempt.m_engine, attempt.m_expectedTokens, true);
   const std::size_t request = attempt.m_request;
   const bool hasOther =
     std::any_of(m_handling[request].m_attempts.begin(), m_handling[request].m_attempts.end(),
