--- a/Libraries/LibDecision/ReplicaChoice.cpp
+++ b/Libraries/LibDecision/ReplicaChoice.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <array>
-#include <numeric>
 
 namespace fennelline {
 
@@ -133,16 +132,12 @@
 
 std::size_t CollectCandidates(const ReplicaQuery& aQuery, std::span<const ReplicaView> aReplicas,
                               Candidates& aCandidates, Random& aRandom) {
-  std::array<std::size_t, kMostReplicasConsidered> indices{};
-  std::size_t looked = aReplicas.size();
-  if (looked > indices.size()) {
-    looked = SampleIndices(aReplicas.size(), indices, aRandom);
-  } else {
-    std::iota(indices.begin(), indices.end(), std::size_t{0});
-  }
+  // Of more servers than fit, those from a random place on.
+  const std::size_t size = aReplicas.size();
+  const std::size_t start = size > aCandidates.size() ? aRandom.Below(size) : 0;
   std::size_t count = 0;
-  for (std::size_t position = 0; position < looked; ++position) {
-    const std::size_t index = indices[position];
+  for (std::size_t step = 0; step < size && count < aCandidates.size(); ++step) {
+    const std::size_t index = (start + step) % size;
     if (aReplicas[index].m_eligible) {
       aCandidates[count] = {.m_index = index,
                             .m_seconds = ExpectedSeconds(aReplicas[index], aQuery)};
@@ -222,72 +217,6 @@
   const double unseen = kUnseenPart * OtherEntries(aQuery) * sentSinceReport;
   const double added = SecondsAdded(aReplicas[candidates.front().m_index], aQuery);
   const double volume = (unseen + kTieVolume) * added;
-  const double level = (aVolume + below) / static_cast<double>(count);
-  if (count == aSorted.size() || level <= aSorted[count].m_seconds) {
-    return level;
-  }
-}
-return 0.0;
-}
-
-/// Picks each candidate with a chance in proportion to its distance below the level.
-std::size_t PickBelow(std::span<const Candidate> aSorted, double aLevel, double aVolume,
-                      Random& aRandom) {
-  double left = aRandom.Uniform() * aVolume;
-  for (std::size_t position = 0; position < aSorted.size(); ++position) {
-    left -= std::max(0.0, aLevel - aSorted[position].m_seconds);
-    if (left < 0.0) {
-      return position;
-    }
-  }
-  return 0;
-}
-
-} // namespace
-
-std::size_t SampleIndices(std::size_t aCount, std::span<std::size_t> aIndices, Random& aRandom) {
-  const std::size_t picked = std::min(aCount, aIndices.size());
-  // Floyd's algorithm: distinct indices in as many steps as are picked.
-  for (std::size_t step = 0; step < picked; ++step) {
-    const std::size_t last = aCount - picked + step;
-    const std::size_t drawn = aRandom.Below(last + 1);
-    const std::span<std::size_t> chosen = aIndices.first(step);
-    const bool taken = std::find(chosen.begin(), chosen.end(), drawn) != chosen.end();
-    aIndices[step] = taken ? last : drawn;
-  }
-  return picked;
-}
-
-Duration ExpectedWait(const ReplicaView& aReplica, const ReplicaQuery& aQuery) {
-  constexpr double kMicrosecondsPerSecond = 1e6;
-  const double seconds = WaitSeconds(aReplica, aQuery, KnownRequests(aReplica));
-  return Duration(static_cast<std::int64_t>(seconds * kMicrosecondsPerSecond));
-}
-
-std::optional<ReplicaChoice> ChooseReplica(const ReplicaQuery& aQuery,
-                                           std::span<const ReplicaView> aReplicas,
-                                           Random& aRandom) {
-  Candidates storage{};
-  const std::size_t count = CollectCandidates(aQuery, aReplicas, storage, aRandom);
-  if (count == 0) {
-    return std::nullopt;
-  }
-  const std::span<Candidate> candidates(storage.data(), count);
-  std::sort(candidates.begin(), candidates.end(),
-            [](const Candidate& aLeft, const Candidate& aRight) {
-              return aLeft.m_seconds < aRight.m_seconds;
-            });
-
-  // The other entries choose from the same reports and have sent about as much since as this one.
-  // Their unseen requests fill the shortest servers first. Choosing in proportion to that filling
-  // is what keeps all entries together from meeting at one server.
-  double sentSinceReport = 0.0;
-  for (const Candidate& candidate : candidates) {
-    sentSinceReport += static_cast<double>(aReplicas[candidate.m_index].m_ownSinceReport);
-  }
-  const double others = static_cast<double>(std::max<std::int64_t>(1, aQuery.m_entryCount) - 1);
-  const double added = SecondsAdded(aReplicas[candidates.front().m_index], aQuery);
-  const double volume = (others * sentSinceReport + kTieVolume) * added;
   const double level = FillLevel(candidates, volume);
   const std::size_t position = PickBelow(candidates, level, volume, aRandom);
   const std::size_t index = candidates[position].m_index;
--- a/Libraries/LibDecision/ReplicaChoice.h
+++ b/Libraries/LibDecision/ReplicaChoice.h
@@ -69,7 +69,7 @@
 Duration ExpectedWait(const ReplicaView& aReplica, const ReplicaQuery& aQuery);
 
 /// Chooses a backend server, or none where none is eligible. Of more than kMostReplicasConsidered
-/// it looks at a random sample.
+/// it looks at that many from a random place on.
 std::optional<ReplicaChoice> ChooseReplica(const ReplicaQuery& aQuery,
                                            std::span<const ReplicaView> aReplicas, Random& aRandom);
 
