Count the values of an enumeration on the wire by the compiler

A value added to the end of ClaimVerdict (Lost) was refused by the codec, whose table named the last value by hand: each such reply would have been dropped as malformed. The count now follows the enumeration. Before: DecodeMessage() of a ClaimReply with Lost failed; after: the test reads it.

--- a/Libraries/LibWire/MessageCodec.cpp
+++ b/Libraries/LibWire/MessageCodec.cpp
@@ -37,17 +37,31 @@
   aValue.VisitFields(aVisitor);
 };
 
-/// The last value of each enumeration on the wire; a greater number is refused.
-template<typename Enumeration>
-constexpr Enumeration kLastValue = Enumeration::Undefined;
-template<>
-constexpr SlotState kLastValue<SlotState> = SlotState::Unknown;
-template<>
-constexpr ClaimVerdict kLastValue<ClaimVerdict> = ClaimVerdict::NotServing;
-template<>
-constexpr MemberState kLastValue<MemberState> = MemberState::Dead;
-template<>
-constexpr DatagramKind kLastValue<DatagramKind> = DatagramKind::Join;
+template<auto Value>
+constexpr std::string_view PrettyName() {
+  return __PRETTY_FUNCTION__;
+}
+
+/// Whether an enumeration has a name for a number. GCC and Clang print a value without a name as a
+/// cast, "(Enumeration)9".
+template<typename Enumeration, std::uint64_t Number>
+constexpr bool HasName() {
+  constexpr Enumeration kValue = static_cast<Enumeration>(Number);
+  constexpr std::string_view kText = PrettyName<kValue>();
+  return kText.find("Value = (") == std::string_view::npos;
+}
+
+/// The count of an enumeration's values, which run from zero without gaps.
+template<typename Enumeration, std::uint64_t Number = 0>
+constexpr std::uint64_t CountValues() {
+  if constexpr (HasName<Enumeration, Number>()) {
+    return CountValues<Enumeration, Number + 1>();
+  } else {
+    return Number;
+  }
+}
+
+static_assert(CountValues<DatagramKind>() == 5);
 
 /// Packs each field of an aggregate as one element of an array.
 class FieldPacker {
@@ -144,8 +158,7 @@
   template<typename Enumeration>
   static bool UnpackEnum(const msgpack::object& aObject, Enumeration& aValue) {
     std::uint64_t number = 0;
-    constexpr std::uint64_t kLast = static_cast<std::uint64_t>(kLastValue<Enumeration>);
-    if (!UnpackInteger(aObject, number) || number > kLast) {
+    if (!UnpackInteger(aObject, number) || number >= CountValues<Enumeration>()) {
       return false;
     }
     aValue = static_cast<Enumeration>(number);
--- a/Tests/LibWire/TestMessageCodec.cpp
+++ b/Tests/LibWire/TestMessageCodec.cpp
@@ -120,6 +120,8 @@
 
 TEST_CASE("an enumeration's number beyond its last value is refused") {
   ClaimReply reply;
+  reply.m_verdict = ClaimVerdict::Lost;
+  CHECK_FALSE(DecodeMessage(EncodeMessage({"e1#1", 0, reply})).IsError());
   reply.m_verdict = static_cast<ClaimVerdict>(9);
   CHECK(DecodeMessage(EncodeMessage({"e1#1", 0, reply})).IsError());
 }
