Name the fields in the datagram's codec test

LeavingDigest got fields between those that the test filled by position; the value of the age went into the version. The check itself is as before.

--- a/Tests/LibWire/TestMessageCodec.cpp
+++ b/Tests/LibWire/TestMessageCodec.cpp
@@ -34,7 +34,7 @@
   datagram.m_from = "e1#7";
   datagram.m_members.push_back(
     {.m_entry = "e2#1", .m_version = 4, .m_state = MemberState::Leaving});
-  datagram.m_leaving.push_back({"engine-4", 1'500});
+  datagram.m_leaving.push_back({.m_backendServer = "engine-4", .m_ageMilliseconds = 1'500});
   datagram.m_configurationRevision = 17;
   return datagram;
 }
