Keep the entry's time line and serve it on the admin port

Cause: operators must see why a request went where it went. Change: the recorder takes the reducer's records, its hybrid logical clock travels on messages between entries, and /admin/timeline and /admin/explain read it.

--- a/Services/Entry/Shell/AdminServer.cpp
+++ b/Services/Entry/Shell/AdminServer.cpp
@@ -4,6 +4,7 @@
 #include "Services/Entry/Shell/StatusJson.h"
 
 #include <algorithm>
+#include <charconv>
 #include <functional>
 #include <future>
 #include <httplib.h>
@@ -18,6 +19,14 @@
 constexpr int kUnauthorized = 401;
 constexpr int kUnavailable = 503;
 
+/// A whole number among the query's parameters; zero where it is missing or malformed.
+std::uint64_t ReadNumber(const httplib::Request& aRequest, const char* aName) {
+  const std::string text = aRequest.get_param_value(aName);
+  std::uint64_t value = 0;
+  std::from_chars(text.data(), text.data() + text.size(), value);
+  return value;
+}
+
 using WriteText = std::function<std::string(const EntryReducer&, Time)>;
 
 } // namespace
@@ -27,6 +36,7 @@
   int m_port = 0;
   std::vector<std::string> m_secrets;
   EventQueue& m_queue;
+  const TimelineRecorder& m_timeline;
   httplib::Server m_http;
   std::thread m_thread;
 
@@ -63,12 +73,49 @@
                });
   }
 
+  /// The time line's records of one request, oldest first.
+  std::string LinesOf(const std::string& aRequest) const {
+    std::string lines;
+    std::uint64_t after = 0;
+    for (std::string page = m_timeline.Since(after); !page.empty();
+         page = m_timeline.Since(after)) {
+      const Result<std::vector<TimelineLine>> parsed = ParseTimelineLines(page);
+      if (parsed.IsError() || parsed.Get().empty()) {
+        break;
+      }
+      for (const TimelineLine& line : parsed.Get()) {
+        if (line.m_record.m_request == aRequest) {
+          lines += WriteTimelineLine(line) + "\n";
+        }
+      }
+      after = parsed.Get().back().m_number;
+    }
+    return lines;
+  }
+
   void SetUp() {
     m_http.new_task_queue = []() { return new httplib::ThreadPool(kThreads); };
     m_http.set_tcp_nodelay(true);
     Serve("/admin/status", WriteStatus);
     Serve("/admin/evidence",
           [](const EntryReducer& aReducer, Time) { return WriteEvidence(aReducer); });
+    m_http.Get("/admin/timeline",
+               [this](const httplib::Request& aRequest, httplib::Response& aResponse) {
+                 if (IsAuthorized(aRequest)) {
+                   aResponse.set_content(m_timeline.Since(ReadNumber(aRequest, "after")),
+                                         "application/x-ndjson");
+                 } else {
+                   aResponse.status = kUnauthorized;
+                 }
+               });
+    m_http.Get("/admin/explain", [this](const httplib::Request& aRequest,
+                                        httplib::Response& aResponse) {
+      if (IsAuthorized(aRequest)) {
+        aResponse.set_content(LinesOf(aRequest.get_param_value("request")), "application/x-ndjson");
+      } else {
+        aResponse.status = kUnauthorized;
+      }
+    });
     m_http.Get("/metrics", [this](const httplib::Request&, httplib::Response& aResponse) {
       Answer(WriteMetrics, "text/plain; version=0.0.4", aResponse);
     });
@@ -76,11 +123,12 @@
 };
 
 AdminServer::AdminServer(std::string aAddress, int aPort, std::vector<std::string> aSecrets,
-                         EventQueue& aQueue)
+                         EventQueue& aQueue, const TimelineRecorder& aTimeline)
   : m_server(new Server{.m_address = std::move(aAddress),
                         .m_port = aPort,
                         .m_secrets = std::move(aSecrets),
-                        .m_queue = aQueue}) {
+                        .m_queue = aQueue,
+                        .m_timeline = aTimeline}) {
   m_server->SetUp();
 }
 
--- a/Services/Entry/Shell/AdminServer.h
+++ b/Services/Entry/Shell/AdminServer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibBase/Error.h"
+#include "LibTimeline/TimelineRecorder.h"
 #include "Services/Entry/Shell/EventQueue.h"
 
 #include <memory>
@@ -14,7 +15,7 @@
 class AdminServer {
 public:
   AdminServer(std::string aAddress, int aPort, std::vector<std::string> aSecrets,
-              EventQueue& aQueue);
+              EventQueue& aQueue, const TimelineRecorder& aTimeline);
   ~AdminServer();
   AdminServer(const AdminServer&) = delete;
   AdminServer& operator=(const AdminServer&) = delete;
--- a/Services/Entry/Shell/EntryProcess.cpp
+++ b/Services/Entry/Shell/EntryProcess.cpp
@@ -20,7 +20,8 @@
   : m_settings(std::move(aSettings))
   , m_self(m_settings.m_name + "#" + aIncarnation)
   , m_seed(aSeed)
-  , m_log(MakeLogger("entry")) {}
+  , m_log(MakeLogger("entry"))
+  , m_timeline(m_self) {}
 
 std::string EntryProcess::AddressOf(int aPort) const {
   return m_settings.m_address + ":" + std::to_string(aPort);
@@ -32,15 +33,17 @@
                          .m_port = m_settings.m_callerPort,
                          .m_entryListLife = m_settings.m_entryListLife},
     m_queue, m_answers);
-  m_admin = std::make_unique<AdminServer>(m_settings.m_address, m_settings.m_adminPort,
-                                          m_settings.m_sharedSecrets, m_queue);
+  m_admin =
+    std::make_unique<AdminServer>(m_settings.m_address, m_settings.m_adminPort,
+                                  m_settings.m_sharedSecrets, m_queue, m_timeline.Recorder());
   m_peers = std::make_unique<PeerTransport>(
     PeerTransportSettings{.m_self = m_self,
                           .m_address = m_settings.m_address,
                           .m_port = m_settings.m_streamPort,
                           .m_sharedSecrets = m_settings.m_sharedSecrets,
-                          .m_readClock = []() { return std::uint64_t{0}; }},
+                          .m_readClock = [this]() { return m_timeline.ReadClock(m_clock.Now()); }},
     [this](Envelope aEnvelope) {
+      m_timeline.Observe(aEnvelope.m_clock, m_clock.Now());
       m_queue.Post(MessageReceived{.m_from = std::move(aEnvelope.m_from),
                                    .m_message = std::move(aEnvelope.m_message)});
     });
--- a/Services/Entry/Shell/EntryProcess.h
+++ b/Services/Entry/Shell/EntryProcess.h
@@ -34,10 +34,10 @@
   std::uint64_t m_seed;
   Logger m_log;
   SystemClock m_clock;
+  TimelineSink m_timeline;
   EventQueue m_queue;
   AnswerBoard m_answers;
   HttpTransport m_http;
-  TimelineSink m_timeline;
   std::promise<bool> m_stopped;
 
   std::unique_ptr<BlockingCalls> m_calls;
--- a/Services/Entry/Shell/TimelineSink.cpp
+++ b/Services/Entry/Shell/TimelineSink.cpp
@@ -4,12 +4,13 @@
 
 namespace fennelline {
 
-TimelineSink::TimelineSink()
-  : m_log(MakeLogger("timeline")) {}
+TimelineSink::TimelineSink(const std::string& aProcess)
+  : m_recorder(aProcess)
+  , m_log(MakeLogger("timeline")) {}
 
 void TimelineSink::OnEvent(const Event& /*aEvent*/, Time /*aNow*/) {}
 
-void TimelineSink::Record(TimelineRecord aRecord, Time /*aNow*/) {
+void TimelineSink::Record(TimelineRecord aRecord, Time aNow) {
   std::string fields;
   for (const std::pair<std::string, std::string>& field : aRecord.m_fields) {
     fields += " " + field.first + "=" + field.second;
@@ -17,6 +18,7 @@
   const bool ofRequest = !aRecord.m_request.empty();
   m_log->log(ofRequest ? spdlog::level::debug : spdlog::level::info, "{}{}{}", aRecord.m_name,
              ofRequest ? " request=" + aRecord.m_request : "", fields);
+  m_recorder.Record(std::move(aRecord), aNow);
 }
 
 } // namespace fennelline
--- a/Services/Entry/Shell/TimelineSink.h
+++ b/Services/Entry/Shell/TimelineSink.h
@@ -2,20 +2,28 @@
 
 #include "LibBase/Log.h"
 #include "LibBase/Time.h"
-#include "LibCoordination/TimelineRecord.h"
+#include "LibTimeline/TimelineRecorder.h"
 #include "Services/Entry/Event.h"
 
+#include <string>
+
 namespace fennelline {
 
-/// Takes the time line's records and writes those that people want to see to the log.
+/// Takes the time line's records, keeps them for operators and writes those that concern no single
+/// request to the log.
 class TimelineSink {
 public:
-  TimelineSink();
+  explicit TimelineSink(const std::string& aProcess);
 
   void OnEvent(const Event& aEvent, Time aNow);
   void Record(TimelineRecord aRecord, Time aNow);
+  /// The hybrid logical clock of this process.
+  std::uint64_t ReadClock(Time aNow) { return m_recorder.ReadClock(aNow); }
+  void Observe(std::uint64_t aRemote, Time aNow) { m_recorder.Observe(aRemote, aNow); }
+  const TimelineRecorder& Recorder() const { return m_recorder; }
 
 private:
+  TimelineRecorder m_recorder;
   Logger m_log;
 };
 
