--- a/Tests/LibCoordination/Claims/TestClaimSeeds.cpp
+++ b/Tests/LibCoordination/Claims/TestClaimSeeds.cpp
@@ -15,7 +15,7 @@
   FakeWorld<ClaimTable, ClaimOutcomeReport>& world = aWorld.World();
   Random& dice = world.Dice();
   const std::vector<EntryId> entries = world.Entries();
-  const EntryId entry = entries[dice.Below(entries.size())];
+  const EntryId& entry = entries[dice.Below(entries.size())];
   switch (dice.Below(6)) {
     case 0:
     case 1:
--- a/Tests/LibCoordination/Claims/TestClaims.cpp
+++ b/Tests/LibCoordination/Claims/TestClaims.cpp
@@ -158,3 +158,39 @@
   CHECK(world.OutcomeOf(second).m_result == ClaimResult::Granted);
   CHECK(world.RunsOf("k") == 1);
 }
+
+TEST_CASE("holders cut off stop granting before the other side grants old keys again") {
+  ClaimWorld world(10);
+  world.Start(7);
+  const std::vector<EntryId> holders = world.HoldersOf("k");
+  const EntryId cutOff = world.OutsiderOf("k");
+  world.World().Partition({holders[0], holders[1], cutOff});
+  // The other side makes a new view at most this much later, and its lost period ends after it.
+  const Duration lost = world.m_settings.m_retryWindow * 11 / 10 + world.m_settings.m_viewTrust;
+  world.RunFor(lost);
+  const std::uint64_t first = world.Send(cutOff, "k", "body");
+  world.RunFor(Seconds(8));
+  CHECK(world.OutcomeOf(first).m_result == ClaimResult::NotRun);
+  const std::uint64_t second = world.Send(holders[2], "k", "body");
+  world.RunFor(Seconds(1));
+  CHECK(world.OutcomeOf(second).m_result == ClaimResult::Granted);
+  CHECK(world.RunsOf("k") == 1);
+}
+
+TEST_CASE("two attempts that split the votes of two holders end with one run") {
+  for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+    INFO("seed " << seed);
+    ClaimWorld world(seed);
+    world.Start(5);
+    world.World().SetOutage(true);
+    world.World().Crash(world.HoldersOf("k")[0]);
+    const std::vector<EntryId> entries = world.World().Entries();
+    for (const EntryId& entry : entries) {
+      world.Send(entry, "k", "body");
+    }
+    world.RunFor(Seconds(4));
+    world.CheckAll();
+    CHECK(world.RunsOf("k") == 1);
+    CHECK(world.CountOf(ClaimResult::Replay) == entries.size() - 1);
+  }
+}
