--- /dev/null
+++ b/Utilities/Relay/Main.cpp
@@ -0,0 +1,51 @@
+#include "LibBase/Signals.h"
+#include "Utilities/Relay/Relay.h"
+#include "Utilities/StandinSupport/StandinServer.h"
+
+#include <gflags/gflags.h>
+#include <httplib.h>
+#include <iostream>
+#include <nlohmann/json.hpp>
+
+// NOLINTBEGIN(readability-identifier-naming,readability-redundant-declaration)
+DEFINE_string(target, "", "IP:PORT that connections are passed on to");
+DEFINE_int32(relay_port, 0, "port for the connections; 0 takes a free one, see GET /relay");
+DEFINE_int32(port, 0, "port for GET /relay and POST /control; 0 takes a free one");
+DEFINE_string(ports_file, "", "file that gets {\"port\": N} once the program serves");
+// NOLINTEND(readability-identifier-naming,readability-redundant-declaration)
+
+int main(int aCount, char** aArguments) {
+  constexpr int kUsageError = 2;
+  gflags::SetUsageMessage("Passes TCP connections on, and cuts them or goes silent on demand.");
+  gflags::ParseCommandLineFlags(&aCount, &aArguments, true);
+  fennelline::BlockStopSignals();
+  if (FLAGS_target.find(':') == std::string::npos) {
+    std::cerr << "--target must be IP:PORT\n";
+    return kUsageError;
+  }
+  fennelline::Relay relay(FLAGS_target);
+  const fennelline::Result<int> port = relay.Start(FLAGS_relay_port);
+  if (port.IsError()) {
+    std::cerr << port.GetError().m_detail << "\n";
+    return 1;
+  }
+  fennelline::StandinServer server(
+    {.m_name = "relay", .m_port = FLAGS_port, .m_portsFile = FLAGS_ports_file});
+  server.Routes().Get("/relay", [&](const httplib::Request&, httplib::Response& aResponse) {
+    const nlohmann::json body = {{"port", port.Get()}, {"open", relay.OpenConnections()}};
+    constexpr int kOk = 200;
+    fennelline::AnswerJson(aResponse, kOk, body.dump());
+  });
+  server.OnControl([&](fennelline::FieldReader& aReader) {
+    if (aReader.Boolean("silence_open", false)) {
+      relay.SilenceOpen();
+    }
+    if (aReader.Boolean("cut_open", false)) {
+      relay.CutOpen();
+    }
+    if (aReader.Has("silence_new")) {
+      relay.SetSilenceNew(aReader.Boolean("silence_new", false));
+    }
+  });
+  return server.Run();
+}
