--- a/Libraries/LibDecision/ReplicaChoice.cpp
+++ b/Libraries/LibDecision/ReplicaChoice.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <array>
-#include <numeric>
 
 namespace fennelline {
 
@@ -14,16 +13,25 @@
 /// The part of the time for a token that grows with the number of running requests.
 constexpr double kBatchSlowdown = 0.6;
 
-/// Reading a prompt holds up the other requests of the server as well, so it counts for more than
-/// its own time.
-constexpr double kPromptWeight = 1.5;
+/// Reading a prompt holds up the other requests of the server, and what it adds to the cache
+/// pushes out another prefix, so it counts for more than its own time.
+constexpr double kPromptWeight = 6.0;
 
 /// What a failed attempt costs.
 constexpr double kFailureSeconds = 2.0;
 constexpr double kMostFailureRate = 0.95;
 
+/// Each other entry is taken to have sent this part of what this entry has sent to a server since
+/// the report, and to have this part of this entry's outstanding requests there beyond the report.
+constexpr double kMirroredSent = 0.5;
+constexpr double kMirroredOutstanding = 0.125;
+
+/// Each other entry is taken to be about to place this part of what this entry has sent since the
+/// reports. It fills the shortest servers first and is what choices are spread over.
+constexpr double kUnseenPart = 0.05;
+
 /// Differences below this part of one request's work are left to chance.
-constexpr double kTieVolume = 0.25;
+constexpr double kTieVolume = 0.5;
 
 /// A server with its expected time until the answer is whole.
 struct Candidate {
@@ -37,12 +45,27 @@
   return static_cast<double>(std::max<std::int64_t>(1, aReplica.m_slots));
 }
 
-/// Requests at the server: those reported and those this entry has sent since.
-double RequestsThere(const ReplicaView& aReplica) {
+double OtherEntries(const ReplicaQuery& aQuery) {
+  return static_cast<double>(std::max<std::int64_t>(1, aQuery.m_entryCount) - 1);
+}
+
+/// Requests known to be at the server: this entry's own, and those that were there by the report
+/// and are not this entry's.
+double KnownRequests(const ReplicaView& aReplica) {
   const std::int64_t reported = aReplica.m_reportedRunning + aReplica.m_reportedQueued;
-  const std::int64_t known =
-    std::max(reported + aReplica.m_ownSinceReport, aReplica.m_ownOutstanding);
-  return static_cast<double>(known);
+  const std::int64_t ownAtReport =
+    aReplica.m_ownOutstanding - aReplica.m_ownSinceReport + aReplica.m_ownEndedSinceReport;
+  const std::int64_t ofOthers = std::max<std::int64_t>(0, reported - ownAtReport);
+  return static_cast<double>(aReplica.m_ownOutstanding + ofOthers);
+}
+
+/// The same with what the other entries are likely to have sent. They choose from the same
+/// reports, so each is taken to have done about what this one did. This spreads the choices of an
+/// entry evenly over the servers, and with them those of all entries together.
+double ForeseenRequests(const ReplicaView& aReplica, const ReplicaQuery& aQuery) {
+  const double mirrored = kMirroredSent * static_cast<double>(aReplica.m_ownSinceReport) +
+                          kMirroredOutstanding * static_cast<double>(aReplica.m_ownOutstanding);
+  return KnownRequests(aReplica) + OtherEntries(aQuery) * mirrored;
 }
 
 /// Tokens of one request that is there, as far as known.
@@ -62,38 +85,42 @@
   return InSeconds(aQuery.m_serviceTime) / Slots(aReplica);
 }
 
-double WaitSeconds(const ReplicaView& aReplica, const ReplicaQuery& aQuery) {
-  double ahead = std::max(0.0, RequestsThere(aReplica) - Slots(aReplica) + 1.0);
+double WaitSeconds(const ReplicaView& aReplica, const ReplicaQuery& aQuery, double aRequests) {
+  double ahead = std::max(0.0, aRequests - Slots(aReplica) + 1.0);
   if (aQuery.m_jumpsQueue) {
     ahead = std::min(ahead, 1.0);
   }
   return ahead * SecondsPerRequest(aReplica, aQuery);
 }
 
+/// Seconds until the prompt is read, after the prompts of own requests that still wait there.
 double PromptSeconds(const ReplicaView& aReplica, const ReplicaQuery& aQuery) {
   if (aReplica.m_tokensPerSecond <= 0.0) {
     return 0.0;
   }
   const std::int64_t uncached =
     std::max<std::int64_t>(0, aQuery.m_inputTokens - aReplica.m_cachedPrefixTokens);
-  return static_cast<double>(uncached) / (kPromptSpeed * aReplica.m_tokensPerSecond);
+  const auto tokens = static_cast<double>(uncached + aReplica.m_ownPromptTokens);
+  return tokens / (kPromptSpeed * aReplica.m_tokensPerSecond);
 }
 
-double GenerationSeconds(const ReplicaView& aReplica, const ReplicaQuery& aQuery) {
+double GenerationSeconds(const ReplicaView& aReplica, const ReplicaQuery& aQuery,
+                         double aRequests) {
   if (aReplica.m_tokensPerSecond <= 0.0) {
     return InSeconds(aQuery.m_serviceTime);
   }
   const double slots = Slots(aReplica);
-  const double busy = std::min(1.0, RequestsThere(aReplica) / slots);
+  const double busy = std::min(1.0, aRequests / slots);
   const double perTokenWhenFull = slots / aReplica.m_tokensPerSecond;
   const double perToken = perTokenWhenFull * (1.0 - kBatchSlowdown + kBatchSlowdown * busy);
   return static_cast<double>(aQuery.m_outputTokens) * perToken;
 }
 
 double ExpectedSeconds(const ReplicaView& aReplica, const ReplicaQuery& aQuery) {
-  const double seconds = WaitSeconds(aReplica, aQuery) +
-                         kPromptWeight * PromptSeconds(aReplica, aQuery) +
-                         GenerationSeconds(aReplica, aQuery) + 2.0 * InSeconds(aReplica.m_distance);
+  const double requests = ForeseenRequests(aReplica, aQuery);
+  const double seconds =
+    WaitSeconds(aReplica, aQuery, requests) + kPromptWeight * PromptSeconds(aReplica, aQuery) +
+    GenerationSeconds(aReplica, aQuery, requests) + 2.0 * InSeconds(aReplica.m_distance);
   const double failures = std::clamp(aReplica.m_failureRate, 0.0, kMostFailureRate);
   return (seconds + failures * kFailureSeconds) / (1.0 - failures);
 }
@@ -105,16 +132,12 @@
 
 std::size_t CollectCandidates(const ReplicaQuery& aQuery, std::span<const ReplicaView> aReplicas,
                               Candidates& aCandidates, Random& aRandom) {
-  std::array<std::size_t, kMostReplicasConsidered> indices{};
-  std::size_t looked = aReplicas.size();
-  if (looked > indices.size()) {
-    looked = SampleIndices(aReplicas.size(), indices, aRandom);
-  } else {
-    std::iota(indices.begin(), indices.end(), std::size_t{0});
-  }
+  // Of more servers than fit, those from a random place on.
+  const std::size_t size = aReplicas.size();
+  const std::size_t start = size > aCandidates.size() ? aRandom.Below(size) : 0;
   std::size_t count = 0;
-  for (std::size_t position = 0; position < looked; ++position) {
-    const std::size_t index = indices[position];
+  for (std::size_t step = 0; step < size && count < aCandidates.size(); ++step) {
+    const std::size_t index = (start + step) % size;
     if (aReplicas[index].m_eligible) {
       aCandidates[count] = {.m_index = index,
                             .m_seconds = ExpectedSeconds(aReplicas[index], aQuery)};
@@ -167,8 +190,8 @@
 
 Duration ExpectedWait(const ReplicaView& aReplica, const ReplicaQuery& aQuery) {
   constexpr double kMicrosecondsPerSecond = 1e6;
-  return Duration(
-    static_cast<std::int64_t>(WaitSeconds(aReplica, aQuery) * kMicrosecondsPerSecond));
+  const double seconds = WaitSeconds(aReplica, aQuery, KnownRequests(aReplica));
+  return Duration(static_cast<std::int64_t>(seconds * kMicrosecondsPerSecond));
 }
 
 std::optional<ReplicaChoice> ChooseReplica(const ReplicaQuery& aQuery,
@@ -185,16 +208,15 @@
               return aLeft.m_seconds < aRight.m_seconds;
             });
 
-  // The other entries choose from the same reports and have sent about as much since as this one.
-  // Their unseen requests fill the shortest servers first. Choosing in proportion to that filling
-  // is what keeps all entries together from meeting at one server.
+  // Requests that the other entries are sending right now fill the shortest servers first.
+  // Choosing in proportion to that filling keeps all entries from meeting at one server.
   double sentSinceReport = 0.0;
   for (const Candidate& candidate : candidates) {
     sentSinceReport += static_cast<double>(aReplicas[candidate.m_index].m_ownSinceReport);
   }
-  const double others = static_cast<double>(std::max<std::int64_t>(1, aQuery.m_entryCount) - 1);
+  const double unseen = kUnseenPart * OtherEntries(aQuery) * sentSinceReport;
   const double added = SecondsAdded(aReplicas[candidates.front().m_index], aQuery);
-  const double volume = (others * sentSinceReport + kTieVolume) * added;
+  const double volume = (unseen + kTieVolume) * added;
   const double level = FillLevel(candidates, volume);
   const std::size_t position = PickBelow(candidates, level, volume, aRandom);
   const std::size_t index = candidates[position].m_index;
--- a/Tests/LibWire/TestMessageCodec.cpp
+++ b/Tests/LibWire/TestMessageCodec.cpp
@@ -34,7 +34,7 @@
   datagram.m_from = "e1#7";
   datagram.m_members.push_back(
     {.m_entry = "e2#1", .m_version = 4, .m_state = MemberState::Leaving});
-  datagram.m_leaving.push_back({"engine-4", 1'500});
+  datagram.m_leaving.push_back({.m_backendServer = "engine-4", .m_ageMilliseconds = 1'500});
   datagram.m_configurationRevision = 17;
   return datagram;
 }
@@ -120,6 +120,8 @@
 
 TEST_CASE("an enumeration's number beyond its last value is refused") {
   ClaimReply reply;
+  reply.m_verdict = ClaimVerdict::Lost;
+  CHECK_FALSE(DecodeMessage(EncodeMessage({"e1#1", 0, reply})).IsError());
   reply.m_verdict = static_cast<ClaimVerdict>(9);
   CHECK(DecodeMessage(EncodeMessage({"e1#1", 0, reply})).IsError());
 }
