Run blocking calls on plain threads and tick rarely when idle

Cause: an idle entry used 38% of a core. Per-thread times showed 256 arena workers sharing it: idle workers of a oneTBB arena spin after each task, and polls give them one each few ms. Ruled out: the HTTP pool (its 512 threads had no processor time). Change: blocking calls wait on a oneTBB queue instead; ticks come each 25 ms while nothing is open.

--- a/Services/Entry/Event.h
+++ b/Services/Entry/Event.h
@@ -147,7 +147,8 @@
   MembershipDatagram m_datagram;
 };
 
-/// Time passed. Comes at least each kTickInterval.
+/// Time passed. Comes each kTickInterval while requests are open, otherwise each
+/// kIdleTickInterval.
 struct Tick {};
 
 /// The process is asked to stop gracefully.
@@ -159,5 +160,6 @@
                DatagramReceived, PlatformReply, Tick, StopRequested>;
 
 constexpr Duration kTickInterval = Milliseconds(5);
+constexpr Duration kIdleTickInterval = Milliseconds(25);
 
 } // namespace fennelline
--- a/Services/Entry/Shell/BlockingCalls.cpp
+++ b/Services/Entry/Shell/BlockingCalls.cpp
@@ -1,31 +1,37 @@
 #include "Services/Entry/Shell/BlockingCalls.h"
 
-#include <tbb/global_control.h>
-#include <tbb/task_arena.h>
-#include <tbb/task_group.h>
-
 namespace fennelline {
 
-struct BlockingCalls::Arena {
-  explicit Arena(int aMostAtOnce)
-    : m_control(tbb::global_control::max_allowed_parallelism,
-                static_cast<std::size_t>(aMostAtOnce) + 1)
-    , m_arena(aMostAtOnce, 0) {}
-
-  tbb::global_control m_control;
-  tbb::task_arena m_arena;
-  tbb::task_group m_group;
-};
-
-BlockingCalls::BlockingCalls(int aMostAtOnce)
-  : m_arena(std::make_unique<Arena>(aMostAtOnce)) {}
+BlockingCalls::BlockingCalls(std::size_t aMostAtOnce)
+  : m_mostAtOnce(aMostAtOnce) {}
 
 BlockingCalls::~BlockingCalls() {
-  m_arena->m_arena.execute([this]() { m_arena->m_group.wait(); });
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  for (std::size_t index = 0; index < m_threads.size(); ++index) {
+    m_calls.push(nullptr);
+  }
+  for (std::thread& thread : m_threads) {
+    thread.join();
+  }
 }
 
 void BlockingCalls::Run(std::function<void()> aCall) {
-  m_arena->m_arena.enqueue(m_arena->m_group.defer(std::move(aCall)));
+  const std::size_t open = m_open.fetch_add(1) + 1;
+  {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    if (open > m_threads.size() && m_threads.size() < m_mostAtOnce) {
+      m_threads.emplace_back([this]() { RunThread(); });
+    }
+  }
+  m_calls.push(std::move(aCall));
+}
+
+void BlockingCalls::RunThread() {
+  std::function<void()> call;
+  for (m_calls.pop(call); call; m_calls.pop(call)) {
+    call();
+    m_open.fetch_sub(1);
+  }
 }
 
 } // namespace fennelline
--- a/Services/Entry/Shell/EntryProcess.cpp
+++ b/Services/Entry/Shell/EntryProcess.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr int kMostBlockingCalls = 256;
+constexpr std::size_t kMostBlockingCalls = 256;
 constexpr Duration kPlatformTimeout = Seconds(2);
 constexpr Duration kRatingTimeout = Seconds(10);
 
--- a/Services/Entry/Shell/ReducerLoop.h
+++ b/Services/Entry/Shell/ReducerLoop.h
@@ -2,6 +2,7 @@
 
 #include "Services/Entry/Shell/EventQueue.h"
 
+#include <atomic>
 #include <concepts>
 #include <condition_variable>
 #include <mutex>
@@ -69,12 +70,18 @@
       for (EntryEffect& effect : m_reducer.Reduce(event, now)) {
         m_runner.Run(std::move(effect), m_reducer, now);
       }
+      m_busy.store(m_reducer.Requests().OpenCount() > 0, std::memory_order_relaxed);
     }
   }
 
+  /// Only open requests need a close watch on the time.
+  Duration TickInterval() const {
+    return m_busy.load(std::memory_order_relaxed) ? kTickInterval : kIdleTickInterval;
+  }
+
   void RunTicks() {
     std::unique_lock<std::mutex> lock(m_mutex);
-    while (!m_wake.wait_for(lock, kTickInterval, [this]() { return m_stop; })) {
+    while (!m_wake.wait_for(lock, TickInterval(), [this]() { return m_stop; })) {
       m_queue.Post(Tick{});
     }
   }
@@ -86,6 +93,7 @@
   std::mutex m_mutex;
   std::condition_variable m_wake;
   bool m_stop = false;
+  std::atomic<bool> m_busy{false};
   std::thread m_thread;
   std::thread m_ticker;
 };
