--- a/Libraries/LibCoordination/Membership/Membership.cpp
+++ b/Libraries/LibCoordination/Membership/Membership.cpp
@@ -89,7 +89,7 @@
   m_self.m_state = MemberState::Leaving;
   step.m_effects.emplace_back(RecordTimeline{MakeRecord(m_self)});
   step.m_outcomes.emplace_back(MemberChanged{m_self});
-  SpreadMemberUrgently(m_self.m_entry, aNow);
+  SpreadMember(m_self.m_entry, aNow);
   SendUrgent(step, aNow);
   return step;
 }
@@ -219,7 +219,7 @@
   }
   m_self.m_version = aDigest.m_version + 1;
   aStep.m_effects.emplace_back(RecordTimeline{MakeRecord(m_self)});
-  SpreadMemberUrgently(m_self.m_entry, aNow);
+  SpreadMember(m_self.m_entry, aNow);
 }
 
 void Membership::TakeCandidate(const MemberDigest& aDigest, bool aFromItself, Time aNow) {
@@ -261,7 +261,7 @@
   }
   Set(aStep, m_members[aDigest.m_entry], aDigest, aNow);
   if (mayBeNewToOthers) {
-    SpreadMember(aDigest.m_entry);
+    SpreadIntroduction(aDigest.m_entry);
   }
 }
 
@@ -283,7 +283,7 @@
 
 void Membership::Change(Outcomes& aStep, Member& aMember, MemberDigest aDigest, Time aNow) {
   Set(aStep, aMember, std::move(aDigest), aNow);
-  SpreadMemberUrgently(aMember.m_digest.m_entry, aNow);
+  SpreadMember(aMember.m_digest.m_entry, aNow);
 }
 
 void Membership::TellLeaving(Outcomes& aStep, const BackendServerId& aServer) {
--- a/Libraries/LibCoordination/Membership/Membership.h
+++ b/Libraries/LibCoordination/Membership/Membership.h
@@ -191,8 +191,8 @@
   void TrySeeds(Outcomes& aStep, Time aNow);
   void SendJoin(Outcomes& aStep, const std::string& aAddress, const EntryId& aTo, Time aNow);
   std::vector<std::string> AddressesToTry() const;
-  void SpreadMember(const EntryId& aEntry);
-  void SpreadMemberUrgently(const EntryId& aEntry, Time aNow);
+  void SpreadIntroduction(const EntryId& aEntry);
+  void SpreadMember(const EntryId& aEntry, Time aNow);
   void SpreadLeaving(const BackendServerId& aServer, Time aNow);
   void MakeUrgent(Time aNow);
   int RumourSends() const;
--- a/Libraries/LibCoordination/Membership/MembershipSpread.cpp
+++ b/Libraries/LibCoordination/Membership/MembershipSpread.cpp
@@ -11,6 +11,10 @@
 
 /// Each piece of news is sent this many times for each doubling of the number of members.
 constexpr int kSendsPerDoubling = 3;
+/// A new member introduces itself to all; the others tell of it only a few times.
+constexpr int kIntroductionSends = 3;
+/// News of members in one datagram.
+constexpr std::size_t kMostNews = 16;
 /// A new member tries this many addresses of the VM list at once.
 constexpr std::size_t kFirstSeeds = 3;
 /// Questions for pages that may still be answered.
@@ -144,12 +148,12 @@
   return addresses;
 }
 
-void Membership::SpreadMember(const EntryId& aEntry) {
-  m_rumours[aEntry] = RumourSends();
+void Membership::SpreadIntroduction(const EntryId& aEntry) {
+  m_rumours[aEntry] = kIntroductionSends;
 }
 
-void Membership::SpreadMemberUrgently(const EntryId& aEntry, Time aNow) {
-  SpreadMember(aEntry);
+void Membership::SpreadMember(const EntryId& aEntry, Time aNow) {
+  m_rumours[aEntry] = RumourSends();
   MakeUrgent(aNow);
 }
 
@@ -203,13 +207,20 @@
 }
 
 void Membership::AddMemberNews(MembershipDatagram& aDatagram, std::size_t& aRoom) {
-  std::vector<std::pair<int, EntryId>> freshestFirst;
-  for (const auto& [entry, sendsLeft] : m_rumours) {
-    freshestFirst.emplace_back(-sendsLeft, entry);
+  using Rumour = std::map<EntryId, int>::iterator;
+  std::vector<Rumour> freshestFirst;
+  for (auto rumour = m_rumours.begin(); rumour != m_rumours.end(); ++rumour) {
+    freshestFirst.push_back(rumour);
   }
-  std::sort(freshestFirst.begin(), freshestFirst.end());
-  for (const auto& [order, entry] : freshestFirst) {
-    const MemberDigest* digest = FindDigest(entry);
+  const std::size_t most = std::min(freshestFirst.size(), kMostNews);
+  std::partial_sort(
+    freshestFirst.begin(), freshestFirst.begin() + static_cast<std::ptrdiff_t>(most),
+    freshestFirst.end(), [](const Rumour& aOne, const Rumour& aTwo) {
+      return aOne->second != aTwo->second ? aOne->second > aTwo->second : aOne->first < aTwo->first;
+    });
+  freshestFirst.resize(most);
+  for (const Rumour& rumour : freshestFirst) {
+    const MemberDigest* digest = FindDigest(rumour->first);
     const std::size_t bytes = digest != nullptr ? EncodedBytes(*digest) : 0;
     if (bytes > aRoom) {
       return;
@@ -218,8 +229,8 @@
       aDatagram.m_members.push_back(*digest);
       aRoom -= bytes;
     }
-    if (digest == nullptr || --m_rumours[entry] == 0) {
-      m_rumours.erase(entry);
+    if (digest == nullptr || --rumour->second <= 0) {
+      m_rumours.erase(rumour);
     }
   }
 }
--- a/Utilities/MeasureSpread/EntryGroup.cpp
+++ b/Utilities/MeasureSpread/EntryGroup.cpp
@@ -169,6 +169,10 @@
     Membership& membership = *entry.m_membership;
     membership.SetConfigurationRevision(spread.NewestRevision());
     Take(aTo, Timed(m_membershipTime, [&] { return membership.Tick(m_now); }));
+    if (std::exchange(entry.m_membersChanged, false)) {
+      const std::vector<MemberDigest> members = membership.Members();
+      Take(aTo, Timed(m_spreadTime, [&] { return spread.OnMembers(members, m_now); }));
+    }
     Take(aTo, Timed(m_spreadTime, [&] { return spread.Tick(m_now); }));
   }
 }
@@ -197,10 +201,8 @@
     }
   }
   CarryOut(aFrom, std::move(aStep.m_effects));
-  if (isChanged) {
-    const std::vector<MemberDigest> members = entry.m_membership->Members();
-    Take(aFrom, entry.m_spread->OnMembers(members, m_now));
-  }
+  // Like a real shell, it passes several changes on at once, with the next tick.
+  entry.m_membersChanged = entry.m_membersChanged || isChanged;
 }
 
 void EntryGroup::Take(int aFrom, Step<ConfigurationOutcome> aStep) {
--- a/Utilities/MeasureSpread/EntryGroup.h
+++ b/Utilities/MeasureSpread/EntryGroup.h
@@ -119,6 +119,7 @@
     int m_side = 0;
     bool m_up = true;
     bool m_paused = false;
+    bool m_membersChanged = false;
     std::unique_ptr<Membership> m_membership;
     std::unique_ptr<ConfigurationSpread> m_spread;
     std::deque<Input> m_unread;
--- a/Utilities/MeasureSpread/FakePlatform.cpp
+++ b/Utilities/MeasureSpread/FakePlatform.cpp
@@ -52,6 +52,13 @@
   return m_state.m_revision;
 }
 
+void FakePlatform::FreezeWithout(const std::string& aKey, const std::string& aValue,
+                                 Revision aRevision) {
+  Freeze();
+  m_frozen->m_keys[aKey] = KeyValue{aKey, aValue, aRevision};
+  m_frozen->m_revision = aRevision;
+}
+
 const KeyValue* FakePlatform::Find(const std::string& aKey) const {
   const auto found = m_state.m_keys.find(aKey);
   return found == m_state.m_keys.end() ? nullptr : &found->second;
--- a/Utilities/MeasureSpread/FakePlatform.h
+++ b/Utilities/MeasureSpread/FakePlatform.h
@@ -31,6 +31,8 @@
   const KeyValue* Find(const std::string& aKey) const;
   /// Answers from now on with what was there at this instant, and takes no writes.
   void Freeze() { m_frozen = State{m_state}; }
+  /// The same, with an older value of one key.
+  void FreezeWithout(const std::string& aKey, const std::string& aValue, Revision aRevision);
   void Thaw() { m_frozen.reset(); }
 
   bool m_down = false;
