Admission: count in flight by urgency and give customers credit in slot seconds

Cause: one limit for all kinds, and a part of less than one request in flight for a small account at one entry, so its second request at the same moment was refused.

--- a/Libraries/LibDecision/Admission.h
+++ b/Libraries/LibDecision/Admission.h
@@ -3,9 +3,11 @@
 #include "LibBase/Time.h"
 #include "LibContract/Configuration.h"
 
+#include <array>
 #include <cstdint>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace fennelline {
 
@@ -41,29 +43,37 @@
   Duration m_retryAfter{0};
 };
 
-/// Decides at once whether a request is taken. Fair between customers by their shares, so that a
-/// large account cannot starve a small one; urgent kinds go first. It counts the requests in
-/// flight, which are slot seconds a second: no rate has to be foreseen.
+/// Decides at once whether a request is taken. It counts the requests in flight by urgency: more
+/// urgent kinds are taken while less urgent ones are refused. While there is room, everyone is
+/// taken. Without room, each customer is taken as far as its credit reaches, which grows at the
+/// customer's part of the pool: so a large account cannot starve a small one, however much it
+/// sends, and a small one may send its few requests at any moment.
 class AdmissionController {
 public:
   AdmissionDecision Decide(const AdmissionQuery& aQuery, Time aNow);
-  /// An admitted request has ended. To be called once for each.
+  /// An admitted request has ended; aWork is that of its query. To be called once for each.
   void Finished(const std::string& aPool, const std::string& aCustomer, double aWork, Time aNow);
-  /// The same for requests that were admitted with no pool named.
-  void Finished(const std::string& aCustomer, double aWork, Time aNow);
 
 private:
+  struct InFlight {
+    double m_work = 0.0;
+    Urgency m_urgency = Urgency::Interactive;
+  };
   struct CustomerLoad {
     double m_share = 1.0;
-    std::int64_t m_inFlight = 0;
+    /// Work in slot seconds that the customer may still use while there is no room.
+    double m_credit = 0.0;
+    Time m_credited{};
     Time m_lastAsked{};
+    std::vector<InFlight> m_inFlight;
   };
   struct Pool {
     std::unordered_map<std::string, CustomerLoad> m_customers;
-    /// Sum of the shares of m_customers.
+    /// Sum of the shares of the customers that have lately asked for something.
     double m_shares = 0.0;
-    std::int64_t m_inFlight = 0;
-    /// Fading counts and work of recent requests, for the time to come back.
+    /// Admitted requests that have not ended, by urgency.
+    std::array<std::int64_t, kUrgencyNames.size()> m_inFlight{};
+    /// Fading counts of recent requests, for the time to come back.
     double m_recentAdmitted = 0.0;
     double m_recentRefused = 0.0;
     double m_meanWork = 0.0;
@@ -72,6 +82,8 @@
   };
 
   static CustomerLoad& LoadOf(Pool& aPool, const AdmissionQuery& aQuery, Time aNow);
+  static void AddCredit(const Pool& aPool, CustomerLoad& aLoad, const AdmissionQuery& aQuery,
+                        bool aIsNew, Time aNow);
   static void Sweep(Pool& aPool, Time aNow);
   static void Fade(Pool& aPool, Time aNow);
   static Duration RetryAfter(const Pool& aPool);
--- a/Utilities/Policy/RoutingRun.h
+++ b/Utilities/Policy/RoutingRun.h
@@ -51,6 +51,7 @@
     std::int64_t m_expectedTokens = 0;
     /// Prompt tokens that the entry still counts as waiting at the engine.
     std::int64_t m_promptTokens = 0;
+    Duration m_expectedWait{0};
     Time m_sentAt{};
     bool m_open = true;
     bool m_extra = false;
--- a/Utilities/Policy/RoutingRunImpl.h
+++ b/Utilities/Policy/RoutingRunImpl.h
@@ -175,6 +175,7 @@
                              .m_poolSlots = slots / static_cast<double>(m_entries.size())};
   const AdmissionDecision decision = entry.m_admission.Decide(query, m_now);
   *aRetryAfter = decision.m_retryAfter;
+  m_result.m_requests[aRequest].m_verdict = decision.m_verdict;
   return decision.m_verdict == AdmissionVerdict::Admitted;
 }
 
@@ -187,6 +188,7 @@
                         .m_entry = handling.m_entry,
                         .m_engine = aChoice.m_index,
                         .m_expectedTokens = static_cast<std::int64_t>(estimate.m_outputTokens),
+                        .m_expectedWait = aChoice.m_expectedWait,
                         .m_sentAt = m_now,
                         .m_extra = aExtra});
   handling.m_attempts.push_back(id);
@@ -288,7 +290,8 @@
   RequestRecord& record = m_result.m_requests[attempt.m_request];
   CloseAttempt(aAttempt, false);
   EntryBook& entry = m_entries[attempt.m_entry];
-  const Duration first = std::max(Duration(0), record.m_firstToken - attempt.m_sentAt);
+  const Duration first =
+    std::max(Duration(0), record.m_firstToken - attempt.m_sentAt - attempt.m_expectedWait);
   entry.m_estimates.Observe(KindOf(attempt.m_request).m_name, kRunVersion,
                             {.m_firstToken = first,
                              .m_total = m_now - attempt.m_sentAt,
@@ -305,8 +308,8 @@
   Handling& handling = m_handling[aRequest];
   if (handling.m_admitted) {
     handling.m_admitted = false;
-    m_entries[handling.m_entry].m_admission.Finished(CustomerOf(aRequest).m_name, handling.m_work,
-                                                     m_now);
+    m_entries[handling.m_entry].m_admission.Finished("", CustomerOf(aRequest).m_name,
+                                                     handling.m_work, m_now);
   }
   m_result.m_requests[aRequest].m_end = aEnd;
 }
--- a/Utilities/Policy/RoutingSettings.h
+++ b/Utilities/Policy/RoutingSettings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "LibDecision/Admission.h"
 #include "Utilities/Policy/EngineFake.h"
 #include "Utilities/Policy/Workload.h"
 
@@ -49,6 +50,7 @@
   Time m_firstToken = kNever;
   Time m_answered = kNever;
   std::size_t m_tries = 0;
+  AdmissionVerdict m_verdict = AdmissionVerdict::Admitted;
 };
 
 struct RoutingResult {
