--- a/Libraries/LibPlatform/EngineClient.cpp
+++ b/Libraries/LibPlatform/EngineClient.cpp
@@ -12,6 +12,7 @@
 
 namespace {
 
+constexpr const char* kVersionHeader = "Fennelline-Version";
 constexpr const char* kStreamEnd = "[DONE]";
 // Loading weights waits for the rate-limited weight store.
 constexpr Duration kOrderTimeout = Seconds(120);
@@ -98,7 +99,7 @@
     aTransport.CallStreamed(aRequest.m_address, RequestFor(aRequest), limits, receiver, aCancel);
   if (stream.HasEnded()) {
     BackendUsage usage = stream.Usage();
-    usage.m_version = reply.m_version;
+    usage.m_version = FindHeader(reply, kVersionHeader);
     aObserver.m_finished(usage);
     return;
   }
@@ -114,7 +115,7 @@
   }
   BackendUsage usage;
   ReadUsage(JsonOrEmpty(reply.m_body), usage);
-  usage.m_version = reply.m_version;
+  usage.m_version = FindHeader(reply, kVersionHeader);
   aObserver.m_head(reply.m_status, reply.m_contentType);
   aObserver.m_chunk(reply.m_body, 0, usage.m_outputTokens);
   aObserver.m_finished(usage);
--- a/Libraries/LibPlatform/HttpTransport.cpp
+++ b/Libraries/LibPlatform/HttpTransport.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <httplib.h>
 #include <map>
+#include <strings.h>
 
 namespace fennelline {
 
@@ -58,7 +59,9 @@
   HttpReply head;
   head.m_status = aResponse.status;
   head.m_contentType = aResponse.get_header_value("Content-Type");
-  head.m_version = aResponse.get_header_value("Fennelline-Version");
+  for (const std::pair<const std::string, std::string>& header : aResponse.headers) {
+    head.m_headers.emplace_back(header.first, header.second);
+  }
   return head;
 }
 
@@ -88,6 +91,15 @@
   }
 }
 
+std::string FindHeader(const HttpReply& aReply, const std::string& aName) {
+  for (const std::pair<std::string, std::string>& header : aReply.m_headers) {
+    if (strcasecmp(header.first.c_str(), aName.c_str()) == 0) {
+      return header.second;
+    }
+  }
+  return "";
+}
+
 HttpTransport::HttpTransport()
   : m_pool(std::make_unique<Pool>()) {}
 
--- a/Libraries/LibPlatform/HttpTransport.h
+++ b/Libraries/LibPlatform/HttpTransport.h
@@ -42,11 +42,13 @@
   HttpFailure m_failure = HttpFailure::None;
   int m_status = 0;
   std::string m_contentType;
-  /// The header Fennelline-Version, where there is one.
-  std::string m_version;
+  HttpHeaders m_headers;
   std::string m_body;
 };
 
+/// The value of the first header of that name, whatever its case; empty where there is none.
+std::string FindHeader(const HttpReply& aReply, const std::string& aName);
+
 /// Ends a call from another thread.
 class HttpCancel {
 public:
