Add fennelline-timeline: fetch, merge, filter, draw and replay the time line

Tests: a run of 302 steps repeats with the same effects; a changed effect is found; a recording without its start, without steps or with a gap is refused.

--- /dev/null
+++ b/Utilities/Timeline/Replay.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "LibContract/EntrySettings.h"
+#include "LibTimeline/TimelineLine.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace fennelline {
+
+/// The first step whose effects differ.
+struct ReplayDifference {
+  std::uint64_t m_number = 0;
+  std::string m_event;
+  std::string m_recorded;
+  std::string m_replayed;
+};
+
+struct ReplayOutcome {
+  std::size_t m_steps = 0;
+  std::optional<ReplayDifference> m_difference;
+};
+
+/// Feeds the recorded events of one process to a new reducer and compares the effects with the
+/// recorded ones, up to the first difference. The lines must hold the process's start record and
+/// all steps from it on.
+Result<ReplayOutcome> ReplayTimeline(const std::vector<TimelineLine>& aLines,
+                                     const EntrySettings& aSettings);
+
+} // namespace fennelline
