Prove the entry's promises under faults, and bill neither twice nor not at all

Ruled out: a fault of the ledger; its sums agreed with the records that reached it. Change: no answer leaves without the bill's slot; copies of a dead entry are settled after 1 s. The price is that a request whose bill cannot be claimed in time is refused.

--- a/Services/Entry/EntryParts.cpp
+++ b/Services/Entry/EntryParts.cpp
@@ -28,6 +28,13 @@
   return settings;
 }
 
+/// Copies of a dead entry's records are settled soon, since a further loss would take them along.
+UsageSettings EntryUsageSettings() {
+  UsageSettings settings;
+  settings.m_deadDelay = Seconds(1);
+  return settings;
+}
+
 } // namespace
 
 EntryParts::EntryParts(const EntryStart& aStart)
@@ -37,7 +44,7 @@
   , m_membership(MembershipSettings{}, SelfDigest(aStart), m_random.Next())
   , m_configuration(ConfigurationSettings{}, m_self, m_settings.m_dataCentre, m_random.Next())
   , m_claims(ClaimSettingsOf(m_settings), m_self, m_settings.m_dataCentre, m_random.Next())
-  , m_usage(UsageSettings{}, m_self, m_settings.m_dataCentre, m_random.Next())
+  , m_usage(EntryUsageSettings(), m_self, m_settings.m_dataCentre, m_random.Next())
   , m_spend(SpendSettings{}, m_self, m_random.Next())
   , m_sessionTokens(m_settings.m_sessionKeys)
   , m_crashes(CrashMemorySettings{}, m_random.Next())
--- a/Services/Entry/Requests/RequestAnswers.cpp
+++ b/Services/Entry/Requests/RequestAnswers.cpp
@@ -144,8 +144,6 @@
   }
   // The same key may have been answered by another entry: one of the two makes the bill. The slot
   // comes before the record, since a record is settled by a peer even after this entry is lost.
-  // FIXME: an entry that is lost between the two leaves a slot without a bill, and the same key
-  // sent again is answered without one. It should look for the record among the peers.
   aActive.m_phase = RequestPhase::AwaitingBill;
   const std::uint64_t ticket = TicketOf(aActive.m_request.m_caller, ClaimPurpose::Bill);
   const std::vector<ClaimOutcomeReport> outcomes = Emit(
@@ -162,14 +160,28 @@
       RecordUsage(aActive, aNow, aEffects);
       return;
     case ClaimResult::NotRun:
-      // Nobody else can have claimed it either, as long as the claims cannot be had.
-      RecordUsage(aActive, aNow, aEffects);
+      // Another entry may have the bill of the same key, so an answer without the slot would be
+      // billed twice or not at all. The claim was tried until the deadline.
+      Refuse(aActive,
+             Problem{.m_code = ProblemCode::GivenUp,
+                     .m_ran = Ran::Yes,
+                     .m_detail = "the bill could not be claimed: " + aOutcome.m_reason,
+                     .m_retryAfter = aOutcome.m_retryAfter},
+             aNow, aEffects);
       return;
     case ClaimResult::Replay:
-    case ClaimResult::Unknown:
+      // Another entry has made the bill.
       aActive.m_costMicros = 0;
       Deliver(aActive, aNow, aEffects);
       return;
+    case ClaimResult::Unknown:
+      // The entry that claimed the bill is lost; whether it made it cannot be known.
+      Refuse(aActive,
+             Problem{.m_code = ProblemCode::FateUnknown,
+                     .m_ran = Ran::Yes,
+                     .m_detail = "an entry was lost while it billed this key; use a new one"},
+             aNow, aEffects);
+      return;
     case ClaimResult::Conflict:
       Refuse(aActive,
              Problem{.m_code = ProblemCode::KeyReused,
--- /dev/null
+++ b/Tests/Entry/FakeCluster.h
@@ -0,0 +1,150 @@
+#pragma once
+
+#include "LibBase/Random.h"
+#include "Services/Entry/EntryReducer.h"
+#include "Tests/LibCoordination/Fakes/FakePlatform.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace fennelline {
+
+/// How a FakeCluster misbehaves.
+struct ClusterFaults {
+  double m_messageLoss = 0.0;
+  double m_messageDoubling = 0.0;
+  /// Chances for each platform call: the reply is lost after the call took effect.
+  double m_lostReply = 0.0;
+  /// Chances for each call to a backend server.
+  double m_brokenCall = 0.0;
+  double m_notSentCall = 0.0;
+};
+
+/// One run at a backend server, as the fake itself saw it.
+struct BackendRun {
+  std::string m_server;
+  std::string m_path;
+  std::string m_version;
+  std::string m_body;
+  Time m_at{};
+};
+
+/// What a caller got for one submission.
+struct CallerAnswer {
+  int m_status = 0;
+  std::string m_contentType;
+  std::string m_body;
+  std::map<std::string, std::string> m_headers;
+  bool m_ended = false;
+  /// Parts that came after the end.
+  int m_afterEnd = 0;
+  Time m_submitted{};
+  Time m_endedAt{};
+  EntryId m_entry;
+};
+
+/// What the platform says that a customer owes.
+struct Bill {
+  std::int64_t m_micros = 0;
+  std::int64_t m_requests = 0;
+};
+
+/// Several entry reducers joined by an in-memory network, with a fake platform and fake backend
+/// servers that keep books of their own. Everything follows from the seed.
+class FakeCluster {
+public:
+  explicit FakeCluster(std::uint64_t aSeed, ClusterFaults aFaults = {})
+    : m_random(aSeed)
+    , m_faults(aFaults) {}
+
+  Time Now() const { return m_now; }
+  Random& Dice() { return m_random; }
+  ClusterFaults& Faults() { return m_faults; }
+  FakePlatform& Platform() { return m_platform; }
+  const std::vector<BackendRun>& Runs() const { return m_runs; }
+  void SetConfiguration(const Configuration& aConfiguration);
+  void SetOutage(bool aIsOut) { m_isOut = aIsOut; }
+
+  void AddEntry(const std::string& aName, const DataCentre& aDataCentre);
+  void AddModel(const std::string& aName, const DataCentre& aDataCentre,
+                std::vector<std::string> aVersions);
+  void AddService(const std::string& aName, const DataCentre& aDataCentre,
+                  const std::string& aService);
+  void SetLeaving(const std::string& aServer);
+
+  std::vector<std::string> EntryNames() const;
+  bool IsUp(const std::string& aName) const { return m_entries.contains(aName); }
+  EntryReducer& Of(const std::string& aName) { return *m_entries.at(aName).m_reducer; }
+  /// The process ends; its name may be added again, as a new member.
+  void Kill(const std::string& aName);
+  /// As by SIGSTOP: what arrives meanwhile is handled when it wakes.
+  void Pause(const std::string& aName, Duration aLength);
+  void Stop(const std::string& aName);
+  /// Whether the entry ended by itself, and cleanly.
+  std::optional<bool> Stopped(const std::string& aName) const;
+
+  /// Sends a request to an entry and returns where its answer will be.
+  std::shared_ptr<CallerAnswer> Submit(const std::string& aEntry, CallerRequest aRequest);
+
+  void At(Time aTime, std::function<void()> aAction);
+  void RunFor(Duration aLength);
+  /// Runs until the condition holds; false where it does not within the limit.
+  bool RunUntil(const std::function<bool()>& aCondition, Duration aLimit);
+
+  /// Sums over all ledgers and totals in the platform, by customer.
+  std::map<std::string, Bill> Bills();
+
+private:
+  struct Entry {
+    EntryId m_self;
+    std::unique_ptr<EntryReducer> m_reducer;
+    std::string m_datagramAddress;
+    Time m_pausedUntil{};
+    std::optional<bool> m_stopped;
+    std::map<CallerId, std::shared_ptr<CallerAnswer>> m_callers;
+    CallerId m_nextCaller = 1;
+  };
+  struct Server {
+    ListedVm m_vm;
+    std::vector<std::string> m_versions;
+    bool m_crashed = false;
+    std::set<std::string> m_running;
+  };
+
+  void Deliver(const EntryId& aSelf, Event aEvent);
+  void DeliverAfter(Duration aDelay, const EntryId& aSelf, Event aEvent);
+  Entry* FindEntry(const EntryId& aSelf);
+  void Run(Entry& aEntry, EntryEffect aEffect);
+  void ScheduleTick(const EntryId& aSelf);
+  void SchedulePolls(const EntryId& aSelf);
+  void TellLoad(const EntryId& aSelf, const Server& aServer);
+  void OnPlatformCall(const EntryId& aFrom, const CallPlatform& aCall, Time aWaitUntil);
+  void OnBackendCall(const EntryId& aFrom, const CallBackend& aCall);
+  void FinishRun(const EntryId& aFrom, const CallBackend& aCall);
+  void OnAnswerPart(Entry& aEntry, CallerId aCaller,
+                    const std::function<void(CallerAnswer&)>& aApply);
+  Duration Delay();
+
+  Random m_random;
+  ClusterFaults m_faults;
+  FakePlatform m_platform;
+  Time m_now = Time(Seconds(1'000'000));
+  std::map<std::pair<Time, std::uint64_t>, std::function<void()>> m_events;
+  std::uint64_t m_eventNumber = 0;
+  std::uint64_t m_incarnations = 0;
+  std::map<std::string, Entry> m_entries;
+  std::map<std::string, std::optional<bool>> m_stoppedEntries;
+  std::map<std::string, Server> m_servers;
+  std::vector<BackendRun> m_runs;
+  bool m_isOut = false;
+};
+
+/// A request body that makes each fake backend server end while it runs it.
+constexpr const char* kCrashMarker = "crash-the-server";
+
+} // namespace fennelline
--- /dev/null
+++ b/Tests/Entry/TestEntryUnderFaults.cpp
@@ -0,0 +1,158 @@
+#include "Tests/Entry/CallerFleet.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+
+using namespace fennelline;
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr std::uint64_t kSeeds = 60;
+
+void SetUp(FakeCluster& aCluster) {
+  aCluster.SetConfiguration(FleetConfiguration());
+  aCluster.AddEntry("entry-1", "dc-1");
+  aCluster.AddEntry("entry-2", "dc-2");
+  aCluster.AddEntry("entry-3", "dc-3");
+  aCluster.AddEntry("entry-4", "dc-1");
+  for (const std::string number : {"1", "2", "3"}) {
+    aCluster.AddModel("engine-" + number, "dc-" + number, {"small@1", "small@2"});
+    aCluster.AddService("service-" + number, "dc-" + number, "counter");
+  }
+  aCluster.RunFor(Seconds(8));
+}
+
+/// One fault at a time, each followed by a quiet spell in which the cluster can repair itself.
+void ScheduleFaults(FakeCluster& aCluster, Random& aDice, Time aEnd) {
+  constexpr Duration kQuiet = Seconds(10);
+  for (Time at = aCluster.Now() + Seconds(2); at + kQuiet < aEnd; at += kQuiet) {
+    const std::string entry = "entry-" + std::to_string(1 + aDice.Below(4));
+    const std::uint64_t fault = aDice.Below(4);
+    const Duration length = Milliseconds(200 + static_cast<std::int64_t>(aDice.Below(6'000)));
+    aCluster.At(at, [&aCluster, entry, fault, length]() {
+      switch (fault) {
+        case 0:
+          aCluster.Kill(entry);
+          aCluster.At(aCluster.Now() + Seconds(1), [&aCluster, entry]() {
+            aCluster.AddEntry(entry, "dc-" + std::to_string(1 + (entry.back() - '1') % 3));
+          });
+          break;
+        case 1:
+          aCluster.Pause(entry, length);
+          break;
+        case 2:
+          aCluster.SetOutage(true);
+          aCluster.At(aCluster.Now() + length, [&aCluster]() { aCluster.SetOutage(false); });
+          break;
+        default:
+          aCluster.Pause(entry, length);
+          aCluster.SetOutage(true);
+          aCluster.At(aCluster.Now() + length, [&aCluster]() { aCluster.SetOutage(false); });
+          break;
+      }
+    });
+  }
+}
+
+std::map<std::string, int> RunsByBody(const FakeCluster& aCluster) {
+  std::map<std::string, int> runs;
+  for (const BackendRun& run : aCluster.Runs()) {
+    ++runs[run.m_body];
+  }
+  return runs;
+}
+
+bool SaysNotRun(const CallerAnswer& aAnswer) {
+  if (!aAnswer.m_ended || aAnswer.m_status == kOk) {
+    return false;
+  }
+  return nlohmann::json::parse(aAnswer.m_body).at("ran") == "no";
+}
+
+void CheckAnswers(const LogicalRequest& aRequest, int aRuns) {
+  bool allNotRun = true;
+  for (const std::shared_ptr<CallerAnswer>& answer : aRequest.m_answers) {
+    CHECK(answer->m_afterEnd == 0);
+    if (answer->m_ended && answer->m_status == kOk) {
+      CHECK(answer->m_body == "answer to " + aRequest.m_body);
+    }
+    allNotRun = allNotRun && SaysNotRun(*answer);
+  }
+  if (!aRequest.m_idempotent) {
+    CHECK_MESSAGE(aRuns <= 1, aRequest.m_body, " ran ", aRuns, " times");
+  }
+  if (allNotRun) {
+    CHECK_MESSAGE(aRuns == 0, aRequest.m_body, " ran, though all said that it did not");
+  }
+}
+
+bool WasDelivered(const LogicalRequest& aRequest) {
+  return std::any_of(aRequest.m_answers.begin(), aRequest.m_answers.end(),
+                     [](const std::shared_ptr<CallerAnswer>& aAnswer) {
+                       return aAnswer->m_ended && aAnswer->m_status == kOk;
+                     });
+}
+
+void CheckBills(FakeCluster& aCluster, const CallerFleet& aFleet,
+                const std::map<std::string, int>& aRuns) {
+  std::map<std::string, std::int64_t> delivered;
+  std::map<std::string, std::int64_t> ran;
+  for (const std::unique_ptr<LogicalRequest>& request : aFleet.Requests()) {
+    delivered[request->m_customer] += WasDelivered(*request) ? request->m_costMicros : 0;
+    ran[request->m_customer] += aRuns.contains(request->m_body) ? request->m_costMicros : 0;
+  }
+  std::map<std::string, Bill> bills = aCluster.Bills();
+  for (const auto& [customer, micros] : delivered) {
+    CHECK_MESSAGE(bills[customer].m_micros >= micros, customer, ": an answer was not billed");
+    CHECK_MESSAGE(bills[customer].m_micros <= ran[customer], customer, ": billed twice");
+  }
+}
+
+} // namespace
+
+TEST_CASE("a reservation runs once, is answered whole and is billed once") {
+  FakeCluster cluster(1);
+  SetUp(cluster);
+  CallerFleet fleet(cluster, 2);
+  fleet.SendUntil(cluster.Now() + Seconds(5), Milliseconds(50));
+  cluster.RunFor(Seconds(60));
+  const std::map<std::string, int> runs = RunsByBody(cluster);
+  REQUIRE(fleet.Requests().size() > 50);
+  for (const std::unique_ptr<LogicalRequest>& request : fleet.Requests()) {
+    CheckAnswers(*request, runs.contains(request->m_body) ? runs.at(request->m_body) : 0);
+    CHECK(WasDelivered(*request));
+  }
+  CheckBills(cluster, fleet, runs);
+}
+
+TEST_CASE("under kills, pauses, outages and losses the promises to callers hold") {
+  std::size_t delivered = 0;
+  std::size_t requests = 0;
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    CAPTURE(seed);
+    FakeCluster cluster(seed, {.m_messageLoss = 0.01,
+                               .m_messageDoubling = 0.01,
+                               .m_lostReply = 0.05,
+                               .m_brokenCall = 0.01,
+                               .m_notSentCall = 0.01});
+    SetUp(cluster);
+    Random dice(seed * 7919);
+    const Time end = cluster.Now() + Seconds(45);
+    ScheduleFaults(cluster, dice, end);
+    CallerFleet fleet(cluster, seed * 104'729);
+    fleet.SendUntil(end, Milliseconds(60));
+    cluster.RunFor(Seconds(45 + 100));
+    const std::map<std::string, int> runs = RunsByBody(cluster);
+    for (const std::unique_ptr<LogicalRequest>& request : fleet.Requests()) {
+      CheckAnswers(*request, runs.contains(request->m_body) ? runs.at(request->m_body) : 0);
+      delivered += WasDelivered(*request) ? 1 : 0;
+    }
+    requests += fleet.Requests().size();
+    CheckBills(cluster, fleet, runs);
+  }
+  // The promises would hold for a system that refuses everything, too.
+  MESSAGE("delivered ", delivered, " of ", requests);
+  CHECK(static_cast<double>(delivered) > 0.9 * static_cast<double>(requests));
+}
