--- /dev/null
+++ b/Libraries/LibCoordination/Spend/SliceRecord.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "LibBase/Error.h"
+#include "LibCoordination/Identity.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace fennelline {
+
+/// What has been drawn of one customer's budget in one period, as the platform's key holds it.
+struct SliceRecord {
+  struct Share {
+    EntryId m_entry;
+    std::int64_t m_micros = 0;
+  };
+  /// Drawn and not returned, over all entries.
+  std::int64_t m_drawnMicros = 0;
+  /// The same for each entry. Shares of entries that have not written for long may be missing here.
+  std::vector<Share> m_shares;
+
+  std::int64_t ShareOf(const EntryId& aEntry) const;
+  /// Sets an entry's share, moves it to the end and drops the first above a bound.
+  void SetShare(const EntryId& aEntry, std::int64_t aMicros);
+};
+
+std::string WriteSlices(const SliceRecord& aRecord);
+Result<SliceRecord> ParseSlices(const std::string& aText);
+
+} // namespace fennelline
--- a/Libraries/LibCoordination/Spend/SpendSlices.h
+++ b/Libraries/LibCoordination/Spend/SpendSlices.h
@@ -15,7 +15,7 @@
 struct SpendSettings {
   /// A slice lasts this long at the present rate, so that an outage of the platform shorter than
   /// this refuses nothing.
-  Duration m_sliceAhead = Seconds(300);
+  Duration m_sliceAhead = Seconds(600);
   /// A further slice is drawn when less than this share of the last one is left.
   double m_refillShare = 0.5;
   /// The largest slice, as a share of what is left of the budget.
@@ -24,6 +24,10 @@
   /// The least time between two calls for one customer.
   Duration m_leastInterval = Seconds(1);
   Duration m_callTimeout = Seconds(3);
+  /// The longest time from TryReserve() to Spend() or Release(). For this long after a period
+  /// begins, what a reservation did not need is not given back, because it may be the last
+  /// period's.
+  Duration m_longestReservation = Seconds(180);
   /// A slice that was not used for this long goes back.
   Duration m_idleReturn = Seconds(120);
 };
@@ -38,10 +42,11 @@
 
 /// Spends customers' budgets from slices drawn ahead from the platform.
 ///
-/// A customer's key holds what was handed out in the present period, and to whom. An entry reserves
-/// a request's greatest cost before it runs, and spends at most what it reserved, so the sum over
-/// all entries never exceeds the limit. What a lost entry had drawn and not spent stays handed out
-/// until the period ends.
+/// A key per customer and period holds what was drawn, and by whom. An entry reserves a request's
+/// greatest cost before it runs, and spends at most what it reserved, so the sum over all entries
+/// never exceeds the limit. What a lost entry had drawn and not spent stays drawn until the period
+/// ends; the next period starts whole. After a limit is lowered, what was drawn before stays
+/// spendable until the period ends.
 class SpendSlices {
 public:
   using SpendStep = Step<SpendNotice>;
@@ -56,7 +61,8 @@
                      Time aNow);
 
   /// Takes an amount out of the slice. False where the slice, or the budget, is too small: Tick()
-  /// then draws a further slice. A customer without limits (zero) always gets true.
+  /// then draws a further slice, so trying again after m_leastInterval makes sense until
+  /// IsExhausted(). A customer whose limit is zero always gets true, an unknown one never.
   bool TryReserve(const std::string& aCustomer, std::int64_t aMicros, Time aNow);
 
   /// Ends a reservation: aActual of it was spent, the rest returns to the slice. More than was
--- a/Tests/LibCoordination/Usage/TestUsage.cpp
+++ b/Tests/LibCoordination/Usage/TestUsage.cpp
@@ -222,6 +222,9 @@
   UsageWorld usage(3);
   const EntryId entry = usage.Add(0);
   usage.RunFor(Seconds(1));
+  usage.Record(entry);
+  usage.RunFor(Milliseconds(300));
+  // The next regular settlement is not due before this record must be held.
   const std::string direct = usage.Record(entry);
   usage.RunFor(Milliseconds(480));
   CHECK(usage.IsHeld(direct));
@@ -236,6 +239,21 @@
   CHECK(usage.Billed().at(alone) == 1);
 }
 
+TEST_CASE("a copy that a sleeping peer does not acknowledge goes to another one") {
+  UsageWorld usage(6);
+  usage.Start(3);
+  const std::vector<EntryId> entries = usage.World().Entries();
+  usage.World().SetOutage(true);
+  // Whichever peer comes first, one of the two cases has it asleep.
+  for (const std::size_t asleep : {1U, 2U}) {
+    usage.World().Pause(entries[asleep], Milliseconds(600));
+    const std::string customer = usage.Record(entries[0]);
+    usage.RunFor(Milliseconds(400));
+    CHECK(usage.IsHeld(customer));
+    usage.RunFor(Seconds(2));
+  }
+}
+
 TEST_CASE("an origin that was paused, and settled by others meanwhile, settles nothing twice") {
   UsageWorld usage(4);
   usage.Start(3);
