--- a/Libraries/LibCoordination/Claims/Claimant.cpp
+++ b/Libraries/LibCoordination/Claims/Claimant.cpp
@@ -1,6 +1,7 @@
 #include "LibCoordination/Claims/Claimant.h"
 
 #include "LibCoordination/Claims/ClaimKeys.h"
+#include "LibCoordination/Claims/SlotStore.h"
 #include "LibCoordination/Claims/ViewRecord.h"
 
 #include <algorithm>
@@ -47,7 +48,8 @@
            .m_identity = aIdentity,
            .m_shard = ShardOf(aIdentity, m_settings.m_shardCount),
            .m_bodyHash = aBodyHash,
-           .m_deadline = aDeadline};
+           .m_deadline = aDeadline,
+           .m_askUntil = aNow + SlotStore::AskTime(m_settings)};
   m_tickets[aIdentity].push_back(aTicket);
   const OwnedAttempt* const live = m_owned.FindLive(aIdentity, aNow);
   if (live == nullptr) {
@@ -134,7 +136,7 @@
       continue;
     }
     // A process that was paused finds old replies: they must not grant what is too late.
-    if (aNow >= claim->m_deadline) {
+    if (IsTooLate(*claim, aNow)) {
       EndAtDeadline(*claim, aStep, aNow);
       continue;
     }
@@ -167,6 +169,11 @@
   return tally;
 }
 
+bool Claimant::IsTooLate(const OpenClaim& aClaim, Time aNow) {
+  const bool isAsking = aClaim.m_attempt.has_value();
+  return aNow >= aClaim.m_deadline || (isAsking && aNow >= aClaim.m_askUntil);
+}
+
 bool Claimant::HasWaitedForAll(const OpenClaim& aClaim, Time aNow) const {
   return aNow - aClaim.m_askedSince >= m_settings.m_resendAfter * kPatientResends;
 }
@@ -377,7 +384,7 @@
 }
 
 bool Claimant::TickClaim(OpenClaim& aClaim, ClaimStep& aStep, Time aNow) {
-  if (aNow >= aClaim.m_deadline) {
+  if (IsTooLate(aClaim, aNow)) {
     return EndAtDeadline(aClaim, aStep, aNow);
   }
   if (aNow < aClaim.m_sendAt) {
--- a/Libraries/LibCoordination/Claims/Claimant.h
+++ b/Libraries/LibCoordination/Claims/Claimant.h
@@ -56,6 +56,8 @@
     std::uint32_t m_shard = 0;
     std::string m_bodyHash;
     Time m_deadline;
+    /// No vote counts from then on: the slots of an earlier sending may have expired.
+    Time m_askUntil;
     /// The own attempt that asks for votes, or none while another attempt is followed.
     std::optional<AttemptId> m_attempt;
     Time m_askedSince;
@@ -99,6 +101,7 @@
   bool FinishAs(OpenClaim& aClaim, ClaimResult aResult, const std::string& aReason,
                 ClaimStep& aStep);
   void Forget(const OpenClaim& aClaim);
+  static bool IsTooLate(const OpenClaim& aClaim, Time aNow);
   bool HasWaitedForAll(const OpenClaim& aClaim, Time aNow) const;
   std::vector<std::uint64_t> TicketsOf(const RequestIdentity& aIdentity) const;
   OpenClaim* Find(std::uint64_t aTicket);
--- a/Libraries/LibCoordination/Claims/SlotStore.cpp
+++ b/Libraries/LibCoordination/Claims/SlotStore.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-/// The margin is this part of the retry window.
-constexpr int kMarginPart = 10;
+/// A claim asks for votes for at most this part of the retry window.
+constexpr int kAskPart = 10;
 
 bool IsOutcome(SlotState aState) {
   return aState == SlotState::Answered || aState == SlotState::Unknown;
@@ -15,8 +15,12 @@
 
 } // namespace
 
+Duration SlotStore::AskTime(const ClaimSettings& aSettings) {
+  return aSettings.m_retryWindow / kAskPart;
+}
+
 Duration SlotStore::KeepTime(const ClaimSettings& aSettings) {
-  return aSettings.m_retryWindow + aSettings.m_retryWindow / kMarginPart;
+  return aSettings.m_retryWindow + AskTime(aSettings);
 }
 
 HeldSlot* SlotStore::Find(const RequestIdentity& aIdentity) {
--- a/Libraries/LibCoordination/Claims/SlotStore.h
+++ b/Libraries/LibCoordination/Claims/SlotStore.h
@@ -31,7 +31,10 @@
   explicit SlotStore(const ClaimSettings& aSettings)
     : m_settings(&aSettings) {}
 
-  /// How long a slot is kept: the retry window and a margin for the messages on their way.
+  /// The longest time that a claim asks for votes, from its request's arrival on.
+  static Duration AskTime(const ClaimSettings& aSettings);
+  /// How long a slot is kept: the retry window and the longest time that a claim asks for votes. So
+  /// a request that is sent again at the end of the window still finds the slot.
   static Duration KeepTime(const ClaimSettings& aSettings);
 
   HeldSlot* Find(const RequestIdentity& aIdentity);
--- a/Tests/LibCoordination/Claims/TestClaims.cpp
+++ b/Tests/LibCoordination/Claims/TestClaims.cpp
@@ -140,6 +140,24 @@
   CHECK(world.RunsOf("k") == 1);
 }
 
+TEST_CASE("a claim that asks for votes until the slots have expired is not granted") {
+  ClaimWorld world(11);
+  world.Start(6);
+  const std::vector<EntryId> holders = world.HoldersOf("k");
+  const EntryId outsider = world.OutsiderOf("k");
+  const std::uint64_t first = world.Send(holders[0], "k", "body");
+  world.RunFor(world.m_settings.m_retryWindow - Seconds(1));
+  CHECK(world.OutcomeOf(first).m_result == ClaimResult::Granted);
+  // The second sender cannot reach any holder until their slots have expired.
+  world.World().Faults().m_loss = 1.0;
+  const std::uint64_t second = world.Send(outsider, "k", "body", Seconds(30));
+  world.RunFor(Seconds(6));
+  world.World().Faults().m_loss = 0.0;
+  world.RunFor(Seconds(6));
+  CHECK(world.OutcomeOf(second).m_result == ClaimResult::NotRun);
+  CHECK(world.RunsOf("k") == 1);
+}
+
 TEST_CASE("an abandoned attempt is never sent and frees the key") {
   ClaimWorld world(9);
   world.m_sendDelay = Seconds(1);
--- a/Tests/LibCoordination/Spend/TestSpend.cpp
+++ b/Tests/LibCoordination/Spend/TestSpend.cpp
@@ -1,3 +1,4 @@
+#include "LibCoordination/Spend/SliceAccount.h"
 #include "LibCoordination/Spend/SpendSlices.h"
 #include "Tests/LibCoordination/Fakes/FakeWorld.h"
 
@@ -195,6 +196,35 @@
   CHECK(spend.World().Of(entry).m_slices.Available(kCustomer, spend.World().Now()) == 0);
 }
 
+TEST_CASE("a return whose reply is lost counts until it can no longer arrive") {
+  SliceAccount account("k", "a#1", Milliseconds(400));
+  Effects effects;
+  std::uint64_t number = 0;
+  Time now = Time(Seconds(1000));
+  const auto reply = [&](PlatformStatus aStatus, Revision aRevision, std::int64_t aShare) {
+    SliceRecord record;
+    record.SetShare("a#1", aShare);
+    account.OnReply({.m_call = {.m_part = Part::Spend, .m_number = number},
+                     .m_status = aStatus,
+                     .m_revision = aRevision,
+                     .m_keys = {{"k", WriteSlices(record), aRevision}}},
+                    now);
+  };
+  account.Advance(100, kLimit, effects, number, now);
+  reply(PlatformStatus::Ok, 5, 100);
+  CHECK(account.Available() == 100);
+  account.Advance(20, kLimit, effects, number, now);
+  reply(PlatformStatus::Unknown, 0, 0);
+  CHECK(account.Available() == 20);
+  account.Advance(20, kLimit, effects, number, now);
+  // The key has not moved: the return may still arrive.
+  reply(PlatformStatus::Ok, 5, 100);
+  CHECK(account.Available() == 20);
+  account.Advance(100, kLimit, effects, number, now);
+  reply(PlatformStatus::Ok, 6, 100);
+  CHECK(account.Available() == 100);
+}
+
 TEST_CASE("an unknown customer gets nothing and one without a limit gets all") {
   SpendSlices slices({}, "a#1", 1);
   const Time now = Time(Seconds(1000));
