--- a/Libraries/LibCoordination/Configuration/ConfigurationPeers.cpp
+++ b/Libraries/LibCoordination/Configuration/ConfigurationPeers.cpp
@@ -134,6 +134,7 @@
   }
   DataCentreSeen& seen = m_dataCentres[peer->m_dataCentre];
   seen.m_alive = aNow;
+  seen.m_knownThere = aOffer.m_dataCentres;
   if (age >= m_settings.m_outOfReachAfter) {
     seen.m_confirmedDown = asked;
   } else {
@@ -216,6 +217,7 @@
 ConfigurationOffer ConfigurationSpread::MakeOffer(Time aNow) const {
   ConfigurationOffer offer;
   offer.m_revision = NewestRevision();
+  offer.m_dataCentres = CountDataCentres(aNow);
   offer.m_platformAgeMilliseconds =
     m_confirmed ? InMilliseconds(aNow - *m_confirmed) : kNeverConfirmed;
   return offer;
--- a/Libraries/LibCoordination/Configuration/ConfigurationSpread.cpp
+++ b/Libraries/LibCoordination/Configuration/ConfigurationSpread.cpp
@@ -83,8 +83,12 @@
 }
 
 void ConfigurationSpread::Begin(Time aNow) {
-  if (!m_started) {
-    m_started = aNow;
+  if (m_started) {
+    return;
+  }
+  m_started = aNow;
+  for (const DataCentre& dataCentre : m_settings.m_dataCentres) {
+    m_dataCentres[dataCentre].m_alive = aNow;
   }
 }
 
@@ -194,21 +198,35 @@
   if (NewestRevision() < m_highestHeard) {
     return false;
   }
+  const std::uint32_t known = CountDataCentres(aNow);
   std::size_t confirmed = 0;
   for (const auto& [dataCentre, seen] : m_dataCentres) {
     const bool isFresh =
       seen.m_confirmedDown && aNow - *seen.m_confirmedDown <= m_settings.m_cutOffLimit;
-    if (isFresh) {
-      ++confirmed;
-      continue;
+    if (isFresh && seen.m_knownThere > known) {
+      return false;
     }
-    const bool isForgotten = aNow - seen.m_alive > m_settings.m_dataCentreMemory;
     // This entry itself stands for its own data centre.
-    if (!isForgotten && dataCentre != m_dataCentre) {
+    const bool isNeeded = dataCentre != m_dataCentre && IsRemembered(dataCentre, seen, aNow);
+    if (!isFresh && isNeeded) {
       return false;
     }
+    confirmed += isFresh ? 1 : 0;
   }
   return confirmed > 0;
 }
 
+bool ConfigurationSpread::IsRemembered(const DataCentre& aName, const DataCentreSeen& aSeen,
+                                       Time aNow) const {
+  return aName == m_dataCentre || aNow - aSeen.m_alive <= m_settings.m_dataCentreMemory;
+}
+
+std::uint32_t ConfigurationSpread::CountDataCentres(Time aNow) const {
+  std::uint32_t count = m_dataCentres.contains(m_dataCentre) ? 0 : 1;
+  for (const auto& [dataCentre, seen] : m_dataCentres) {
+    count += IsRemembered(dataCentre, seen, aNow) ? 1 : 0;
+  }
+  return count;
+}
+
 } // namespace fennelline
--- a/Libraries/LibCoordination/Configuration/ConfigurationSpread.h
+++ b/Libraries/LibCoordination/Configuration/ConfigurationSpread.h
@@ -46,6 +46,9 @@
   Duration m_cutOffLimit = Seconds(3);
   /// A starting entry that hears from no peer goes on by the platform alone after this time.
   Duration m_startWait = Seconds(1);
+  /// The data centres that count among "all" from the start, before a member of theirs is known.
+  /// Without them a new VM whose data centre is cut off could take it for the whole.
+  std::vector<DataCentre> m_dataCentres;
   /// A data centre without a live member counts among "all" for this long.
   Duration m_dataCentreMemory = Seconds(600);
   /// Peers in the own data centre, and elsewhere, that a new revision is offered to.
@@ -137,6 +140,8 @@
     Time m_alive;
     /// When the question was sent whose answer said that the platform is out of reach there.
     std::optional<Time> m_confirmedDown;
+    /// How many data centres the one that answered knows.
+    std::uint32_t m_knownThere = 0;
   };
   struct Call {
     std::uint64_t m_number = 0;
@@ -155,6 +160,8 @@
   bool IsBelievable(const PlatformReply& aReply) const;
   Outcomes OnKeys(const PlatformReply& aReply, Time aSent, Time aNow);
   bool IsDownForAll(Time aNow) const;
+  bool IsRemembered(const DataCentre& aName, const DataCentreSeen& aSeen, Time aNow) const;
+  std::uint32_t CountDataCentres(Time aNow) const;
 
   // ConfigurationPeers.cpp
   Outcomes OnOffer(const EntryId& aFrom, const ConfigurationOffer& aOffer, Time aNow);
--- a/Libraries/LibCoordination/ConfigurationMessages.h
+++ b/Libraries/LibCoordination/ConfigurationMessages.h
@@ -15,12 +15,15 @@
   Revision m_revision = 0;
   /// Milliseconds since this entry, or one it heard from, last reached the platform.
   std::int64_t m_platformAgeMilliseconds = 0;
+  /// How many data centres the sender counts among "all": whoever knows fewer must not conclude
+  /// that the platform is down for all.
+  std::uint32_t m_dataCentres = 0;
   /// True for a question: the receiver answers with an offer of its own.
   bool m_wantsOffer = false;
 
   template<typename Visitor>
   void VisitFields(Visitor& aVisitor) {
-    aVisitor(m_number, m_revision, m_platformAgeMilliseconds, m_wantsOffer);
+    aVisitor(m_number, m_revision, m_platformAgeMilliseconds, m_dataCentres, m_wantsOffer);
   }
 };
 
--- a/Libraries/LibCoordination/Membership/Membership.cpp
+++ b/Libraries/LibCoordination/Membership/Membership.cpp
@@ -66,6 +66,9 @@
   Outcomes step;
   Advance(aNow);
   m_seeds = std::move(aAddresses);
+  if (OtherCount() == 0) {
+    m_nextSeed = aNow;
+  }
   TrySeeds(step, aNow);
   return step;
 }
--- a/Libraries/LibCoordination/Membership/Membership.h
+++ b/Libraries/LibCoordination/Membership/Membership.h
@@ -56,8 +56,8 @@
   /// The longest datagram, without IP and UDP headers.
   std::size_t m_datagramBytes = 1200;
   /// Urgent news goes to this many members at once, this many times.
-  std::size_t m_urgentFanOut = 4;
-  int m_urgentRounds = 3;
+  std::size_t m_urgentFanOut = 5;
+  int m_urgentRounds = 4;
   Duration m_urgentInterval = Milliseconds(400);
   /// Urgent datagrams are sent within this budget; the rest waits for probes.
   std::size_t m_urgentBytesPerSecond = 4000;
--- a/Libraries/LibCoordination/Membership/MembershipSpread.cpp
+++ b/Libraries/LibCoordination/Membership/MembershipSpread.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 /// Each piece of news is sent this many times for each doubling of the number of members.
-constexpr int kSendsPerDoubling = 3;
+constexpr int kSendsPerDoubling = 5;
 /// A new member introduces itself to all; the others tell of it only a few times.
 constexpr int kIntroductionSends = 3;
 /// News of members in one datagram.
@@ -107,11 +107,8 @@
   if (aNow < m_nextSeed) {
     return;
   }
-  std::vector<std::string> addresses = AddressesToTry();
-  if (addresses.empty()) {
-    return;
-  }
   m_nextSeed = aNow + m_settings.m_seedInterval;
+  std::vector<std::string> addresses = AddressesToTry();
   const std::size_t count = std::min(addresses.size(), OtherCount() == 0 ? kFirstSeeds : 1);
   for (std::size_t i = 0; i < count; ++i) {
     std::swap(addresses[i], addresses[i + m_random.Below(addresses.size() - i)]);
--- a/Tests/LibCoordination/Configuration/TestConfigurationSpread.cpp
+++ b/Tests/LibCoordination/Configuration/TestConfigurationSpread.cpp
@@ -152,7 +152,9 @@
     m_group.Kill(aEntry);
     const std::string& id = m_group.NameOf(aEntry);
     const std::string name = id.substr(0, id.find('#'));
-    m_group.Start(name, static_cast<std::size_t>(std::stoi(name.substr(1))) % kDataCentres);
+    const std::size_t place = static_cast<std::size_t>(std::stoi(name.substr(1))) % kDataCentres;
+    const int side = m_group.SideOf(aEntry);
+    m_group.SetSide(m_group.Start(name, place), side);
   }
 
   void CutDataCentre() {
--- a/Utilities/MeasureSpread/EntryGroup.cpp
+++ b/Utilities/MeasureSpread/EntryGroup.cpp
@@ -33,6 +33,9 @@
 EntryGroup::EntryGroup(GroupSettings aSettings, std::uint64_t aSeed)
   : m_settings(std::move(aSettings))
   , m_random(aSeed) {
+  for (std::size_t i = 0; i < m_settings.m_dataCentres; ++i) {
+    m_settings.m_configuration.m_dataCentres.push_back("dc" + std::to_string(i));
+  }
   Schedule(m_now, 0, PlatformDue{});
 }
 
--- a/Utilities/MeasureSpread/EntryGroup.h
+++ b/Utilities/MeasureSpread/EntryGroup.h
@@ -79,6 +79,7 @@
   void Resume(int aEntry);
   /// Entries, and the platform, hear only those on the same side.
   void SetSide(int aEntry, int aSide) { m_entries[Index(aEntry)].m_side = aSide; }
+  int SideOf(int aEntry) const { return m_entries[Index(aEntry)].m_side; }
   void SetPlatformSide(int aSide) { m_platformSide = aSide; }
   void Heal();
   void RunFor(Duration aDuration);
