--- /dev/null
+++ b/Tests/LibCoordination/Rollout/TestRolloutController.cpp
@@ -0,0 +1,418 @@
+#include "LibCoordination/Rollout/RolloutController.h"
+#include "Utilities/MeasureSpread/FakePlatform.h"
+
+#include <algorithm>
+#include <deque>
+#include <doctest/doctest.h>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace fennelline {
+namespace {
+
+constexpr int kEngines = 9;
+constexpr int kControllers = 3;
+constexpr Duration kStep = Milliseconds(100);
+constexpr const char* kOld = "tagger@1";
+constexpr const char* kNew = "tagger@2";
+
+Configuration MakeConfiguration() {
+  Configuration configuration;
+  configuration.m_currency = "ZAR";
+  for (const char* name : {kOld, kNew}) {
+    ModelVersion version;
+    version.m_name = name;
+    version.m_model = "tagger";
+    configuration.m_versions.push_back(version);
+  }
+  Rollout rollout;
+  rollout.m_name = "tagger-2";
+  rollout.m_model = "tagger";
+  rollout.m_from = kOld;
+  rollout.m_to = kNew;
+  rollout.m_stepPercents = {5, 25, 100};
+  configuration.m_rollouts.push_back(rollout);
+  return configuration;
+}
+
+/// An engine that loads for a while, and may or may not check fences.
+struct FakeEngine {
+  std::string m_name;
+  bool m_checks = false;
+  Revision m_highestFence = 0;
+  std::set<std::string> m_versions = {kOld};
+
+  OrderAnswer Take(const OrderEngine& aOrder) {
+    if (m_checks && aOrder.m_fence < m_highestFence) {
+      return OrderAnswer::OldFence;
+    }
+    m_highestFence = std::max(m_highestFence, aOrder.m_fence);
+    if (aOrder.m_order == EngineOrderKind::Load) {
+      m_versions.insert(aOrder.m_version);
+    } else {
+      m_versions.erase(aOrder.m_version);
+    }
+    return OrderAnswer::Done;
+  }
+};
+
+/// Controllers, engines, the platform and one entry's evidence, with a network that delays.
+class Bench {
+public:
+  explicit Bench(std::uint64_t aSeed, bool aEnginesCheck)
+    : m_random(aSeed) {
+    m_platform.Write(kConfigurationKey, WriteConfiguration(MakeConfiguration()));
+    for (int i = 0; i < kEngines; ++i) {
+      m_engines.push_back({"engine-" + std::to_string(i), aEnginesCheck, 0, {kOld}});
+    }
+    for (int i = 0; i < kControllers; ++i) {
+      StartController(aEnginesCheck);
+    }
+  }
+
+  void StartController(bool aEnginesCheck) {
+    RolloutSettings settings;
+    settings.m_lease.m_key = "fennelline/rollout/holder";
+    settings.m_lease.m_holder = "vm" + std::to_string(m_controllers.size());
+    settings.m_allEnginesCheck = aEnginesCheck;
+    settings.m_leastStepTime = Seconds(3);
+    m_controllers.push_back({std::make_unique<RolloutController>(settings, m_random.Next())});
+    std::vector<EngineVm> vms;
+    for (const FakeEngine& engine : m_engines) {
+      vms.push_back({engine.m_name, "10.0.0.9:" + engine.m_name});
+    }
+    m_controllers.back().m_reducer->OnEngines(vms);
+    m_controllers.back().m_reducer->OnEntries({"10.0.0.1:7001"});
+  }
+
+  void RunFor(Duration aDuration) {
+    for (const Time end = m_now + aDuration; m_now < end;) {
+      m_now += kStep;
+      Serve();
+      Deliver();
+      for (std::size_t i = 0; i < m_controllers.size(); ++i) {
+        if (m_controllers[i].m_up && !m_controllers[i].m_paused) {
+          CarryOut(i, m_controllers[i].m_reducer->Tick(m_now));
+        }
+      }
+    }
+  }
+
+  /// Runs until a roll-out has ended in this state; false when it takes too long.
+  bool RunUntil(RolloutState aState, Duration aLimit) {
+    for (const Time end = m_now + aLimit; m_now < end;) {
+      RunFor(Seconds(1));
+      if (Read().m_rollouts.front().m_state == aState) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  Configuration Read() const {
+    return ParseConfiguration(m_platform.Find(kConfigurationKey)->m_value).Take();
+  }
+
+  /// The number of the holder, or -1.
+  int Holder() const {
+    for (std::size_t i = 0; i < m_controllers.size(); ++i) {
+      const bool runs = m_controllers[i].m_up && !m_controllers[i].m_paused;
+      if (runs && m_controllers[i].m_reducer->IsHolder(m_now)) {
+        return static_cast<int>(i);
+      }
+    }
+    return -1;
+  }
+
+  bool EveryEngineHas(const std::string& aVersion) const {
+    return std::all_of(m_engines.begin(), m_engines.end(), [&aVersion](const FakeEngine& aEngine) {
+      return aEngine.m_versions.contains(aVersion);
+    });
+  }
+  bool AnyEngineHas(const std::string& aVersion) const {
+    return std::any_of(m_engines.begin(), m_engines.end(), [&aVersion](const FakeEngine& aEngine) {
+      return aEngine.m_versions.contains(aVersion);
+    });
+  }
+
+  struct Controller {
+    std::unique_ptr<RolloutController> m_reducer;
+    bool m_up = true;
+    bool m_paused = false;
+    std::vector<std::function<void()>> m_unread;
+  };
+  struct Sent {
+    Time m_at;
+    std::size_t m_from = 0;
+    RolloutEffect m_effect;
+  };
+
+  std::vector<Controller> m_controllers;
+  std::vector<FakeEngine> m_engines;
+  FakePlatform m_platform;
+  Random m_random;
+  Time m_now{Seconds(1000)};
+  double m_badRate = 0.005;
+  double m_loss = 0.0;
+  /// Orders that the network keeps back until the test lets them go.
+  bool m_holdOrders = false;
+  std::vector<Sent> m_held;
+  std::set<std::size_t> m_steps;
+  std::size_t m_mostOpenLoads = 0;
+
+private:
+  /// A second's traffic goes to the new version by its share, where an engine has it.
+  void Serve() {
+    const Rollout rollout = Read().m_rollouts.front();
+    m_steps.insert(rollout.m_step);
+    const bool serves = AnyEngineHas(kNew) && rollout.ShareOfNew() > 0;
+    if (!serves) {
+      return;
+    }
+    constexpr double kClustersPerStep = 40.0;
+    for (int i = 0; i < static_cast<int>(kClustersPerStep * rollout.ShareOfNew()) + 1; ++i) {
+      ++m_evidence.m_sessions;
+      m_evidence.m_badSessions += m_random.Chance(m_badRate) ? 1 : 0;
+    }
+    m_evidence.m_version = kNew;
+    m_evidence.m_kind = "tag";
+  }
+
+  void CarryOut(std::size_t aFrom, RolloutEffects aEffects) {
+    for (RolloutEffect& effect : aEffects) {
+      if (std::holds_alternative<RecordTimeline>(effect)) {
+        continue;
+      }
+      Sent sent{m_now + Milliseconds(static_cast<std::int64_t>(m_random.Below(400))), aFrom,
+                std::move(effect)};
+      const bool isHeld = m_holdOrders && std::holds_alternative<OrderEngine>(sent.m_effect);
+      (isHeld ? m_held : m_sent).push_back(std::move(sent));
+    }
+  }
+
+  void Deliver() {
+    std::vector<Sent> sent = std::move(m_sent);
+    m_sent.clear();
+    std::size_t loads = 0;
+    for (Sent& item : sent) {
+      const OrderEngine* order = std::get_if<OrderEngine>(&item.m_effect);
+      loads += order != nullptr && order->m_order == EngineOrderKind::Load ? 1 : 0;
+      if (item.m_at > m_now) {
+        m_sent.push_back(std::move(item));
+      } else if (!m_random.Chance(m_loss)) {
+        std::visit([this, &item](auto& aEffect) { Meet(item.m_from, aEffect); }, item.m_effect);
+      }
+    }
+    m_mostOpenLoads = std::max(m_mostOpenLoads, loads);
+    for (PlatformReplyTo& reply : m_platform.Advance(m_now)) {
+      Answer(static_cast<std::size_t>(reply.m_caller), reply.m_reply);
+    }
+  }
+
+  void Meet(std::size_t aFrom, const CallPlatform& aCall) {
+    const std::optional<PlatformReply> reply =
+      m_platform.Handle(static_cast<int>(aFrom), aCall, m_now);
+    if (reply) {
+      Answer(aFrom, *reply);
+    }
+  }
+  void Meet(std::size_t, const RecordTimeline&) {}
+  void Meet(std::size_t aFrom, const PollEngine& aPoll) {
+    const std::set<std::string> versions = Find(aPoll.m_engine).m_versions;
+    const Time asked = m_now;
+    Later(aFrom, [this, aFrom, aPoll, versions, asked] {
+      m_controllers[aFrom].m_reducer->OnEnginePolled(aPoll.m_engine, versions, asked);
+    });
+  }
+  void Meet(std::size_t aFrom, const PollEvidence&) {
+    const VersionEvidence evidence = m_evidence;
+    Later(aFrom, [this, aFrom, evidence] {
+      m_controllers[aFrom].m_reducer->OnEvidence("entry#1", {evidence}, m_now);
+    });
+  }
+
+public:
+  void Meet(std::size_t aFrom, const OrderEngine& aOrder) {
+    FakeEngine& engine = Find(aOrder.m_engine);
+    const OrderAnswer answer = engine.Take(aOrder);
+    const std::set<std::string> versions = engine.m_versions;
+    Later(aFrom, [this, aFrom, aOrder, answer, versions] {
+      CarryOut(aFrom, m_controllers[aFrom].m_reducer->OnOrderAnswered(aOrder.m_number, answer,
+                                                                      versions, m_now));
+    });
+  }
+
+  FakeEngine& Find(const std::string& aName) {
+    return *std::find_if(m_engines.begin(), m_engines.end(),
+                         [&aName](const FakeEngine& aEngine) { return aEngine.m_name == aName; });
+  }
+
+  void Resume(std::size_t aController) {
+    Controller& controller = m_controllers[aController];
+    controller.m_paused = false;
+    std::vector<std::function<void()>> unread = std::move(controller.m_unread);
+    controller.m_unread.clear();
+    for (const std::function<void()>& read : unread) {
+      read();
+    }
+  }
+
+private:
+  void Answer(std::size_t aTo, const PlatformReply& aReply) {
+    if (!m_random.Chance(m_loss)) {
+      Later(aTo, [this, aTo, aReply] {
+        CarryOut(aTo, m_controllers[aTo].m_reducer->OnPlatformReply(aReply, m_now));
+      });
+    }
+  }
+
+  void Later(std::size_t aTo, std::function<void()> aRead) {
+    Controller& controller = m_controllers[aTo];
+    if (controller.m_paused) {
+      controller.m_unread.push_back(std::move(aRead));
+    } else if (controller.m_up) {
+      aRead();
+    }
+  }
+
+  std::vector<Sent> m_sent;
+  VersionEvidence m_evidence;
+};
+
+TEST_CASE("a good version goes through every step and ends on every engine") {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    CAPTURE(seed);
+    Bench bench(seed, seed % 2 == 0);
+    CHECK(bench.RunUntil(RolloutState::Done, Seconds(300)));
+    bench.RunFor(Seconds(60));
+    CHECK(bench.EveryEngineHas(kNew));
+    CHECK(bench.m_steps == std::set<std::size_t>{0, 1, 2});
+    // Two loads at once, and no second holder that adds its own.
+    CHECK(bench.m_mostOpenLoads <= 2);
+    CHECK(FindVersion(bench.Read(), kOld)->m_state == VersionState::Draining);
+  }
+}
+
+TEST_CASE("a bad version is withdrawn, revoked and unloaded, and never fully rolled out") {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    CAPTURE(seed);
+    Bench bench(seed, seed % 2 == 0);
+    bench.m_badRate = 0.3;
+    CHECK(bench.RunUntil(RolloutState::RolledBack, Seconds(300)));
+    bench.RunFor(Seconds(60));
+    CHECK_FALSE(bench.AnyEngineHas(kNew));
+    CHECK(bench.EveryEngineHas(kOld));
+    CHECK(FindVersion(bench.Read(), kNew)->m_state == VersionState::Revoked);
+    CHECK(FindVersion(bench.Read(), kOld)->m_state == VersionState::Serving);
+    CHECK_FALSE(bench.m_steps.contains(2));
+  }
+}
+
+TEST_CASE("a version that turns bad after its roll-out gives way to the one before") {
+  Bench bench(1, true);
+  REQUIRE(bench.RunUntil(RolloutState::Done, Seconds(300)));
+  bench.RunFor(Seconds(60));
+  bench.m_badRate = 0.3;
+  CHECK(bench.RunUntil(RolloutState::RolledBack, Seconds(60)));
+  CHECK(FindVersion(bench.Read(), kOld)->m_state == VersionState::Serving);
+  CHECK(FindVersion(bench.Read(), kNew)->m_state == VersionState::Revoked);
+}
+
+TEST_CASE("holders that die, pause and lose calls half-way do not stop the roll-out") {
+  for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+    CAPTURE(seed);
+    const bool checks = seed % 2 == 0;
+    Bench bench(seed, checks);
+    bench.m_loss = 0.03;
+    for (int fault = 0; fault < 6; ++fault) {
+      bench.RunFor(Seconds(10 + static_cast<std::int64_t>(bench.m_random.Below(20))));
+      const int holder = bench.Holder();
+      if (holder < 0) {
+        continue;
+      }
+      Bench::Controller& controller = bench.m_controllers[static_cast<std::size_t>(holder)];
+      if (bench.m_random.Chance(0.5)) {
+        controller.m_up = false;
+        bench.StartController(checks);
+      } else {
+        controller.m_paused = true;
+        bench.RunFor(Seconds(static_cast<std::int64_t>(bench.m_random.Below(40))));
+        bench.Resume(static_cast<std::size_t>(holder));
+      }
+    }
+    bench.m_loss = 0.0;
+    CHECK(bench.RunUntil(RolloutState::Done, Seconds(400)));
+    bench.RunFor(Seconds(150));
+    CHECK(bench.EveryEngineHas(kNew));
+    CHECK(bench.m_steps == std::set<std::size_t>{0, 1, 2});
+  }
+}
+
+TEST_CASE("late orders of an old holder: refused by engines that check, corrected on the others") {
+  for (const bool checks : {true, false}) {
+    CAPTURE(checks);
+    Bench bench(7, checks);
+    bench.m_holdOrders = true;
+    for (int second = 0; second < 60 && bench.m_held.empty(); ++second) {
+      bench.RunFor(Seconds(1));
+    }
+    REQUIRE_FALSE(bench.m_held.empty());
+    const std::vector<Bench::Sent> late = std::move(bench.m_held);
+    const std::size_t old = late.front().m_from;
+    bench.m_controllers[old].m_paused = true;
+    bench.m_holdOrders = false;
+    // A new holder comes, and an operator revokes the version that the old holder wants loaded.
+    Configuration edited = bench.Read();
+    edited.m_versions[1].m_state = VersionState::Revoked;
+    bench.m_platform.Write(kConfigurationKey, WriteConfiguration(edited));
+    bench.RunFor(Seconds(60));
+    REQUIRE(bench.Holder() >= 0);
+    REQUIRE(bench.Holder() != static_cast<int>(old));
+    CHECK_FALSE(bench.AnyEngineHas(kNew));
+    const Revision newFence =
+      *bench.m_controllers[static_cast<std::size_t>(bench.Holder())].m_reducer->Fence();
+    OrderEngine order = std::get<OrderEngine>(late.front().m_effect);
+    CHECK(order.m_fence < newFence);
+    // The engine has had an order of the new holder, such as one at its start.
+    bench.Find(order.m_engine).m_highestFence = newFence;
+    bench.Meet(old, order);
+    CHECK(bench.AnyEngineHas(kNew) == !checks);
+    bench.RunFor(Seconds(10));
+    CHECK_FALSE(bench.AnyEngineHas(kNew));
+    bench.Resume(old);
+    bench.RunFor(Seconds(1));
+    CHECK_FALSE(bench.m_controllers[old].m_reducer->IsHolder(bench.m_now));
+  }
+}
+
+TEST_CASE("a roll-out that an operator pauses meanwhile is not advanced") {
+  Bench bench(3, true);
+  Configuration edited = bench.Read();
+  edited.m_rollouts[0].m_state = RolloutState::Paused;
+  bench.m_platform.Write(kConfigurationKey, WriteConfiguration(edited));
+  bench.RunFor(Seconds(100));
+  CHECK(bench.Read().m_rollouts[0].m_state == RolloutState::Paused);
+  CHECK(bench.m_steps == std::set<std::size_t>{0});
+  edited = bench.Read();
+  edited.m_rollouts[0].m_state = RolloutState::Running;
+  bench.m_platform.Write(kConfigurationKey, WriteConfiguration(edited));
+  CHECK(bench.RunUntil(RolloutState::Done, Seconds(300)));
+}
+
+TEST_CASE("planning again on what was planned changes nothing") {
+  const Configuration configuration = MakeConfiguration();
+  std::vector<EngineLoad> engines;
+  for (int i = 0; i < kEngines; ++i) {
+    engines.push_back({"engine-" + std::to_string(i), {kOld}});
+  }
+  const std::vector<EngineLoad> planned = PlanEngines(configuration, engines);
+  CHECK(planned != engines);
+  CHECK(PlanEngines(configuration, planned) == planned);
+}
+
+} // namespace
+} // namespace fennelline
