Plans: pay for exploring with the quality that the usual plan has to spare

Cause: a fixed 2% of requests, of which one answer in ten is rated, teaches too little, so versions that meet the target stayed under suspicion.

--- a/Libraries/LibDecision/Planner.cpp
+++ b/Libraries/LibDecision/Planner.cpp
@@ -9,16 +9,24 @@
 namespace {
 
 /// Standard errors below the mean at which the quality of a version is taken for the target.
-constexpr double kQualityCaution = 1.0;
+constexpr double kQualityCaution = 0.5;
 
 /// Standard errors above the mean up to which a version may still prove good enough.
-constexpr double kQualityHope = 1.0;
+constexpr double kQualityHope = 1.5;
 
 /// Standard deviations above the mean time that must still meet the deadline.
 constexpr double kTimeCaution = 1.5;
 
-/// A version with more ratings than this is known well enough; exploring it teaches little.
-constexpr std::int64_t kEnoughRatings = 2000;
+/// Standard errors below the mean at which the quality of an explored version is paid for.
+constexpr double kExploreCaution = 2.0;
+
+/// Explored versions get no more of the requests than this.
+constexpr double kMostExploreShare = 0.9;
+
+/// The target holds for windows of so many requests, in all but one of a hundred: chance alone
+/// takes a window this many standard deviations below the quality of its plans.
+constexpr double kWindowRequests = 1000.0;
+constexpr double kWindowCaution = 2.33;
 
 constexpr double kTokensPerPriceUnit = 1000.0;
 constexpr std::size_t kNoIndex = static_cast<std::size_t>(-1);
@@ -167,21 +175,42 @@
   return fastest;
 }
 
-/// A cheaper version that may prove good enough and of which little is known, the least rated one.
-std::size_t VersionToExplore(const PlanQuery& aQuery, std::span<const VersionCandidate> aCandidates,
-                             std::span<const StepFigures> aFigures, const Option& aBest) {
-  std::size_t chosen = kNoIndex;
+/// A cheaper version that may prove good enough, and the share of requests that it may get.
+struct Exploration {
+  std::size_t m_index = kNoIndex;
+  double m_share = 0.0;
+};
+
+/// The best plan is better than it need be. What it is better by pays for trying the other: so
+/// many requests may go there that all together still meet the target, even if the other is as bad
+/// as it can well be.
+double AffordableShare(const PlanQuery& aQuery, const VersionEstimate& aEstimate,
+                       const Option& aBest) {
+  const double slack = aBest.m_cautiousQuality - aQuery.m_qualityTarget;
+  const double pessimistic = aEstimate.m_quality - kExploreCaution * aEstimate.m_qualityError;
+  if (slack <= 0.0 || pessimistic >= aQuery.m_qualityTarget) {
+    return aQuery.m_exploreShare;
+  }
+  const double share = slack / (aBest.m_cautiousQuality - pessimistic);
+  return std::clamp(share, aQuery.m_exploreShare, kMostExploreShare);
+}
+
+/// The exploration that saves most.
+Exploration ChooseExploration(const PlanQuery& aQuery,
+                              std::span<const VersionCandidate> aCandidates,
+                              std::span<const StepFigures> aFigures, const Option& aBest) {
+  Exploration chosen;
+  double mostSaved = 0.0;
   for (std::size_t index = 0; index < aCandidates.size(); ++index) {
     const VersionEstimate& estimate = aCandidates[index].m_estimate;
     const bool mayProveGood =
       estimate.m_quality + kQualityHope * estimate.m_qualityError >= aQuery.m_qualityTarget;
-    const bool cheaper = aFigures[index].m_cost < aBest.m_cost;
     const bool inTime = aFigures[index].m_cautiousTime <= aQuery.m_timeLeft;
-    if (!mayProveGood || !cheaper || !inTime || estimate.m_ratings >= kEnoughRatings) {
-      continue;
-    }
-    if (chosen == kNoIndex || estimate.m_ratings < aCandidates[chosen].m_estimate.m_ratings) {
-      chosen = index;
+    const double share = AffordableShare(aQuery, estimate, aBest);
+    const double saved = share * (aBest.m_cost - aFigures[index].m_cost);
+    if (mayProveGood && inTime && saved > mostSaved) {
+      mostSaved = saved;
+      chosen = {.m_index = index, .m_share = share};
     }
   }
   return chosen;
@@ -192,7 +221,7 @@
   const bool meets = aOption.m_cautiousQuality >= aQuery.m_qualityTarget;
   const char* why = "cheapest that meets the quality target in time";
   if (aExploring) {
-    why = "explored: cheaper, and too few ratings to tell whether it meets the target";
+    why = "explored: cheaper, may meet the target, and the usual plan's quality pays for trying it";
   } else if (!meets) {
     why = "no plan is known to meet the quality target in time; best one in time";
   }
@@ -228,31 +257,40 @@
 
 } // namespace
 
-PlanResult MakePlan(const PlanQuery& aQuery, std::span<const VersionCandidate> aCandidates,
+double QualityToPlanFor(double aTarget) {
+  if (aTarget <= 0.0 || aTarget >= 1.0) {
+    return aTarget;
+  }
+  return aTarget + kWindowCaution * std::sqrt(aTarget * (1.0 - aTarget) / kWindowRequests);
+}
+
+PlanResult MakePlan(const PlanQuery& aAsked, std::span<const VersionCandidate> aCandidates,
                     Random& aRandom) {
   if (aCandidates.empty()) {
     return PlanResult{.m_refusal = PlanRefusal::NoVersion};
   }
+  PlanQuery query = aAsked;
+  query.m_qualityTarget = QualityToPlanFor(aAsked.m_qualityTarget);
   std::vector<StepFigures> figures;
   figures.reserve(aCandidates.size());
   for (const VersionCandidate& candidate : aCandidates) {
-    figures.push_back(FiguresOf(aQuery, candidate));
+    figures.push_back(FiguresOf(query, candidate));
   }
-  Option best = BestOption(aQuery, figures);
+  Option best = BestOption(query, figures);
   if (best.m_first == kNoIndex) {
-    best = FastestOption(aQuery, figures);
+    best = FastestOption(query, figures);
   }
   if (best.m_first == kNoIndex) {
     return PlanResult{.m_refusal = PlanRefusal::CannotFinishInTime};
   }
-  if (aQuery.m_exploreShare > 0.0 && aRandom.Chance(aQuery.m_exploreShare)) {
-    const std::size_t explored = VersionToExplore(aQuery, aCandidates, figures, best);
-    if (explored != kNoIndex) {
-      const Option option = SingleOption(explored, figures[explored]);
-      return PlanResult{.m_plan = PlanOf(aQuery, aCandidates, figures, option, true)};
-    }
+  const Exploration exploration = query.m_exploreShare > 0.0
+                                    ? ChooseExploration(query, aCandidates, figures, best)
+                                    : Exploration();
+  if (exploration.m_index != kNoIndex && aRandom.Chance(exploration.m_share)) {
+    const Option option = SingleOption(exploration.m_index, figures[exploration.m_index]);
+    return PlanResult{.m_plan = PlanOf(query, aCandidates, figures, option, true)};
   }
-  return PlanResult{.m_plan = PlanOf(aQuery, aCandidates, figures, best, false)};
+  return PlanResult{.m_plan = PlanOf(query, aCandidates, figures, best, false)};
 }
 
 } // namespace fennelline
--- a/Libraries/LibDecision/Planner.h
+++ b/Libraries/LibDecision/Planner.h
@@ -35,7 +35,8 @@
   double m_judgeDoubtsGood = 0.0;
   /// A streamed answer cannot be taken back, so it has one step.
   bool m_mayCascade = false;
-  /// The share of requests that may be used to learn about versions with few ratings.
+  /// The least share of requests that is used to learn whether a cheaper version meets the target;
+  /// zero for no exploring. More are used as far as the quality of the usual plan pays for them.
   double m_exploreShare = 0.0;
 };
 
@@ -50,6 +51,7 @@
   std::vector<PlanStep> m_steps;
   double m_expectedCostMicros = 0.0;
   double m_expectedQuality = 0.0;
+  /// The answer should be rated: that is what it is for.
   bool m_exploring = false;
   /// Why this plan, in one sentence, for `fennelline-ctl explain`.
   std::string m_reason;
@@ -63,6 +65,9 @@
   PlanRefusal m_refusal = PlanRefusal::NoVersion;
 };
 
+/// The quality that plans must have so that 99 in 100 windows of 1,000 requests meet the target.
+double QualityToPlanFor(double aTarget);
+
 /// The plan of least expected cost that meets the quality target and whose last step still meets
 /// the deadline. Where no plan meets the target in time, the best one in time.
 PlanResult MakePlan(const PlanQuery& aQuery, std::span<const VersionCandidate> aCandidates,
