--- a/Libraries/LibDecision/Planner.cpp
+++ b/Libraries/LibDecision/Planner.cpp
@@ -1,6 +1,7 @@
 #include "LibDecision/Planner.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <cstdio>
 
@@ -135,12 +136,48 @@
   return aQuery.m_mayCascade && aQuery.m_judgeTime > Duration(0);
 }
 
-Option BestOption(const PlanQuery& aQuery, std::span<const StepFigures> aFigures) {
-  Option best;
-  for (std::size_t first = 0; first < aFigures.size(); ++first) {
-    if (aFigures[first].m_cautiousTime > aQuery.m_timeLeft) {
+/// Indices of candidates, on the stack.
+struct IndexList {
+  std::array<std::size_t, kMostPlanCandidates> m_indices{};
+  std::size_t m_count = 0;
+
+  std::span<const std::size_t> All() const { return {m_indices.data(), m_count}; }
+};
+
+/// Whether the left one is as good as the right one in every respect.
+bool IsAsGood(const StepFigures& aLeft, const StepFigures& aRight) {
+  return aLeft.m_cost <= aRight.m_cost && aLeft.m_cautiousQuality >= aRight.m_cautiousQuality &&
+         aLeft.m_quality >= aRight.m_quality && aLeft.m_cautiousTime <= aRight.m_cautiousTime;
+}
+
+/// The candidates in time that at most one other equals in every respect: that one may be the first
+/// step, and a cascade does not run a version twice. Few are left of many, which keeps the number
+/// of cascades to look at small.
+IndexList UsefulSteps(const PlanQuery& aQuery, std::span<const StepFigures> aFigures) {
+  IndexList useful;
+  for (std::size_t index = 0; index < aFigures.size(); ++index) {
+    if (aFigures[index].m_cautiousTime > aQuery.m_timeLeft) {
       continue;
     }
+    std::size_t better = 0;
+    for (std::size_t other = 0; other < aFigures.size() && better < 2; ++other) {
+      const bool asGood = other != index && IsAsGood(aFigures[other], aFigures[index]);
+      // Of two equal ones the first counts as better.
+      const bool isEqual = asGood && IsAsGood(aFigures[index], aFigures[other]);
+      better += asGood && (!isEqual || other < index) ? 1 : 0;
+    }
+    if (better < 2) {
+      useful.m_indices[useful.m_count] = index;
+      ++useful.m_count;
+    }
+  }
+  return useful;
+}
+
+Option BestOption(const PlanQuery& aQuery, std::span<const StepFigures> aFigures) {
+  const IndexList useful = UsefulSteps(aQuery, aFigures);
+  Option best;
+  for (const std::size_t first : useful.All()) {
     const Option single = SingleOption(first, aFigures[first]);
     if (IsBetter(single, best, aQuery.m_qualityTarget)) {
       best = single;
@@ -148,7 +185,7 @@
     if (!MayCascade(aQuery)) {
       continue;
     }
-    for (std::size_t second = 0; second < aFigures.size(); ++second) {
+    for (const std::size_t second : useful.All()) {
       if (first == second || !CascadeMeetsDeadline(aQuery, aFigures[first], aFigures[second])) {
         continue;
       }
@@ -271,11 +308,13 @@
   }
   PlanQuery query = aAsked;
   query.m_qualityTarget = QualityToPlanFor(aAsked.m_qualityTarget);
-  std::vector<StepFigures> figures;
-  figures.reserve(aCandidates.size());
-  for (const VersionCandidate& candidate : aCandidates) {
-    figures.push_back(FiguresOf(query, candidate));
+  const std::span<const VersionCandidate> candidates =
+    aCandidates.first(std::min(aCandidates.size(), kMostPlanCandidates));
+  std::array<StepFigures, kMostPlanCandidates> storage;
+  for (std::size_t index = 0; index < candidates.size(); ++index) {
+    storage[index] = FiguresOf(query, candidates[index]);
   }
+  const std::span<const StepFigures> figures(storage.data(), candidates.size());
   Option best = BestOption(query, figures);
   if (best.m_first == kNoIndex) {
     best = FastestOption(query, figures);
@@ -284,13 +323,13 @@
     return PlanResult{.m_refusal = PlanRefusal::CannotFinishInTime};
   }
   const Exploration exploration = query.m_exploreShare > 0.0
-                                    ? ChooseExploration(query, aCandidates, figures, best)
+                                    ? ChooseExploration(query, candidates, figures, best)
                                     : Exploration();
   if (exploration.m_index != kNoIndex && aRandom.Chance(exploration.m_share)) {
     const Option option = SingleOption(exploration.m_index, figures[exploration.m_index]);
-    return PlanResult{.m_plan = PlanOf(query, aCandidates, figures, option, true)};
+    return PlanResult{.m_plan = PlanOf(query, candidates, figures, option, true)};
   }
-  return PlanResult{.m_plan = PlanOf(query, aCandidates, figures, best, false)};
+  return PlanResult{.m_plan = PlanOf(query, candidates, figures, best, false)};
 }
 
 } // namespace fennelline
--- a/Libraries/LibDecision/Planner.h
+++ b/Libraries/LibDecision/Planner.h
@@ -3,6 +3,7 @@
 #include "LibBase/Random.h"
 #include "LibDecision/Estimates.h"
 
+#include <cstddef>
 #include <optional>
 #include <span>
 #include <string>
@@ -10,6 +11,9 @@
 
 namespace fennelline {
 
+/// A plan looks at no more candidates than this; further ones are left out.
+constexpr std::size_t kMostPlanCandidates = 64;
+
 /// A version that the contract allows and that has a live backend server, for one request.
 struct VersionCandidate {
   std::string m_version;
