--- a/Libraries/LibDecision/ReplicaChoice.cpp
+++ b/Libraries/LibDecision/ReplicaChoice.cpp
@@ -26,6 +26,9 @@
 constexpr double kMirroredSent = 0.5;
 constexpr double kMirroredOutstanding = 0.125;
 
+/// With more entries than this, one entry's few requests say little about those of all others.
+constexpr std::int64_t kMostMirroredEntries = 16;
+
 /// Each other entry is taken to be about to place this part of what this entry has sent since the
 /// reports. It fills the shortest servers first and is what choices are spread over.
 constexpr double kUnseenPart = 0.05;
@@ -46,7 +49,8 @@
 }
 
 double OtherEntries(const ReplicaQuery& aQuery) {
-  return static_cast<double>(std::max<std::int64_t>(1, aQuery.m_entryCount) - 1);
+  const std::int64_t others = std::max<std::int64_t>(1, aQuery.m_entryCount) - 1;
+  return static_cast<double>(std::min(others, kMostMirroredEntries));
 }
 
 /// Requests known to be at the server: this entry's own, and those that were there by the report
