--- /dev/null
+++ b/Utilities/Ctl/CommandOutput.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "LibContract/Configuration.h"
+#include "LibCoordination/Configuration/ApplyOperation.h"
+#include "LibCoordination/Usage/Ledger.h"
+#include "Utilities/Ctl/ConfigurationDiff.h"
+#include "Utilities/Ctl/ExitCode.h"
+#include "Utilities/Ctl/WorkingCopy.h"
+
+#include <ostream>
+#include <string>
+#include <vector>
+
+namespace fennelline {
+
+/// Prints answers as text for people or as one JSON document for programs, and errors as text.
+class CommandOutput {
+public:
+  CommandOutput(bool aJson, std::ostream& aAnswers, std::ostream& aErrors);
+
+  bool IsJson() const { return m_json; }
+  void Print(const std::string& aText) { m_answers << aText; }
+
+  ExitCode Report(const Error& aError);
+  void PrintDocument(Revision aRevision, const std::string& aText, const std::string& aOutPath);
+  void PrintChanges(Revision aRevision, const std::vector<ConfigurationChange>& aChanges);
+  /// Prints what became of a write; a conflict with the other operator's change.
+  ExitCode PrintOutcome(const ApplyOutcome& aOutcome, const WorkingCopyBase& aBase,
+                        const std::string& aMine);
+  ExitCode PrintRollouts(const Configuration& aConfiguration, const std::string& aName);
+  void PrintBill(const CustomerTotals& aBill, const std::string& aCurrency);
+
+private:
+  ExitCode PrintApplied(const Applied& aApplied);
+  ExitCode PrintConflict(const ApplyConflict& aConflict, const WorkingCopyBase& aBase,
+                         const std::string& aMine);
+  ExitCode PrintUnresolved(const ApplyUnresolved& aUnresolved);
+
+  bool m_json;
+  std::ostream& m_answers;
+  std::ostream& m_errors;
+};
+
+} // namespace fennelline
--- a/Utilities/Timeline/Replay.cpp
+++ b/Utilities/Timeline/Replay.cpp
@@ -56,7 +56,7 @@
     }
   }
   if (outcome.m_steps == 0) {
-    return NotComplete("there are no steps; set \"record_steps\" in the entry's settings");
+    return NotComplete("there are no steps; the entry did not record them");
   }
   return outcome;
 }
