Count an entry that cannot be asked as not having the revision

in-force reported success when a known entry did not answer; it may have an older revision in force, so the command now waits for it and then fails, naming it. A customer without a spend limit summed to a wrapped number over three entries; it now reads as without a limit.

--- a/Tests/Ctl/TestFleetStatus.cpp
+++ b/Tests/Ctl/TestFleetStatus.cpp
@@ -4,6 +4,7 @@
 
 #include <cstdio>
 #include <doctest/doctest.h>
+#include <limits>
 
 using namespace fennelline;
 
@@ -48,6 +49,12 @@
         std::string::npos);
 }
 
+TEST_CASE("a customer without a limit in one entry has none in the sum") {
+  FleetStatus fleet = SampleFleet();
+  fleet.m_entries[0].m_availableMicros["mopane"] = std::numeric_limits<std::int64_t>::max();
+  CHECK(RenderFleet(fleet).find("mopane    no limit known yet") != std::string::npos);
+}
+
 TEST_CASE("entries with an older revision are behind") {
   CHECK(EntriesBehind(SampleFleet(), 6).empty());
   CHECK(EntriesBehind(SampleFleet(), 7) == std::vector<std::string>{"e2#1"});
--- a/Utilities/Ctl/FleetCommands.cpp
+++ b/Utilities/Ctl/FleetCommands.cpp
@@ -43,7 +43,8 @@
   const std::chrono::steady_clock::time_point end = std::chrono::steady_clock::now() + aWait;
   FleetStatus fleet = ReadFleet(m_client, m_addresses);
   std::vector<std::string> behind = EntriesBehind(fleet, aRevision);
-  while ((!behind.empty() || fleet.m_entries.empty()) && std::chrono::steady_clock::now() < end) {
+  // An entry that cannot be asked may have an older revision in force.
+  while ((!behind.empty() || !fleet.m_errors.empty()) && std::chrono::steady_clock::now() < end) {
     std::this_thread::sleep_for(kPollInterval);
     fleet = ReadFleet(m_client, m_addresses);
     behind = EntriesBehind(fleet, aRevision);
@@ -51,13 +52,14 @@
   if (fleet.m_entries.empty()) {
     return m_output.Report(fleet.m_errors.front());
   }
+  const bool everywhere = behind.empty() && fleet.m_errors.empty();
   std::vector<std::string> silent;
   for (const Error& error : fleet.m_errors) {
     silent.push_back(error.m_detail);
   }
   if (m_output.IsJson()) {
     const nlohmann::json answer = {{"revision", aRevision},
-                                   {"in_force", behind.empty()},
+                                   {"in_force", everywhere},
                                    {"entries", fleet.m_entries.size()},
                                    {"behind", behind},
                                    {"errors", silent}};
@@ -74,7 +76,7 @@
     }
     m_output.Print(text);
   }
-  return behind.empty() ? ExitCode::Ok : ExitCode::Failed;
+  return everywhere ? ExitCode::Ok : ExitCode::Failed;
 }
 
 ExitCode FleetCommands::Explain(const std::string& aRequest) {
--- a/Utilities/Ctl/FleetCommands.h
+++ b/Utilities/Ctl/FleetCommands.h
@@ -17,7 +17,8 @@
   FleetCommands(AdminClient& aClient, std::vector<std::string> aAddresses, CommandOutput& aOutput);
 
   ExitCode Status();
-  /// Waits until each entry that answers has the revision or a later one in force.
+  /// Waits until each entry has the revision or a later one in force. Fails when one does not, or
+  /// cannot be asked.
   ExitCode InForce(std::uint64_t aRevision, Duration aWait);
   /// Prints the records of a request from all entries, in the order of cause and effect.
   ExitCode Explain(const std::string& aRequest);
--- a/Utilities/Ctl/FleetStatus.cpp
+++ b/Utilities/Ctl/FleetStatus.cpp
@@ -3,6 +3,7 @@
 #include "Utilities/Ctl/Table.h"
 
 #include <deque>
+#include <limits>
 #include <nlohmann/json.hpp>
 #include <set>
 
@@ -76,16 +77,25 @@
   return combined;
 }
 
+/// What an entry reports of a customer without a spend limit.
+constexpr std::int64_t kNoLimit = std::numeric_limits<std::int64_t>::max();
+
 std::map<std::string, std::int64_t> SumSpend(const FleetStatus& aFleet) {
   std::map<std::string, std::int64_t> sums;
   for (const EntryStatus& entry : aFleet.m_entries) {
     for (const auto& [customer, micros] : entry.m_availableMicros) {
-      sums[customer] += micros;
+      std::int64_t& sum = sums[customer];
+      const bool noLimit = micros == kNoLimit || sum == kNoLimit;
+      sum = noLimit ? kNoLimit : sum + micros;
     }
   }
   return sums;
 }
 
+std::string MicrosText(std::int64_t aMicros) {
+  return aMicros == kNoLimit ? "no limit known yet" : std::to_string(aMicros);
+}
+
 std::string RenderEntries(const FleetStatus& aFleet) {
   Table table({"ENTRY", "DATA CENTRE", "ADMIN", "REVISION", "STANDING", "OPEN", "LATE", "STOPPING",
                "ISOLATED"});
@@ -113,7 +123,7 @@
 std::string RenderSpend(const FleetStatus& aFleet) {
   Table table({"CUSTOMER", "LEFT IN THE ENTRIES' SLICES (MICROS)"});
   for (const auto& [customer, micros] : SumSpend(aFleet)) {
-    table.AddRow({customer, std::to_string(micros)});
+    table.AddRow({customer, MicrosText(micros)});
   }
   return table.Render();
 }
