Wait for a further slice of the budget instead of refusing

Cause: TestProcessGracefulStop and a burst of six long streams by hand were refused with spend-limit although the budget was ample: the slice in hand was smaller than the sixth request's greatest cost. Ruled out: the budget itself (IsExhausted was false) and the admission (it admitted all six). Change: a request waits up to 1.5 s, within its deadline, for the slice that its failed reservation asks for; the first slice is one unit of currency instead of a hundredth.

--- a/Services/Entry/EntryParts.cpp
+++ b/Services/Entry/EntryParts.cpp
@@ -35,6 +35,14 @@
   return settings;
 }
 
+/// The first slice covers a burst of long requests, so that few wait for a further one.
+SpendSettings EntrySpendSettings() {
+  constexpr std::int64_t kLeastSliceMicros = 1'000'000;
+  SpendSettings settings;
+  settings.m_leastSliceMicros = kLeastSliceMicros;
+  return settings;
+}
+
 } // namespace
 
 EntryParts::EntryParts(const EntryStart& aStart)
@@ -45,7 +53,7 @@
   , m_configuration(ConfigurationSettings{}, m_self, m_settings.m_dataCentre, m_random.Next())
   , m_claims(ClaimSettingsOf(m_settings), m_self, m_settings.m_dataCentre, m_random.Next())
   , m_usage(EntryUsageSettings(), m_self, m_settings.m_dataCentre, m_random.Next())
-  , m_spend(SpendSettings{}, m_self, m_random.Next())
+  , m_spend(EntrySpendSettings(), m_self, m_random.Next())
   , m_sessionTokens(m_settings.m_sessionKeys)
   , m_crashes(CrashMemorySettings{}, m_random.Next())
   , m_evidence(kRatedShare)
--- a/Services/Entry/Requests/ActiveRequest.h
+++ b/Services/Entry/Requests/ActiveRequest.h
@@ -16,6 +16,8 @@
 
 /// Where an open request stands.
 enum class RequestPhase : std::uint8_t {
+  /// A further slice of the customer's budget is being drawn.
+  AwaitingSpend,
   /// Two first requests of a session may race: the session's version is being agreed.
   AwaitingPin,
   /// A non-idempotent request waits for its claim, or for the answer of the attempt that has it.
@@ -30,7 +32,8 @@
   AwaitingBill,
 };
 
-constexpr NameTable<RequestPhase, 6> kRequestPhaseNames = {{
+constexpr NameTable<RequestPhase, 7> kRequestPhaseNames = {{
+  {RequestPhase::AwaitingSpend, "awaiting-spend"},
   {RequestPhase::AwaitingPin, "awaiting-pin"},
   {RequestPhase::AwaitingClaim, "awaiting-claim"},
   {RequestPhase::Running, "running"},
@@ -92,6 +95,8 @@
   double m_admittedWork = 0.0;
   bool m_admitted = false;
   std::int64_t m_reservedMicros = 0;
+  /// Where the budget's slice is too small: how long to wait for a further one.
+  Time m_spendLimit = kNever;
   /// Cost of the cascade's steps so far.
   std::int64_t m_costMicros = 0;
   std::int64_t m_inputTokens = 0;
--- a/Services/Entry/Requests/RequestAnswers.cpp
+++ b/Services/Entry/Requests/RequestAnswers.cpp
@@ -414,6 +414,10 @@
     GiveUp(aActive, aNow, aEffects);
     return;
   }
+  if (aActive.m_phase == RequestPhase::AwaitingSpend) {
+    ReserveSpend(aActive, aNow, aEffects);
+    return;
+  }
   if (aActive.m_phase != RequestPhase::Running || aActive.m_headSent) {
     return;
   }
--- a/Services/Entry/Requests/RequestPipeline.cpp
+++ b/Services/Entry/Requests/RequestPipeline.cpp
@@ -16,6 +16,7 @@
 constexpr Duration kRetryAfterCutOff = Seconds(3);
 constexpr Duration kRetryAfterNoServer = Seconds(1);
 constexpr Duration kRetryAfterSpend = Seconds(60);
+constexpr Duration kMostSpendWait = Milliseconds(1'500);
 constexpr std::int64_t kCharactersPerToken = 4;
 constexpr double kExploreShare = 0.02;
 
@@ -154,16 +155,9 @@
   if (!planned) {
     return;
   }
-  if (!Admit(aActive, aNow, aEffects) || !ReserveSpend(aActive, aNow, aEffects)) {
-    return;
-  }
-  const bool needsPin =
-    isModel && !aActive.m_sessionName.empty() && aActive.m_pinnedVersion.empty();
-  if (needsPin) {
-    AskForPin(aActive, aNow, aEffects);
-    return;
+  if (Admit(aActive, aNow, aEffects)) {
+    ReserveSpend(aActive, aNow, aEffects);
   }
-  ClaimOrSend(aActive, aNow, aEffects);
 }
 
 bool RequestPipeline::PlanModelWork(ActiveRequest& aActive, Time aNow, EntryEffects& aEffects) {
@@ -297,7 +291,7 @@
   return true;
 }
 
-bool RequestPipeline::ReserveSpend(ActiveRequest& aActive, Time aNow, EntryEffects& aEffects) {
+std::int64_t RequestPipeline::GreatestCost(const ActiveRequest& aActive) const {
   constexpr std::int64_t kTokensPerPrice = 1'000;
   const std::shared_ptr<const Configuration> configuration = m_parts.m_configuration.Current();
   std::int64_t most = aActive.m_operationCostMicros;
@@ -311,16 +305,41 @@
              aActive.m_request.m_mostOutputTokens * version->m_outputMicrosPer1000Tokens) /
             kTokensPerPrice;
   }
-  if (!m_parts.m_spend.TryReserve(aActive.m_identity.m_customer, most, aNow)) {
+  return most;
+}
+
+void RequestPipeline::ReserveSpend(ActiveRequest& aActive, Time aNow, EntryEffects& aEffects) {
+  const std::string& customer = aActive.m_identity.m_customer;
+  const std::int64_t most = GreatestCost(aActive);
+  if (m_parts.m_spend.TryReserve(customer, most, aNow)) {
+    aActive.m_reservedMicros = most;
+    AfterReserve(aActive, aNow, aEffects);
+    return;
+  }
+  // The slice in hand may be too small while the budget is not: a further slice is drawn at the
+  // next tick, and that takes one call to the platform.
+  if (aActive.m_phase != RequestPhase::AwaitingSpend) {
+    aActive.m_phase = RequestPhase::AwaitingSpend;
+    aActive.m_spendLimit = std::min(aNow + kMostSpendWait, aActive.m_deadline);
+  }
+  const bool exhausted = m_parts.m_spend.IsExhausted(customer);
+  if (exhausted || aNow >= aActive.m_spendLimit) {
     Refuse(aActive,
            Refusal(ProblemCode::SpendLimit, "the customer's budget does not cover the request now",
-                   m_parts.m_spend.IsExhausted(aActive.m_identity.m_customer) ? kRetryAfterSpend
-                                                                              : kRetryAfterStart),
+                   exhausted ? kRetryAfterSpend : kRetryAfterStart),
            aNow, aEffects);
-    return false;
   }
-  aActive.m_reservedMicros = most;
-  return true;
+}
+
+void RequestPipeline::AfterReserve(ActiveRequest& aActive, Time aNow, EntryEffects& aEffects) {
+  const bool isModel = aActive.m_request.m_target == CallerRequest::Target::Model;
+  const bool needsPin =
+    isModel && !aActive.m_sessionName.empty() && aActive.m_pinnedVersion.empty();
+  if (needsPin) {
+    AskForPin(aActive, aNow, aEffects);
+    return;
+  }
+  ClaimOrSend(aActive, aNow, aEffects);
 }
 
 void RequestPipeline::AskForPin(ActiveRequest& aActive, Time aNow, EntryEffects& aEffects) {
--- a/Services/Entry/Requests/RequestPipeline.h
+++ b/Services/Entry/Requests/RequestPipeline.h
@@ -60,7 +60,11 @@
   bool PlanModelWork(ActiveRequest& aActive, Time aNow, EntryEffects& aEffects);
   bool PlanServiceWork(ActiveRequest& aActive, Time aNow, EntryEffects& aEffects);
   bool Admit(ActiveRequest& aActive, Time aNow, EntryEffects& aEffects);
-  bool ReserveSpend(ActiveRequest& aActive, Time aNow, EntryEffects& aEffects);
+  /// What the request costs at most, with all steps of its plan.
+  std::int64_t GreatestCost(const ActiveRequest& aActive) const;
+  /// Reserves the spend and goes on, waits for a further slice of the budget, or refuses.
+  void ReserveSpend(ActiveRequest& aActive, Time aNow, EntryEffects& aEffects);
+  void AfterReserve(ActiveRequest& aActive, Time aNow, EntryEffects& aEffects);
   void ClaimOrSend(ActiveRequest& aActive, Time aNow, EntryEffects& aEffects);
   void AskForPin(ActiveRequest& aActive, Time aNow, EntryEffects& aEffects);
   void OnPinOutcome(ActiveRequest& aActive, const ClaimOutcomeReport& aOutcome, Time aNow,
