--- a/Models/Claim.pml
+++ b/Models/Claim.pml
@@ -10,8 +10,8 @@
    that, for good; then its votes are released. A joining holder serves when both remaining holders
    have adopted its view and each has handed over its slots, at different times.
 
-   The search is split in two, each of them whole: -DONECHANGE leaves out view 2, and -DNORELEASE
-   leaves out the release of votes of abandoned attempts.
+   The search is split in two, each of them whole: -DONECHANGE leaves out view 2, and -DONEABANDONS
+   lets attempt 0 only be abandoned.
 
    spin must find a violation in each of these variants:
      -DNOSYNC   the joining holder serves without taking over slots
@@ -52,6 +52,12 @@
 #define MAY_SEND(a) (GRANTED(a) && !abandoned[a])
 #endif
 
+#ifdef ONEABANDONS
+#define MAY_ABANDON(a) ((a) == 0)
+#else
+#define MAY_ABANDON(a) true
+#endif
+
 /* Holder h votes for attempt a in the view that it has adopted. */
 #define CAN_VOTE(a, h) (serving[h] && IN_VIEW(h, view[h]) && !BIT(acks[2 * view[h] + a], h) && (slot[h] == 0 || slot[h] == (1 << a)))
 #define VOTE(a, h) atomic { CAN_VOTE(a, h) -> slot[h] = (1 << a); acks[2 * view[h] + a] = acks[2 * view[h] + a] | (1 << h) }
@@ -65,14 +71,12 @@
   :: VOTE(a, 3)
   :: VOTE(a, 4)
   :: atomic { MAY_SEND(a) -> sent++; assert(sent <= 1); break }
-  :: atomic { !abandoned[a] -> abandoned[a] = true }
-#ifndef NORELEASE
+  :: atomic { MAY_ABANDON(a) && !abandoned[a] -> abandoned[a] = true }
   :: RELEASE(a, 0)
   :: RELEASE(a, 1)
   :: RELEASE(a, 2)
   :: RELEASE(a, 3)
   :: RELEASE(a, 4)
-#endif
   od
 }
 
