--- a/Services/Entry/Event.h
+++ b/Services/Entry/Event.h
@@ -89,6 +89,7 @@
   BackendCallId m_call = 0;
   BackendFailure m_failure = BackendFailure::Broken;
   std::string m_detail;
+  BackendServerId m_backendServer;
 };
 
 /// A VM of the platform's list.
@@ -110,6 +111,9 @@
 struct LoadPolled {
   BackendServerId m_backendServer;
   bool m_reached = false;
+  /// Where it was not reached: nothing listens at its address, as after a crash. Otherwise the
+  /// connection went silent, which says little about the server.
+  bool m_refused = false;
   LoadReport m_report;
   std::int64_t m_slots = 0;
   bool m_leaving = false;
@@ -129,6 +133,8 @@
 struct RatingArrived {
   std::uint64_t m_rating = 0;
   bool m_good = false;
+  /// The service gave no verdict.
+  bool m_failed = false;
 };
 
 /// A peer's message.
@@ -141,7 +147,8 @@
   MembershipDatagram m_datagram;
 };
 
-/// Time passed. Comes at least each kTickInterval.
+/// Time passed. Comes each kTickInterval while requests are open, otherwise each
+/// kIdleTickInterval.
 struct Tick {};
 
 /// The process is asked to stop gracefully.
@@ -153,5 +160,6 @@
                DatagramReceived, PlatformReply, Tick, StopRequested>;
 
 constexpr Duration kTickInterval = Milliseconds(5);
+constexpr Duration kIdleTickInterval = Milliseconds(25);
 
 } // namespace fennelline
