Return slices for good when stopping, and read ledgers as the platform replies

Cause: after ReturnAll() the next Tick() drew again; and the platform's reply for a missing key names no revision, so a ledger that was compacted was read again and again instead of being closed. Weighed: trusting a 404 without a revision would close the ledger of a living entry when the store lags; a list of the ledger's own prefix names the revision. Before: the fake platform named a revision in every reply. After: it follows docs/design/outside-protocols.md; HasReturnedAll() tells when an entry may stop. Measured: TestSpend, TestUsage, TestClaims and TestSessions pass.

--- a/Libraries/LibCoordination/Spend/SpendSlices.cpp
+++ b/Libraries/LibCoordination/Spend/SpendSlices.cpp
@@ -84,6 +84,7 @@
   const EntryId m_self;
   Random m_random;
   std::uint64_t m_callNumber = 0;
+  bool m_isStopping = false;
   std::map<std::string, Customer> m_customers;
 };
 
@@ -146,6 +147,9 @@
 /// What this entry should hold in all: what it uses, and a slice ahead.
 std::int64_t SpendSlices::Parts::Target(const Customer& aCustomer, Time aNow) const {
   const SliceAccount& account = *aCustomer.m_current;
+  if (m_isStopping) {
+    return account.Used();
+  }
   const bool isIdle = aNow - aCustomer.m_usedAt >= m_settings.m_idleReturn;
   if (isIdle && aCustomer.m_missing == 0) {
     return account.Used() + FirstSlice(aCustomer);
@@ -194,7 +198,7 @@
                                   Time aNow) {
   const Time begin = Time(aCustomer.m_period * (aCustomer.m_index + 1));
   const Duration ahead = std::min(kDrawAhead, aCustomer.m_period / kDrawAheadPart);
-  if (begin - aNow > ahead) {
+  if (m_isStopping || begin - aNow > ahead) {
     return;
   }
   if (!aCustomer.m_next) {
@@ -349,15 +353,19 @@
 }
 
 SpendSlices::SpendStep SpendSlices::ReturnAll(Time aNow) {
-  SpendStep step;
+  m_parts->m_isStopping = true;
   for (std::pair<const std::string, Parts::Customer>& customer : m_parts->m_customers) {
-    std::optional<SliceAccount>& account = customer.second.m_current;
-    if (account && account->Available() > 0) {
-      account->Advance(account->Used(), customer.second.m_limit, step.m_effects,
-                       m_parts->m_callNumber, aNow);
-    }
+    customer.second.m_nextDraw = aNow;
   }
-  return step;
+  return Tick(aNow);
+}
+
+bool SpendSlices::HasReturnedAll() const {
+  return std::all_of(m_parts->m_customers.begin(), m_parts->m_customers.end(),
+                     [](const std::pair<const std::string, Parts::Customer>& aCustomer) {
+                       const std::optional<SliceAccount>& account = aCustomer.second.m_current;
+                       return !account || (account->Available() <= 0 && !account->IsBusy());
+                     });
 }
 
 std::int64_t SpendSlices::Available(const std::string& aCustomer, Time aNow) const {
--- a/Libraries/LibCoordination/Spend/SpendSlices.h
+++ b/Libraries/LibCoordination/Spend/SpendSlices.h
@@ -77,8 +77,10 @@
   SpendStep OnPlatformReply(const PlatformReply& aReply, Time aNow);
   SpendStep Tick(Time aNow);
 
-  /// Gives back all unspent slices; call when the entry is about to stop.
+  /// Gives back all unspent slices and draws no more; call when the entry is about to stop, then go
+  /// on with Tick() until HasReturnedAll(). What is not returned stays drawn until the period ends.
   SpendStep ReturnAll(Time aNow);
+  bool HasReturnedAll() const;
 
   /// What this entry could reserve now.
   std::int64_t Available(const std::string& aCustomer, Time aNow) const;
--- a/Libraries/LibCoordination/Usage/LedgerCompactor.cpp
+++ b/Libraries/LibCoordination/Usage/LedgerCompactor.cpp
@@ -43,7 +43,7 @@
   const bool isOk = aReply.m_status == PlatformStatus::Ok;
   if (step == Step::ReadTotals && TakeTotals(aReply)) {
     Send(Step::ReadLedgers, ListKeys{.m_prefix = kLedgerPrefix}, aEffects, aCallNumber, aNow);
-  } else if (step == Step::ReadLedgers && isOk) {
+  } else if (step == Step::ReadLedgers && isOk && aReply.m_revision >= m_revision) {
     if (Fold(aReply.m_keys, aIsGone, aNow)) {
       const PutKey put{
         .m_key = kTotalsKey, .m_value = WriteTotals(m_totals), .m_expected = m_revision};
--- a/Libraries/LibCoordination/Usage/LedgerWriter.cpp
+++ b/Libraries/LibCoordination/Usage/LedgerWriter.cpp
@@ -1,5 +1,6 @@
 #include "LibCoordination/Usage/LedgerWriter.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace fennelline {
@@ -25,7 +26,8 @@
     return;
   }
   if (!m_isKnown) {
-    Send(GetKey{.m_key = LedgerKey(m_origin)}, std::nullopt, aEffects, aCallNumber, aNow);
+    // A list names the service's revision also where the key does not exist.
+    Send(ListKeys{.m_prefix = LedgerKey(m_origin)}, std::nullopt, aEffects, aCallNumber, aNow);
     return;
   }
   if (m_revision == kAbsent && !aMayCreate) {
@@ -68,25 +70,24 @@
 
 void LedgerWriter::OnRead(const PlatformReply& aReply) {
   // A reply from before a write that is known here comes from a store that lags.
-  if (aReply.m_revision < m_revision) {
+  if (aReply.m_status != PlatformStatus::Ok || aReply.m_revision < m_revision) {
     return;
   }
-  if (aReply.m_status == PlatformStatus::NotFound) {
+  const auto found =
+    std::find_if(aReply.m_keys.begin(), aReply.m_keys.end(),
+                 [&](const KeyValue& aKeyValue) { return aKeyValue.m_key == LedgerKey(m_origin); });
+  if (found == aReply.m_keys.end()) {
     // A ledger that was seen and is gone was compacted; its records are in the totals.
     m_isClosed = m_revision != kAbsent;
     m_isKnown = !m_isClosed;
     return;
   }
-  if (aReply.m_status != PlatformStatus::Ok || aReply.m_keys.empty()) {
-    return;
-  }
-  const KeyValue& read = aReply.m_keys.front();
-  Result<Ledger> ledger = ParseLedger(read.m_value);
-  if (read.m_revision < m_revision || !ledger) {
+  Result<Ledger> ledger = ParseLedger(found->m_value);
+  if (!ledger) {
     return;
   }
   m_ledger = ledger.Take();
-  m_revision = read.m_revision;
+  m_revision = found->m_revision;
   m_isKnown = true;
 }
 
--- a/Tests/LibCoordination/Fakes/FakePlatform.h
+++ b/Tests/LibCoordination/Fakes/FakePlatform.h
@@ -15,9 +15,13 @@
 public:
   PlatformReply Handle(const CallId& aCall, const PlatformRequest& aRequest) {
     m_reply = {.m_call = aCall, .m_status = PlatformStatus::Ok};
+    // As in docs/design/outside-protocols.md: a reading of one key names that key's revision, or
+    // none where there is no such key; all other replies name the service's.
+    bool isOfOneKey = false;
     if (const auto* get = std::get_if<GetKey>(&aRequest)) {
       ++m_reads;
       Get(get->m_key);
+      isOfOneKey = true;
     } else if (const auto* list = std::get_if<ListKeys>(&aRequest)) {
       ++m_reads;
       List(list->m_prefix);
@@ -30,7 +34,9 @@
     } else {
       m_reply.m_status = PlatformStatus::Unavailable;
     }
-    m_reply.m_revision = m_revision;
+    if (!isOfOneKey) {
+      m_reply.m_revision = m_revision;
+    }
     return m_reply;
   }
 
@@ -46,6 +52,7 @@
       return;
     }
     m_reply.m_keys.push_back(found->second);
+    m_reply.m_revision = found->second.m_revision;
   }
 
   void List(const std::string& aPrefix) {
--- a/Tests/LibCoordination/Spend/TestSpend.cpp
+++ b/Tests/LibCoordination/Spend/TestSpend.cpp
@@ -193,7 +193,9 @@
     spend.World().Of(entry).m_slices.Available(kCustomer, spend.World().Now());
   CHECK(after < before);
   spend.World().Apply(entry, spend.World().Of(entry).m_slices.ReturnAll(spend.World().Now()));
+  spend.RunFor(Seconds(1));
   CHECK(spend.World().Of(entry).m_slices.Available(kCustomer, spend.World().Now()) == 0);
+  CHECK(spend.World().Of(entry).m_slices.HasReturnedAll());
 }
 
 TEST_CASE("a return whose reply is lost counts until it can no longer arrive") {
