--- a/Tests/LibCoordination/Configuration/TestConfigurationSpread.cpp
+++ b/Tests/LibCoordination/Configuration/TestConfigurationSpread.cpp
@@ -305,6 +305,21 @@
   }
 }
 
+TEST_CASE("a platform that answers with an older revision confirms nothing") {
+  EntryGroup group(GroupSettings{}, 8);
+  const Revision older = group.Platform().Write(kConfigurationKey, MakeDocument(1));
+  group.StartMany(kEntries);
+  group.RunFor(Seconds(5));
+  const Revision newer = group.Platform().Write(kConfigurationKey, MakeDocument(2));
+  group.RunFor(Seconds(3));
+  group.Platform().FreezeWithout(kConfigurationKey, MakeDocument(1), older);
+  group.SetSide(0, 1);
+  group.SetPlatformSide(1);
+  group.RunFor(Seconds(4));
+  CHECK(RevisionInForce(group, 0) == newer);
+  CHECK(group.SpreadOf(0).Standing(group.Now()) == ConfigurationStanding::CutOff);
+}
+
 TEST_CASE("a document that cannot be read keeps the last good one in force") {
   EntryGroup group(GroupSettings{}, 6);
   const Revision good = group.Platform().Write(kConfigurationKey, MakeDocument(1));
