--- a/Libraries/LibCoordination/Rollout/RolloutController.h
+++ b/Libraries/LibCoordination/Rollout/RolloutController.h
@@ -34,7 +34,7 @@
   std::size_t m_mostLoads = 2;
   Duration m_loadSpacing = Milliseconds(500);
   /// An order without an answer for this long counts as lost: it may still take effect.
-  Duration m_orderTimeout = Seconds(60);
+  Duration m_orderTimeout = Seconds(130);
   /// After an order, what an engine reports is believed again after this time: reports lag.
   Duration m_settleTime = Seconds(3);
   /// A new holder gives no order to an engine that does not check fences for this long: orders of
