--- a/Libraries/LibCoordination/Rollout/EvidencePool.h
+++ b/Libraries/LibCoordination/Rollout/EvidencePool.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace fennelline {
@@ -35,7 +36,10 @@
     std::string m_version;
     std::string m_kind;
 
-    friend auto operator<=>(const Source&, const Source&) = default;
+    friend bool operator<(const Source& aOne, const Source& aOther) {
+      return std::tie(aOne.m_entry, aOne.m_version, aOne.m_kind) <
+             std::tie(aOther.m_entry, aOther.m_version, aOther.m_kind);
+    }
   };
 
   std::set<EntryId> m_entries;
--- a/Libraries/LibCoordination/Rollout/RolloutController.cpp
+++ b/Libraries/LibCoordination/Rollout/RolloutController.cpp
@@ -45,7 +45,7 @@
   if (aReply.m_call.m_part == Part::Lease) {
     Append(effects, m_lease.OnPlatformReply(aReply, aNow), aNow);
   } else if (aReply.m_call.m_part == Part::Observation) {
-    OnConfigurationReply(aReply, aNow);
+    OnConfigurationReply(effects, aReply, aNow);
   } else if (m_apply) {
     Append(effects, m_apply->OnPlatformReply(aReply, aNow), aNow);
   }
@@ -158,7 +158,8 @@
                  .m_request = std::move(request)});
 }
 
-void RolloutController::OnConfigurationReply(const PlatformReply& aReply, Time aNow) {
+void RolloutController::OnConfigurationReply(RolloutEffects& aEffects, const PlatformReply& aReply,
+                                             Time aNow) {
   if (!m_watchOpen || aReply.m_call.m_number != m_watchNumber) {
     return;
   }
@@ -167,17 +168,20 @@
   m_nextWatch = isOk ? aNow : aNow + m_settings.m_retryWait;
   for (const KeyValue& key : aReply.m_keys) {
     if (isOk && key.m_key == kConfigurationKey && key.m_revision > m_revision) {
-      TakeConfiguration(key, aNow);
+      TakeConfiguration(aEffects, key, aNow);
     }
   }
 }
 
-void RolloutController::TakeConfiguration(const KeyValue& aKey, Time aNow) {
+void RolloutController::TakeConfiguration(RolloutEffects& aEffects, const KeyValue& aKey,
+                                          Time aNow) {
   m_revision = aKey.m_revision;
   Result<Configuration> parsed = ParseConfiguration(aKey.m_value);
   if (parsed.IsError()) {
     // Written for a newer program: whoever cannot read it must not edit it.
     m_configuration.reset();
+    aEffects.emplace_back(RecordTimeline{
+      MakeRecord("rollout.configuration-unreadable", "", parsed.GetError().m_detail)});
     return;
   }
   m_configuration = parsed.Take();
--- a/Libraries/LibCoordination/Rollout/RolloutController.h
+++ b/Libraries/LibCoordination/Rollout/RolloutController.h
@@ -151,8 +151,8 @@
   void Append(RolloutEffects& aEffects, Step<ApplyOutcome> aStep, Time aNow);
   void BeginHolding(Time aNow);
   void WatchConfiguration(RolloutEffects& aEffects, Time aNow);
-  void OnConfigurationReply(const PlatformReply& aReply, Time aNow);
-  void TakeConfiguration(const KeyValue& aKey, Time aNow);
+  void OnConfigurationReply(RolloutEffects& aEffects, const PlatformReply& aReply, Time aNow);
+  void TakeConfiguration(RolloutEffects& aEffects, const KeyValue& aKey, Time aNow);
   void UpdateTrial(const Rollout& aRollout, Time aNow);
   void Decide(RolloutEffects& aEffects, Time aNow);
   std::optional<Configuration> Decision(const Rollout& aRollout, Time aNow) const;
--- a/Services/Rollout/RolloutProcess.cpp
+++ b/Services/Rollout/RolloutProcess.cpp
@@ -16,6 +16,7 @@
 #include <httplib.h>
 #include <mutex>
 #include <spdlog/spdlog.h>
+#include <tbb/global_control.h>
 #include <tbb/task_arena.h>
 #include <tbb/task_group.h>
 #include <thread>
@@ -102,7 +103,9 @@
   }
 
   void CarryOut(RecordTimeline& aRecord) {
-    m_logger->info("{} {}", aRecord.m_record.m_name, aRecord.m_record.m_version);
+    m_logger->info("{} {} {}", aRecord.m_record.m_name, aRecord.m_record.m_version,
+                   aRecord.m_record.m_fields.empty() ? ""
+                                                     : aRecord.m_record.m_fields.front().second);
     m_timeline.Record(std::move(aRecord.m_record), m_clock.Now());
   }
 
@@ -237,6 +240,8 @@
   std::deque<Work> m_queue;
   std::atomic<bool> m_stop{false};
   Time m_nextLists{};
+  /// The calls wait rather than compute, so there are more of them than cores.
+  tbb::global_control m_threads{tbb::global_control::max_allowed_parallelism, kCallThreads + 1};
   tbb::task_arena m_arena{kCallThreads, 0};
   tbb::task_group m_tasks;
   std::thread m_loop;
--- a/Tests/LibCoordination/Lease/TestLeaseKeeper.cpp
+++ b/Tests/LibCoordination/Lease/TestLeaseKeeper.cpp
@@ -96,7 +96,7 @@
     }
   }
 
-  void Take(Candidate& aCandidate, Step<LeaseOutcome> aStep) {
+  void Take(Candidate& aCandidate, const Step<LeaseOutcome>& aStep) {
     for (const Effect& effect : aStep.m_effects) {
       aCandidate.m_calls.push_back(std::get<CallPlatform>(effect));
     }
@@ -155,6 +155,39 @@
   }
 }
 
+TEST_CASE("a late write under an earlier lease is not taken for the present one's") {
+  FakePlatform platform;
+  LeaseKeeper keeper(MakeSettings("a"), 1);
+  Time now{Seconds(1000)};
+  std::optional<CallPlatform> latePut;
+  std::deque<CallPlatform> calls;
+  // The first write, and every renewal of the platform's answers to it, are on their way for long.
+  for (int step = 0; step < 400; ++step) {
+    now += Milliseconds(50);
+    Step<LeaseOutcome> done = keeper.Tick(now);
+    for (std::size_t i = 0; i < done.m_effects.size(); ++i) {
+      const CallPlatform call = std::get<CallPlatform>(done.m_effects[i]);
+      const bool isPut = std::holds_alternative<PutKey>(call.m_request);
+      if (isPut && !latePut) {
+        latePut = call;
+        continue;
+      }
+      if (isPut) {
+        // The write of the first try arrives just before the one of a later try, whose reply is
+        // lost.
+        platform.Handle(0, *latePut, now);
+        platform.Handle(0, call, now);
+        continue;
+      }
+      done.Append(keeper.OnPlatformReply(*platform.Handle(0, call, now), now));
+    }
+    if (keeper.IsHeld(now)) {
+      REQUIRE(platform.Find(kKey) != nullptr);
+      CHECK(platform.Find(kKey)->m_value == "a 1");
+    }
+  }
+}
+
 TEST_CASE("a released lease goes to another candidate at once") {
   Candidates candidates(2);
   for (int step = 0; step < 200 && candidates.Holders() == 0; ++step) {
--- a/Tests/LibCoordination/Membership/TestMembership.cpp
+++ b/Tests/LibCoordination/Membership/TestMembership.cpp
@@ -92,6 +92,27 @@
   }
 }
 
+TEST_CASE("a pause in the middle of a suspicion does not end it") {
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    CAPTURE(seed);
+    EntryGroup group(LossySettings(), seed);
+    group.StartMany(kEntries);
+    group.RunFor(Seconds(15));
+    MembershipDatagram news;
+    news.m_kind = DatagramKind::Ack;
+    news.m_from = group.NameOf(2);
+    news.m_members = {group.MembershipOf(1).Self()};
+    news.m_members.front().m_state = MemberState::Suspect;
+    group.Inject(0, news);
+    group.Pause(0);
+    group.RunFor(Seconds(10));
+    group.ResumeWithoutUnread(0);
+    group.RunFor(Seconds(20));
+    CHECK(CountFalseDeaths(group, 0) == 0);
+    CheckAllAgree(group);
+  }
+}
+
 TEST_CASE("an entry that is cut off calls nobody dead; after healing all are back") {
   for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
     CAPTURE(seed);
--- a/Utilities/MeasureSpread/EntryGroup.cpp
+++ b/Utilities/MeasureSpread/EntryGroup.cpp
@@ -88,6 +88,11 @@
   }
 }
 
+void EntryGroup::ResumeWithoutUnread(int aEntry) {
+  m_entries[Index(aEntry)].m_unread.clear();
+  Resume(aEntry);
+}
+
 void EntryGroup::Heal() {
   for (Entry& entry : m_entries) {
     entry.m_side = 0;
--- a/Utilities/MeasureSpread/EntryGroup.h
+++ b/Utilities/MeasureSpread/EntryGroup.h
@@ -77,6 +77,8 @@
   void Kill(int aEntry);
   void Pause(int aEntry);
   void Resume(int aEntry);
+  /// The same, where the socket's buffers have overflowed meanwhile.
+  void ResumeWithoutUnread(int aEntry);
   /// Entries, and the platform, hear only those on the same side.
   void SetSide(int aEntry, int aSide) { m_entries[Index(aEntry)].m_side = aSide; }
   int SideOf(int aEntry) const { return m_entries[Index(aEntry)].m_side; }
