--- a/Libraries/LibCoordination/Observation/CrashMemory.h
+++ b/Libraries/LibCoordination/Observation/CrashMemory.h
@@ -74,7 +74,7 @@
   struct Request {
     std::vector<Crash> m_crashes;
     /// Crashes up to here no longer count.
-    Time m_clearedAt{};
+    Time m_clearedAt = Time::min();
     Time m_firstSeen{};
   };
   struct News {
--- a/Libraries/LibDecision/Admission.cpp
+++ b/Libraries/LibDecision/Admission.cpp
@@ -17,13 +17,17 @@
 
 /// The part of the pool that is handed out as credit. The rest is room for urgent kinds beyond
 /// their customers' credit, and lets queues shrink.
-constexpr double kCreditPart = 0.85;
+constexpr double kCreditPart = 0.95;
 
 /// The most credit: the customer's part of the pool for this time, and this many slot seconds on
 /// top, because a small customer's few requests come in bursts.
 constexpr double kCreditSeconds = 4.0;
 constexpr double kLeastCredit = 16.0;
 
+/// The part of the most credit that a new customer starts with. All of it at once for everyone,
+/// after a start of the process, would make queues that take long to shrink.
+constexpr double kFirstCreditPart = 0.25;
+
 /// Recent counts fade to 1/e within this time.
 constexpr Duration kRecentTime = Seconds(2);
 
@@ -75,13 +79,18 @@
   return load;
 }
 
+double AdmissionController::PartOf(const Pool& aPool, const CustomerLoad& aLoad,
+                                   const AdmissionQuery& aQuery) {
+  const double shares = std::max(aLoad.m_share, aPool.m_shares);
+  return kCreditPart * aQuery.m_poolSlots * aLoad.m_share / shares;
+}
+
 void AdmissionController::AddCredit(const Pool& aPool, CustomerLoad& aLoad,
                                     const AdmissionQuery& aQuery, bool aIsNew, Time aNow) {
-  const double part =
-    kCreditPart * aQuery.m_poolSlots * aLoad.m_share / std::max(aLoad.m_share, aPool.m_shares);
+  const double part = PartOf(aPool, aLoad, aQuery);
   const double most = kLeastCredit + kCreditSeconds * part;
   const double grown = aLoad.m_credit + part * InSeconds(aNow - aLoad.m_credited);
-  aLoad.m_credit = aIsNew ? most : std::min(most, grown);
+  aLoad.m_credit = aIsNew ? kFirstCreditPart * most : std::min(most, grown);
   aLoad.m_credited = aNow;
 }
 
@@ -129,11 +138,13 @@
   if (hasRoom || aQuery.m_poolFree > limits.m_poolFree) {
     return AdmissionVerdict::Admitted;
   }
-  const bool hasCredit = aLoad.m_credit >= aQuery.m_work;
-  if (hasCredit && total < limits.m_withCredit * aQuery.m_poolSlots) {
-    return AdmissionVerdict::Admitted;
+  if (aLoad.m_credit < aQuery.m_work) {
+    return AdmissionVerdict::OverShare;
   }
-  return hasCredit ? AdmissionVerdict::LessUrgent : AdmissionVerdict::OverShare;
+  // A customer with credit has at least one request in flight, however full the others make it.
+  const bool mayQueue = total < limits.m_withCredit * aQuery.m_poolSlots;
+  return mayQueue || aLoad.m_inFlight.empty() ? AdmissionVerdict::Admitted
+                                              : AdmissionVerdict::LessUrgent;
 }
 
 AdmissionDecision AdmissionController::Decide(const AdmissionQuery& aQuery, Time aNow) {
--- a/Libraries/LibDecision/Admission.h
+++ b/Libraries/LibDecision/Admission.h
@@ -82,6 +82,8 @@
   };
 
   static CustomerLoad& LoadOf(Pool& aPool, const AdmissionQuery& aQuery, Time aNow);
+  /// The customer's part of the slots that are handed out as credit.
+  static double PartOf(const Pool& aPool, const CustomerLoad& aLoad, const AdmissionQuery& aQuery);
   static void AddCredit(const Pool& aPool, CustomerLoad& aLoad, const AdmissionQuery& aQuery,
                         bool aIsNew, Time aNow);
   static void Sweep(Pool& aPool, Time aNow);
