--- /dev/null
+++ b/Tests/LibPlatform/TestHttpTransport.cpp
@@ -0,0 +1,116 @@
+#include "LibPlatform/HttpTransport.h"
+
+#include "LibPlatform/EngineClient.h"
+#include "Tests/LibPlatform/LocalServer.h"
+
+#include <doctest/doctest.h>
+#include <future>
+
+using namespace fennelline;
+
+namespace {
+
+/// What a call to a backend server told.
+struct Told {
+  std::string m_bytes;
+  int m_finished = 0;
+  std::optional<BackendCallFailure> m_failure;
+};
+
+Told RunChat(const std::string& aAddress, bool aStream, HttpCancel& aCancel) {
+  HttpTransport transport;
+  EngineClient engine(transport, Seconds(1));
+  Told told;
+  BackendObserver observer;
+  observer.m_head = [](int, const std::string&) {};
+  observer.m_chunk = [&](const std::string& aBytes, std::uint64_t, std::int64_t) {
+    told.m_bytes += aBytes;
+  };
+  observer.m_finished = [&](const BackendUsage&) { ++told.m_finished; };
+  observer.m_failed = [&](BackendCallFailure aFailure, const std::string&) {
+    told.m_failure = aFailure;
+  };
+  engine.Chat({.m_address = aAddress,
+               .m_path = "/v1/chat/completions",
+               .m_body = "{}",
+               .m_attempt = "a-1",
+               .m_version = "small@1",
+               .m_stream = aStream,
+               .m_timeout = Seconds(3),
+               .m_silence = Milliseconds(300)},
+              observer, aCancel);
+  return told;
+}
+
+} // namespace
+
+TEST_CASE("A refused connection is told as not sent") {
+  std::string address;
+  {
+    LocalServer server;
+    server.Start();
+    address = server.Address();
+  }
+  HttpCancel cancel;
+  CHECK(RunChat(address, false, cancel).m_failure == BackendCallFailure::NotSent);
+}
+
+TEST_CASE("Only a 503 that says not-run is a refusal") {
+  LocalServer server;
+  std::string body = R"({"error": "not-run"})";
+  server.Routes().Post("/v1/chat/completions",
+                       [&](const httplib::Request&, httplib::Response& aResponse) {
+                         aResponse.status = 503;
+                         aResponse.set_content(body, "application/json");
+                       });
+  server.Start();
+  HttpCancel cancel;
+  CHECK(RunChat(server.Address(), false, cancel).m_failure == BackendCallFailure::Refused);
+  body = R"({"error": "overloaded"})";
+  CHECK(RunChat(server.Address(), false, cancel).m_failure == BackendCallFailure::ServerError);
+  body = "";
+  CHECK(RunChat(server.Address(), true, cancel).m_failure == BackendCallFailure::ServerError);
+}
+
+TEST_CASE("A stream without its end mark is broken, never finished") {
+  LocalServer server;
+  std::string text = "id: 1\ndata: {}\n\n";
+  server.Routes().Post("/v1/chat/completions",
+                       [&](const httplib::Request&, httplib::Response& aResponse) {
+                         aResponse.set_content(text, "text/event-stream");
+                       });
+  server.Start();
+  HttpCancel cancel;
+  const Told cut = RunChat(server.Address(), true, cancel);
+  CHECK(cut.m_finished == 0);
+  CHECK(cut.m_failure == BackendCallFailure::Broken);
+  text += "id: 2\ndata: [DONE]\n\n";
+  const Told whole = RunChat(server.Address(), true, cancel);
+  CHECK(whole.m_finished == 1);
+  CHECK(whole.m_bytes == "data: {}\n\n");
+  CHECK_FALSE(whole.m_failure.has_value());
+}
+
+TEST_CASE("A silent stream is broken after the silence limit, and a cancelled one at once") {
+  LocalServer server;
+  std::promise<void> release;
+  const std::shared_future<void> released = release.get_future().share();
+  std::promise<void> arrived;
+  std::atomic<int> arrivals = 0;
+  server.Routes().Post("/v1/chat/completions", [&](const httplib::Request&, httplib::Response&) {
+    if (++arrivals == 2) {
+      arrived.set_value();
+    }
+    released.wait();
+  });
+  server.Start();
+  HttpCancel silent;
+  CHECK(RunChat(server.Address(), true, silent).m_failure == BackendCallFailure::Broken);
+  HttpCancel cancel;
+  std::future<Told> call =
+    std::async(std::launch::async, [&] { return RunChat(server.Address(), false, cancel); });
+  arrived.get_future().wait();
+  cancel.Cancel();
+  CHECK(call.get().m_failure == BackendCallFailure::Broken);
+  release.set_value();
+}
--- a/Utilities/StandinSupport/StandinServer.cpp
+++ b/Utilities/StandinSupport/StandinServer.cpp
@@ -96,6 +96,10 @@
     return 1;
   }
   std::thread listener([this] { m_server->listen_after_bind(); });
+  // A stop() before this would do nothing, and the listener would never end.
+  while (!m_server->is_running()) {
+    std::this_thread::yield();
+  }
   const Result<void> written = WritePortsFile(m_options.m_portsFile, port);
   if (written.IsError()) {
     log->error("{}", written.GetError().m_detail);
