Bound the heartbeats of quiet connections for the whole process

Two PINGs a second on each connection grow with the fleet: at 459 peers they alone would pass the limit for control traffic. Connections without messages now share 16 PINGs a second; one that has unacknowledged messages is still asked after 500 ms and replaced 1 s later. At today's 8 peers nothing changes.

--- a/Libraries/LibWire/Http2Channel.cpp
+++ b/Libraries/LibWire/Http2Channel.cpp
@@ -56,7 +56,7 @@
       return false;
     }
     m_lastReceived = aNow;
-    m_asked = false;
+    m_askedAt = kNever;
     const std::size_t size = static_cast<std::size_t>(length);
     m_context.m_counts.m_bytesReceived += size;
     const std::uint8_t* bytes = reinterpret_cast<const std::uint8_t*>(buffer.data());
@@ -119,21 +119,20 @@
   }
 }
 
-bool Http2Channel::CheckSilence(Time aNow, Duration aInterval, Duration aLimit) {
-  const Duration silence = aNow - m_lastReceived;
-  if (silence >= aLimit && m_asked) {
-    return false;
+bool Http2Channel::CheckSilence(Time aNow, Duration aInterval, Duration aPatience) {
+  if (m_askedAt != kNever) {
+    return aNow - m_askedAt < aPatience;
   }
-  if (silence >= aInterval && !m_asked) {
+  if (aNow - m_lastReceived >= aInterval) {
     nghttp2_submit_ping(m_session.get(), NGHTTP2_FLAG_NONE, nullptr);
-    m_asked = true;
+    m_askedAt = aNow;
   }
   return true;
 }
 
 void Http2Channel::RestartSilence(Time aNow) {
   m_lastReceived = aNow;
-  m_asked = false;
+  m_askedAt = kNever;
 }
 
 } // namespace fennelline
--- a/Libraries/LibWire/Http2Channel.h
+++ b/Libraries/LibWire/Http2Channel.h
@@ -51,8 +51,8 @@
   /// Writes what the socket takes and waits for the rest. False once the connection has ended.
   bool Flush();
   /// Asks by a PING when nothing has come for the interval. False when nothing has come for the
-  /// limit although asked.
-  bool CheckSilence(Time aNow, Duration aInterval, Duration aLimit);
+  /// patience since it was asked.
+  bool CheckSilence(Time aNow, Duration aInterval, Duration aPatience);
   /// Starts to measure silence anew, after this process was paused.
   void RestartSilence(Time aNow);
 
@@ -69,7 +69,8 @@
   std::size_t m_written = 0;
   bool m_writing = true;
   Time m_lastReceived;
-  bool m_asked = false;
+  /// When the unanswered PING was sent; kNever when there is none.
+  Time m_askedAt = kNever;
 };
 
 } // namespace fennelline
--- a/Libraries/LibWire/InboundConnection.cpp
+++ b/Libraries/LibWire/InboundConnection.cpp
@@ -15,8 +15,8 @@
 constexpr int kMisdirected = 421;
 constexpr int kOverloaded = 503;
 
-/// A peer asks at each ping interval, so a longer silence than this means that it has gone.
-constexpr int kSilenceFactor = 4;
+/// A peer closes a connection that it does not use, so a longer silence means that it has gone.
+constexpr Duration kInboundSilenceLimit = Seconds(120);
 
 InboundConnection& Self(void* aSelf) {
   return *static_cast<InboundConnection*>(aSelf);
@@ -65,7 +65,7 @@
 }
 
 bool InboundConnection::CheckSilence(Time aNow) const {
-  return aNow - m_channel.LastReceived() < m_context.m_settings.m_silenceLimit * kSilenceFactor;
+  return aNow - m_channel.LastReceived() < kInboundSilenceLimit;
 }
 
 int InboundConnection::OnBeginHeaders(nghttp2_session* /*aSession*/, const nghttp2_frame* aFrame,
--- a/Libraries/LibWire/OutboundPeer.cpp
+++ b/Libraries/LibWire/OutboundPeer.cpp
@@ -86,10 +86,11 @@
   }
 }
 
-void OutboundPeer::CheckTime(Time aNow) {
+void OutboundPeer::CheckTime(Time aNow, Duration aQuietPingInterval) {
   const PeerTransportSettings& settings = m_context.m_settings;
-  if (m_channel &&
-      !m_channel->CheckSilence(aNow, settings.m_pingInterval, settings.m_silenceLimit)) {
+  const Duration interval = HasMessages() ? settings.m_pingInterval : aQuietPingInterval;
+  const Duration patience = settings.m_silenceLimit - settings.m_pingInterval;
+  if (m_channel && !m_channel->CheckSilence(aNow, interval, patience)) {
     ++m_context.m_counts.m_replaced;
     Disconnect(aNow);
     // The peer may be well and the connection lost in between, so there is no pause.
--- a/Libraries/LibWire/OutboundPeer.h
+++ b/Libraries/LibWire/OutboundPeer.h
@@ -31,10 +31,12 @@
   void HandleReadiness(const Readiness& aReadiness, Time aNow);
   /// Puts waiting messages onto streams and writes; connects first where there is need.
   void Advance(Time aNow);
-  /// Finds a silent connection, ends an idle one. Called often.
-  void CheckTime(Time aNow);
+  /// Finds a silent connection, ends an idle one. Called often. A connection without messages is
+  /// asked at the quiet interval.
+  void CheckTime(Time aNow, Duration aQuietPingInterval);
   void RestartSilence(Time aNow);
 
+  bool IsConnected() const { return m_channel.has_value(); }
   bool HasMessages() const { return !m_waiting.empty() || !m_inFlight.empty(); }
   /// Without messages, connection or use since the instant.
   bool IsUnusedSince(Time aTime) const;
--- a/Libraries/LibWire/PeerTransport.cpp
+++ b/Libraries/LibWire/PeerTransport.cpp
@@ -40,6 +40,11 @@
 
 } // namespace
 
+Duration QuietPingInterval(std::size_t aConnections, Duration aLeast) {
+  const std::int64_t connections = static_cast<std::int64_t>(aConnections);
+  return std::max(aLeast, Seconds(1) * connections / kMostQuietPingsPerSecond);
+}
+
 /// The state of the transport's thread. Only the members in the first group are shared.
 class PeerTransport::Loop {
 public:
@@ -279,8 +284,12 @@
     return;
   }
   m_nextCheck = aNow + kCheckInterval;
+  const auto isConnected = [](const auto& aPeer) { return aPeer.second->IsConnected(); };
+  const std::size_t connections =
+    static_cast<std::size_t>(std::count_if(m_peers.begin(), m_peers.end(), isConnected));
+  const Duration quietInterval = QuietPingInterval(connections, m_settings.m_pingInterval);
   for (auto& [token, peer] : m_peers) {
-    peer->CheckTime(aNow);
+    peer->CheckTime(aNow, quietInterval);
   }
   std::erase_if(m_inbound,
                 [aNow](const auto& aInbound) { return !aInbound.second->CheckSilence(aNow); });
--- a/Libraries/LibWire/PeerTransport.h
+++ b/Libraries/LibWire/PeerTransport.h
@@ -23,9 +23,10 @@
   std::vector<std::string> m_sharedSecrets;
   /// Reads the hybrid logical clock, for each message sent. Called on the sending thread.
   std::function<std::uint64_t()> m_readClock;
-  /// A connection that brought nothing for this long is asked by a PING.
+  /// A connection that brought nothing for this long is asked by a PING; one without messages may
+  /// be asked later, see QuietPingInterval().
   Duration m_pingInterval = Milliseconds(500);
-  /// A connection that brought nothing for this long, although asked, is replaced.
+  /// A connection with messages that brought nothing for this long, although asked, is replaced.
   Duration m_silenceLimit = Milliseconds(1'500);
   /// A connection without a message for this long is closed.
   Duration m_idleLimit = Seconds(10);
@@ -42,6 +43,13 @@
   std::size_t m_mostConnections = 2'048;
 };
 
+/// The PINGs that one transport sends on all its connections without messages, together.
+constexpr std::int64_t kMostQuietPingsPerSecond = 16;
+
+/// How long a connection without messages may bring nothing before it is asked, with so many
+/// connections: the cost of the PINGs must not grow with the fleet.
+Duration QuietPingInterval(std::size_t aConnections, Duration aLeast);
+
 /// What a transport has done, in counts that only grow.
 struct PeerTransportCounts {
   std::uint64_t m_sent = 0;
--- a/Tests/LibWire/TestPeerTransport.cpp
+++ b/Tests/LibWire/TestPeerTransport.cpp
@@ -163,6 +163,29 @@
   CHECK(relay.CountAccepted() == 2);
 }
 
+TEST_CASE("the connections without messages share a budget of heartbeats") {
+  const Duration least = Milliseconds(500);
+  CHECK(QuietPingInterval(0, least) == least);
+  CHECK(QuietPingInterval(8, least) == least);
+  CHECK(QuietPingInterval(459, least) == Duration(28'687'500));
+}
+
+TEST_CASE("a connection that went silent while it was quiet is replaced soon after its next use") {
+  const auto longQuiet = [](PeerTransportSettings& aSettings) {
+    aSettings.m_pingInterval = Milliseconds(100);
+    aSettings.m_silenceLimit = Milliseconds(300);
+  };
+  Node left("left#1", {kSecret}, longQuiet);
+  Node right("right#1");
+  Relay relay(right.Address());
+  left.m_transport.Send("right#1", relay.Address(), Numbered(0));
+  REQUIRE(right.m_received.WaitForCount(1, kLimit));
+  relay.SilencePresentConnections();
+  REQUIRE(Eventually([&] { return left.m_transport.Counts().m_replaced == 1; }));
+  left.m_transport.Send("right#1", relay.Address(), Numbered(1));
+  CHECK(right.m_received.WaitForCount(2, kLimit));
+}
+
 TEST_CASE("a sender under another secret is refused") {
   Node left("left#1", {kNextSecret});
   Node right("right#1", {kSecret});
