--- a/Libraries/LibDecision/Planner.cpp
+++ b/Libraries/LibDecision/Planner.cpp
@@ -1,6 +1,7 @@
 #include "LibDecision/Planner.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <cstdio>
 
@@ -9,16 +10,24 @@
 namespace {
 
 /// Standard errors below the mean at which the quality of a version is taken for the target.
-constexpr double kQualityCaution = 1.0;
+constexpr double kQualityCaution = 0.5;
 
 /// Standard errors above the mean up to which a version may still prove good enough.
-constexpr double kQualityHope = 1.0;
+constexpr double kQualityHope = 1.5;
 
 /// Standard deviations above the mean time that must still meet the deadline.
 constexpr double kTimeCaution = 1.5;
 
-/// A version with more ratings than this is known well enough; exploring it teaches little.
-constexpr std::int64_t kEnoughRatings = 2000;
+/// Standard errors below the mean at which the quality of an explored version is paid for.
+constexpr double kExploreCaution = 2.0;
+
+/// Explored versions get no more of the requests than this.
+constexpr double kMostExploreShare = 0.9;
+
+/// The target holds for windows of so many requests, in all but one of a hundred: chance alone
+/// takes a window this many standard deviations below the quality of its plans.
+constexpr double kWindowRequests = 1000.0;
+constexpr double kWindowCaution = 2.33;
 
 constexpr double kTokensPerPriceUnit = 1000.0;
 constexpr std::size_t kNoIndex = static_cast<std::size_t>(-1);
@@ -127,12 +136,48 @@
   return aQuery.m_mayCascade && aQuery.m_judgeTime > Duration(0);
 }
 
-Option BestOption(const PlanQuery& aQuery, std::span<const StepFigures> aFigures) {
-  Option best;
-  for (std::size_t first = 0; first < aFigures.size(); ++first) {
-    if (aFigures[first].m_cautiousTime > aQuery.m_timeLeft) {
+/// Indices of candidates, on the stack.
+struct IndexList {
+  std::array<std::size_t, kMostPlanCandidates> m_indices{};
+  std::size_t m_count = 0;
+
+  std::span<const std::size_t> All() const { return {m_indices.data(), m_count}; }
+};
+
+/// Whether the left one is as good as the right one in every respect.
+bool IsAsGood(const StepFigures& aLeft, const StepFigures& aRight) {
+  return aLeft.m_cost <= aRight.m_cost && aLeft.m_cautiousQuality >= aRight.m_cautiousQuality &&
+         aLeft.m_quality >= aRight.m_quality && aLeft.m_cautiousTime <= aRight.m_cautiousTime;
+}
+
+/// The candidates in time that at most one other equals in every respect: that one may be the first
+/// step, and a cascade does not run a version twice. Few are left of many, which keeps the number
+/// of cascades to look at small.
+IndexList UsefulSteps(const PlanQuery& aQuery, std::span<const StepFigures> aFigures) {
+  IndexList useful;
+  for (std::size_t index = 0; index < aFigures.size(); ++index) {
+    if (aFigures[index].m_cautiousTime > aQuery.m_timeLeft) {
       continue;
     }
+    std::size_t better = 0;
+    for (std::size_t other = 0; other < aFigures.size() && better < 2; ++other) {
+      const bool asGood = other != index && IsAsGood(aFigures[other], aFigures[index]);
+      // Of two equal ones the first counts as better.
+      const bool isEqual = asGood && IsAsGood(aFigures[index], aFigures[other]);
+      better += asGood && (!isEqual || other < index) ? 1 : 0;
+    }
+    if (better < 2) {
+      useful.m_indices[useful.m_count] = index;
+      ++useful.m_count;
+    }
+  }
+  return useful;
+}
+
+Option BestOption(const PlanQuery& aQuery, std::span<const StepFigures> aFigures) {
+  const IndexList useful = UsefulSteps(aQuery, aFigures);
+  Option best;
+  for (const std::size_t first : useful.All()) {
     const Option single = SingleOption(first, aFigures[first]);
     if (IsBetter(single, best, aQuery.m_qualityTarget)) {
       best = single;
@@ -140,7 +185,7 @@
     if (!MayCascade(aQuery)) {
       continue;
     }
-    for (std::size_t second = 0; second < aFigures.size(); ++second) {
+    for (const std::size_t second : useful.All()) {
       if (first == second || !CascadeMeetsDeadline(aQuery, aFigures[first], aFigures[second])) {
         continue;
       }
@@ -167,21 +212,42 @@
   return fastest;
 }
 
-/// A cheaper version that may prove good enough and of which little is known, the least rated one.
-std::size_t VersionToExplore(const PlanQuery& aQuery, std::span<const VersionCandidate> aCandidates,
-                             std::span<const StepFigures> aFigures, const Option& aBest) {
-  std::size_t chosen = kNoIndex;
+/// A cheaper version that may prove good enough, and the share of requests that it may get.
+struct Exploration {
+  std::size_t m_index = kNoIndex;
+  double m_share = 0.0;
+};
+
+/// The best plan is better than it need be. What it is better by pays for trying the other: so
+/// many requests may go there that all together still meet the target, even if the other is as bad
+/// as it can well be.
+double AffordableShare(const PlanQuery& aQuery, const VersionEstimate& aEstimate,
+                       const Option& aBest) {
+  const double slack = aBest.m_cautiousQuality - aQuery.m_qualityTarget;
+  const double pessimistic = aEstimate.m_quality - kExploreCaution * aEstimate.m_qualityError;
+  if (slack <= 0.0 || pessimistic >= aQuery.m_qualityTarget) {
+    return aQuery.m_exploreShare;
+  }
+  const double share = slack / (aBest.m_cautiousQuality - pessimistic);
+  return std::clamp(share, aQuery.m_exploreShare, kMostExploreShare);
+}
+
+/// The exploration that saves most.
+Exploration ChooseExploration(const PlanQuery& aQuery,
+                              std::span<const VersionCandidate> aCandidates,
+                              std::span<const StepFigures> aFigures, const Option& aBest) {
+  Exploration chosen;
+  double mostSaved = 0.0;
   for (std::size_t index = 0; index < aCandidates.size(); ++index) {
     const VersionEstimate& estimate = aCandidates[index].m_estimate;
     const bool mayProveGood =
       estimate.m_quality + kQualityHope * estimate.m_qualityError >= aQuery.m_qualityTarget;
-    const bool cheaper = aFigures[index].m_cost < aBest.m_cost;
     const bool inTime = aFigures[index].m_cautiousTime <= aQuery.m_timeLeft;
-    if (!mayProveGood || !cheaper || !inTime || estimate.m_ratings >= kEnoughRatings) {
-      continue;
-    }
-    if (chosen == kNoIndex || estimate.m_ratings < aCandidates[chosen].m_estimate.m_ratings) {
-      chosen = index;
+    const double share = AffordableShare(aQuery, estimate, aBest);
+    const double saved = share * (aBest.m_cost - aFigures[index].m_cost);
+    if (mayProveGood && inTime && saved > mostSaved) {
+      mostSaved = saved;
+      chosen = {.m_index = index, .m_share = share};
     }
   }
   return chosen;
@@ -192,7 +258,7 @@
   const bool meets = aOption.m_cautiousQuality >= aQuery.m_qualityTarget;
   const char* why = "cheapest that meets the quality target in time";
   if (aExploring) {
-    why = "explored: cheaper, and too few ratings to tell whether it meets the target";
+    why = "explored: cheaper, may meet the target, and the usual plan's quality pays for trying it";
   } else if (!meets) {
     why = "no plan is known to meet the quality target in time; best one in time";
   }
@@ -228,31 +294,42 @@
 
 } // namespace
 
-PlanResult MakePlan(const PlanQuery& aQuery, std::span<const VersionCandidate> aCandidates,
+double QualityToPlanFor(double aTarget) {
+  if (aTarget <= 0.0 || aTarget >= 1.0) {
+    return aTarget;
+  }
+  return aTarget + kWindowCaution * std::sqrt(aTarget * (1.0 - aTarget) / kWindowRequests);
+}
+
+PlanResult MakePlan(const PlanQuery& aAsked, std::span<const VersionCandidate> aCandidates,
                     Random& aRandom) {
   if (aCandidates.empty()) {
     return PlanResult{.m_refusal = PlanRefusal::NoVersion};
   }
-  std::vector<StepFigures> figures;
-  figures.reserve(aCandidates.size());
-  for (const VersionCandidate& candidate : aCandidates) {
-    figures.push_back(FiguresOf(aQuery, candidate));
+  PlanQuery query = aAsked;
+  query.m_qualityTarget = QualityToPlanFor(aAsked.m_qualityTarget);
+  const std::span<const VersionCandidate> candidates =
+    aCandidates.first(std::min(aCandidates.size(), kMostPlanCandidates));
+  std::array<StepFigures, kMostPlanCandidates> storage;
+  for (std::size_t index = 0; index < candidates.size(); ++index) {
+    storage[index] = FiguresOf(query, candidates[index]);
   }
-  Option best = BestOption(aQuery, figures);
+  const std::span<const StepFigures> figures(storage.data(), candidates.size());
+  Option best = BestOption(query, figures);
   if (best.m_first == kNoIndex) {
-    best = FastestOption(aQuery, figures);
+    best = FastestOption(query, figures);
   }
   if (best.m_first == kNoIndex) {
     return PlanResult{.m_refusal = PlanRefusal::CannotFinishInTime};
   }
-  if (aQuery.m_exploreShare > 0.0 && aRandom.Chance(aQuery.m_exploreShare)) {
-    const std::size_t explored = VersionToExplore(aQuery, aCandidates, figures, best);
-    if (explored != kNoIndex) {
-      const Option option = SingleOption(explored, figures[explored]);
-      return PlanResult{.m_plan = PlanOf(aQuery, aCandidates, figures, option, true)};
-    }
+  const Exploration exploration = query.m_exploreShare > 0.0
+                                    ? ChooseExploration(query, candidates, figures, best)
+                                    : Exploration();
+  if (exploration.m_index != kNoIndex && aRandom.Chance(exploration.m_share)) {
+    const Option option = SingleOption(exploration.m_index, figures[exploration.m_index]);
+    return PlanResult{.m_plan = PlanOf(query, candidates, figures, option, true)};
   }
-  return PlanResult{.m_plan = PlanOf(aQuery, aCandidates, figures, best, false)};
+  return PlanResult{.m_plan = PlanOf(query, candidates, figures, best, false)};
 }
 
 } // namespace fennelline
