Tell a crash to the other entries before the request goes anywhere else

Ruled out: the spread of the news, which goes out in the step that learns of the crash. Change: after a broken call a request waits for the answer of the server that it asked, at most 100 ms.

--- a/Services/Entry/EntryReducer.cpp
+++ b/Services/Entry/EntryReducer.cpp
@@ -90,6 +90,9 @@
   if (aEvent.m_refused) {
     m_pipeline.OnServerUnreachable(aEvent.m_backendServer, aNow, aEffects);
   }
+  if (aEvent.m_refused || aEvent.m_afterFailure) {
+    m_pipeline.OnServerChecked(aEvent.m_backendServer, aNow, aEffects);
+  }
   if (!aEvent.m_reached) {
     return;
   }
--- a/Services/Entry/Event.h
+++ b/Services/Entry/Event.h
@@ -114,6 +114,8 @@
   /// Where it was not reached: nothing listens at its address, as after a crash. Otherwise the
   /// connection went silent, which says little about the server.
   bool m_refused = false;
+  /// The server was asked because a call to it had failed, and after that failure.
+  bool m_afterFailure = false;
   LoadReport m_report;
   std::int64_t m_slots = 0;
   bool m_leaving = false;
--- a/Services/Entry/EventJson.cpp
+++ b/Services/Entry/EventJson.cpp
@@ -111,6 +111,7 @@
   aVisit("backend_server", aItem.m_backendServer);
   aVisit("reached", aItem.m_reached);
   aVisit("refused", aItem.m_refused);
+  aVisit("after_failure", aItem.m_afterFailure);
   aVisit("report", aItem.m_report);
   aVisit("slots", aItem.m_slots);
   aVisit("leaving", aItem.m_leaving);
--- a/Services/Entry/Requests/ActiveRequest.h
+++ b/Services/Entry/Requests/ActiveRequest.h
@@ -24,6 +24,8 @@
   AwaitingClaim,
   /// At least one call to a backend server is open.
   Running,
+  /// A call broke; its server is being asked whether it still runs.
+  AwaitingCrashCheck,
   /// The judge looks at the answer of a cascade's step.
   Judging,
   /// The answer is whole; its usage record is being copied to a peer.
@@ -32,11 +34,12 @@
   AwaitingBill,
 };
 
-constexpr NameTable<RequestPhase, 7> kRequestPhaseNames = {{
+constexpr NameTable<RequestPhase, 8> kRequestPhaseNames = {{
   {RequestPhase::AwaitingSpend, "awaiting-spend"},
   {RequestPhase::AwaitingPin, "awaiting-pin"},
   {RequestPhase::AwaitingClaim, "awaiting-claim"},
   {RequestPhase::Running, "running"},
+  {RequestPhase::AwaitingCrashCheck, "awaiting-crash-check"},
   {RequestPhase::Judging, "judging"},
   {RequestPhase::AwaitingUsage, "awaiting-usage"},
   {RequestPhase::AwaitingBill, "awaiting-bill"},
@@ -109,6 +112,9 @@
   /// Whether a call failed in a way that leaves open whether it ran.
   bool m_mayHaveRun = false;
   int m_crashes = 0;
+  /// The failure that a crash check goes with, and when to go on without its result.
+  BackendFailed m_failure;
+  Time m_checkLimit = kNever;
   bool m_hedged = false;
   BackendServerId m_lastServer;
 
--- a/Services/Entry/Requests/RequestAnswers.cpp
+++ b/Services/Entry/Requests/RequestAnswers.cpp
@@ -414,6 +414,12 @@
     GiveUp(aActive, aNow, aEffects);
     return;
   }
+  const bool checkIsOver =
+    aActive.m_phase == RequestPhase::AwaitingCrashCheck && aNow >= aActive.m_checkLimit;
+  if (checkIsOver) {
+    AfterFailure(aActive, BackendFailed(aActive.m_failure), aNow, aEffects);
+    return;
+  }
   if (aActive.m_phase == RequestPhase::AwaitingSpend) {
     ReserveSpend(aActive, aNow, aEffects);
     return;
@@ -436,7 +442,7 @@
   MaybeHedge(aActive, aNow, aEffects);
 }
 
-void RequestPipeline::OnTick(Time aNow, EntryEffects& aEffects) {
+std::vector<CallerId> RequestPipeline::OpenCallers() const {
   std::vector<CallerId> callers;
   callers.reserve(m_requests.size());
   for (const auto& [caller, request] : m_requests) {
@@ -444,7 +450,11 @@
   }
   // The order is part of what a replay must repeat.
   std::sort(callers.begin(), callers.end());
-  for (const CallerId caller : callers) {
+  return callers;
+}
+
+void RequestPipeline::OnTick(Time aNow, EntryEffects& aEffects) {
+  for (const CallerId caller : OpenCallers()) {
     const auto found = m_requests.find(caller);
     if (found != m_requests.end()) {
       TickRequest(found->second, aNow, aEffects);
--- a/Services/Entry/Requests/RequestCalls.cpp
+++ b/Services/Entry/Requests/RequestCalls.cpp
@@ -13,6 +13,7 @@
 
 constexpr Duration kStreamSilence = Seconds(2);
 constexpr Duration kCrashConfirmation = Seconds(2);
+constexpr Duration kCrashCheckTime = Milliseconds(100);
 constexpr Duration kRetryAfterFailure = Seconds(1);
 constexpr int kMostResumes = 4;
 constexpr int kMostCrashes = 2;
@@ -322,9 +323,32 @@
   if (!active->m_calls.empty()) {
     return;
   }
+  const bool mayBeCrash =
+    aEvent.m_failure == BackendFailure::Broken || aEvent.m_failure == BackendFailure::StreamLost;
+  if (mayBeCrash) {
+    // A crash is told to the other entries before this request goes anywhere else, and before its
+    // caller can send it to one of them.
+    active->m_phase = RequestPhase::AwaitingCrashCheck;
+    active->m_failure = aEvent;
+    active->m_checkLimit = aNow + kCrashCheckTime;
+    return;
+  }
   AfterFailure(*active, aEvent, aNow, aEffects);
 }
 
+void RequestPipeline::OnServerChecked(const BackendServerId& aServer, Time aNow,
+                                      EntryEffects& aEffects) {
+  for (const CallerId caller : OpenCallers()) {
+    const auto found = m_requests.find(caller);
+    const bool waits = found != m_requests.end() &&
+                       found->second.m_phase == RequestPhase::AwaitingCrashCheck &&
+                       found->second.m_lastServer == aServer;
+    if (waits) {
+      AfterFailure(found->second, BackendFailed(found->second.m_failure), aNow, aEffects);
+    }
+  }
+}
+
 void RequestPipeline::NoteFailure(ActiveRequest& aActive, const RunningCall& aCall,
                                   const BackendFailed& aEvent, Time aNow) {
   const bool mayHaveRun =
--- a/Services/Entry/Requests/RequestPipeline.h
+++ b/Services/Entry/Requests/RequestPipeline.h
@@ -33,6 +33,8 @@
   void OnBackendFailed(const BackendFailed& aEvent, Time aNow, EntryEffects& aEffects);
   /// A server could not be asked for its load: a broken call to it just before was a crash.
   void OnServerUnreachable(const BackendServerId& aServer, Time aNow, EntryEffects& aEffects);
+  /// The server was asked after a call to it had failed: whoever waited for that goes on.
+  void OnServerChecked(const BackendServerId& aServer, Time aNow, EntryEffects& aEffects);
 
   void OnClaimOutcomes(const std::vector<ClaimOutcomeReport>& aOutcomes, Time aNow,
                        EntryEffects& aEffects);
@@ -98,6 +100,8 @@
   void NoteFailure(ActiveRequest& aActive, const RunningCall& aCall, const BackendFailed& aEvent,
                    Time aNow);
   void MaybeHedge(ActiveRequest& aActive, Time aNow, EntryEffects& aEffects);
+  /// The callers of open requests, in the order of their arrival.
+  std::vector<CallerId> OpenCallers() const;
   ActiveRequest* FindByCall(BackendCallId aCall);
   static RunningCall* FindCall(ActiveRequest& aActive, BackendCallId aCall);
 
--- a/Services/Entry/Shell/Pollers.cpp
+++ b/Services/Entry/Shell/Pollers.cpp
@@ -127,7 +127,7 @@
     address = found->second.m_address;
   }
   m_calls.Run([this, aBackendServer, address]() {
-    ReadLoad(aBackendServer, address);
+    ReadLoad(aBackendServer, address, false);
     const std::lock_guard<std::mutex> lock(m_mutex);
     const auto found = m_targets.find(aBackendServer);
     if (found != m_targets.end()) {
@@ -146,17 +146,20 @@
     }
     address = found->second.m_address;
   }
-  m_calls.Run([this, aBackendServer, address]() { ReadLoad(aBackendServer, address); });
+  m_calls.Run([this, aBackendServer, address]() { ReadLoad(aBackendServer, address, true); });
 }
 
-void Pollers::ReadLoad(const std::string& aBackendServer, const std::string& aAddress) {
+void Pollers::ReadLoad(const std::string& aBackendServer, const std::string& aAddress,
+                       bool aAfterFailure) {
   const Result<BackendLoad> load = m_engines.Load(aAddress);
+  LoadPolled polled{.m_backendServer = aBackendServer};
   if (load.IsError()) {
-    const bool refused = load.GetError().m_code == ErrorCode::Unavailable;
-    m_post(LoadPolled{.m_backendServer = aBackendServer, .m_reached = false, .m_refused = refused});
-    return;
+    polled.m_refused = load.GetError().m_code == ErrorCode::Unavailable;
+  } else {
+    polled = PolledFrom(aBackendServer, load.Get());
   }
-  m_post(PolledFrom(aBackendServer, load.Get()));
+  polled.m_afterFailure = aAfterFailure;
+  m_post(std::move(polled));
 }
 
 void Pollers::AskCache(const std::string& aBackendServer) {
--- a/Services/Entry/Shell/Pollers.h
+++ b/Services/Entry/Shell/Pollers.h
@@ -44,7 +44,7 @@
   void Run();
   void ReadVmList();
   void AskLoad(const std::string& aBackendServer);
-  void ReadLoad(const std::string& aBackendServer, const std::string& aAddress);
+  void ReadLoad(const std::string& aBackendServer, const std::string& aAddress, bool aAfterFailure);
   void AskCache(const std::string& aBackendServer);
   std::vector<std::string> TargetNames();
 
--- a/Tests/Entry/FakeCluster.cpp
+++ b/Tests/Entry/FakeCluster.cpp
@@ -200,16 +200,17 @@
       DeliverAfter(Delay(), aSelf, std::move(list));
     }
     for (const auto& [name, server] : m_servers) {
-      TellLoad(aSelf, server);
+      TellLoad(aSelf, server, false);
     }
     SchedulePolls(aSelf);
   });
 }
 
-void FakeCluster::TellLoad(const EntryId& aSelf, const Server& aServer) {
+void FakeCluster::TellLoad(const EntryId& aSelf, const Server& aServer, bool aAfterFailure) {
   LoadPolled polled{.m_backendServer = aServer.m_vm.m_name,
                     .m_reached = !aServer.m_crashed,
-                    .m_refused = aServer.m_crashed};
+                    .m_refused = aServer.m_crashed,
+                    .m_afterFailure = aAfterFailure};
   polled.m_report.m_backendServer = aServer.m_vm.m_name;
   polled.m_report.m_runningRequests = static_cast<std::int64_t>(aServer.m_running.size());
   polled.m_report.m_tokensPerSecond = 1'000.0;
@@ -327,6 +328,8 @@
   if (server.m_crashed || m_random.Chance(m_faults.m_brokenCall)) {
     DeliverAfter(Delay(), aFrom,
                  BackendFailed{.m_call = aCall.m_call, .m_failure = BackendFailure::Broken});
+    At(m_now + 2 * kTick,
+       [this, aFrom, aCall]() { TellLoad(aFrom, m_servers.at(aCall.m_backendServer), true); });
     return;
   }
   const Duration delay = Delay();
--- a/Tests/Entry/FakeCluster.h
+++ b/Tests/Entry/FakeCluster.h
@@ -122,7 +122,7 @@
   void Run(Entry& aEntry, EntryEffect aEffect);
   void ScheduleTick(const EntryId& aSelf);
   void SchedulePolls(const EntryId& aSelf);
-  void TellLoad(const EntryId& aSelf, const Server& aServer);
+  void TellLoad(const EntryId& aSelf, const Server& aServer, bool aAfterFailure);
   void OnPlatformCall(const EntryId& aFrom, const CallPlatform& aCall, Time aWaitUntil);
   void OnBackendCall(const EntryId& aFrom, const CallBackend& aCall);
   void FinishRun(const EntryId& aFrom, const CallBackend& aCall);
--- a/Tests/LibCoordination/Membership/TestMembership.cpp
+++ b/Tests/LibCoordination/Membership/TestMembership.cpp
@@ -7,7 +7,7 @@
 namespace fennelline {
 namespace {
 
-constexpr std::uint64_t kSeeds = 40;
+constexpr std::uint64_t kSeeds = 100;
 constexpr std::size_t kEntries = 9;
 /// A backend server that is leaving is known everywhere within this time.
 constexpr Duration kLeavingLimit = Seconds(3);
