--- a/Tests/LibCoordination/Usage/TestUsage.cpp
+++ b/Tests/LibCoordination/Usage/TestUsage.cpp
@@ -285,6 +285,35 @@
   CHECK_FALSE(usage.World().Platform().Keys().contains(kLedgerPrefix + entry));
 }
 
+TEST_CASE("460 busy entries settle with fewer than 20 writes a second in all") {
+  constexpr int kMembers = 460;
+  constexpr std::int64_t kSeconds = 600;
+  std::vector<MemberDigest> members;
+  for (int i = 0; i < kMembers; ++i) {
+    members.push_back({.m_entry = "entry-" + std::to_string(i) + "#1", .m_dataCentre = "dc-1"});
+  }
+  UsageLedger ledger({}, "entry-0#1", "dc-0", 1);
+  FakePlatform platform;
+  Time now = Time(Seconds(1000));
+  ledger.OnMembers(members, now);
+  for (std::int64_t tenth = 0; tenth < kSeconds * 10; ++tenth) {
+    now += Milliseconds(100);
+    ledger.Record({.m_identity = {.m_customer = "mopane", .m_key = "k"}}, now);
+    const UsageCopied copied{.m_origin = "entry-0#1",
+                             .m_sequences = {static_cast<std::uint64_t>(tenth) + 1}};
+    ledger.OnMessage("entry-1#1", copied, now);
+    for (const Effect& effect : ledger.Tick(now).m_effects) {
+      if (const auto* call = std::get_if<CallPlatform>(&effect)) {
+        ledger.OnPlatformReply(platform.Handle(call->m_call, call->m_request), now);
+      }
+    }
+  }
+  const double all = static_cast<double>(platform.Writes()) * kMembers / kSeconds;
+  MESSAGE("writes a second: " << all);
+  CHECK(all < 20.0);
+  CHECK(all > 10.0);
+}
+
 TEST_CASE("ranges of numbers join where they meet") {
   SequenceRanges ranges;
   ranges.Add(1);
