--- a/Tests/LibCoordination/Rollout/TestRolloutController.cpp
+++ b/Tests/LibCoordination/Rollout/TestRolloutController.cpp
@@ -363,6 +363,8 @@
     REQUIRE_FALSE(bench.m_held.empty());
     const std::vector<Bench::Sent> late = std::move(bench.m_held);
     const std::size_t old = late.front().m_from;
+    // The platform's own record of the lease tells the number that the order must carry.
+    const Revision oldFence = bench.m_platform.Find("fennelline/rollout/holder")->m_revision;
     bench.m_controllers[old].m_paused = true;
     bench.m_holdOrders = false;
     // A new holder comes, and an operator revokes the version that the old holder wants loaded.
@@ -376,6 +378,7 @@
     const Revision newFence =
       *bench.m_controllers[static_cast<std::size_t>(bench.Holder())].m_reducer->Fence();
     OrderEngine order = std::get<OrderEngine>(late.front().m_effect);
+    CHECK(order.m_fence == oldFence);
     CHECK(order.m_fence < newFence);
     // The engine has had an order of the new holder, such as one at its start.
     bench.Find(order.m_engine).m_highestFence = newFence;
