--- a/Utilities/Policy/PlansExperiment.cpp
+++ b/Utilities/Policy/PlansExperiment.cpp
@@ -2,100 +2,18 @@
 
 #include "LibDecision/Estimates.h"
 #include "LibDecision/Planner.h"
+#include "Utilities/Policy/PlansWorld.h"
 
 #include <algorithm>
 #include <array>
 #include <cmath>
 #include <concepts>
-#include <limits>
 #include <queue>
 
 namespace fennelline {
 
 namespace {
 
-constexpr std::size_t kKinds = 4;
-constexpr std::size_t kVersions = 4;
-
-/// A version as it truly is.
-struct TrueVersion {
-  std::string m_name;
-  std::int64_t m_inputMicros = 0;
-  std::int64_t m_outputMicros = 0;
-  /// What operators say of it before any rating.
-  double m_priorQuality = 0.0;
-  /// Share of good answers by kind.
-  std::array<double, kKinds> m_quality{};
-  Duration m_firstToken{0};
-  Duration m_perToken{0};
-};
-
-struct PlannedKind {
-  std::string m_name;
-  double m_share = 0.0;
-  double m_target = 0.0;
-  Duration m_deadline{0};
-  std::int64_t m_inputTokens = 0;
-  double m_outputTokens = 0.0;
-};
-
-/// Requests a second of one kind's stream; ratings come by time, so it matters.
-constexpr double kRequestsPerSecond = 40.0;
-constexpr std::size_t kRequests = 120'000;
-constexpr std::size_t kWarmUp = 40'000;
-constexpr std::size_t kWindow = 1000;
-
-/// Ratings: of one answer in ten, of one in two explored ones, half a minute later.
-constexpr double kRatedShare = 0.1;
-constexpr double kExploredRatedShare = 0.5;
-constexpr Duration kRatingDelay = Seconds(30);
-
-/// A judge that knows an answer's worth before it is given out costs as much as rating it.
-constexpr Duration kJudgeTime = Milliseconds(300);
-constexpr std::int64_t kJudgeCostMicros = 20;
-constexpr double kJudgeFindsBad = 0.9;
-constexpr double kJudgeDoubtsGood = 0.03;
-
-constexpr double kExploreShare = 0.02;
-
-struct World {
-  /// Whether answers can be judged before they are given out; streams cannot.
-  bool m_judged = true;
-  std::array<PlannedKind, kKinds> m_kinds;
-  std::array<TrueVersion, kVersions> m_versions;
-};
-
-/// Each seed has other qualities around these, so that no threshold fits by luck. Kinds may differ
-/// by a point or two in what a version does for them; the priors know nothing of that.
-World MakeWorld(bool aJudged, Random& aRandom) {
-  World world{.m_judged = aJudged};
-  world.m_kinds = {{{"tag", 0.4, 0.92, Milliseconds(2000), 150, 12.0},
-                    {"reorder-note", 0.2, 0.93, Seconds(12), 500, 150.0},
-                    {"brief", 0.15, 0.94, Seconds(60), 5300, 350.0},
-                    {"appraisal", 0.25, 0.95, Seconds(20), 2700, 220.0}}};
-  world.m_versions = {{{"mini@1", 50, 200, 0.88, {}, Milliseconds(40), Milliseconds(5)},
-                       {"small@4", 150, 600, 0.93, {}, Milliseconds(60), Milliseconds(8)},
-                       {"medium@2", 600, 2400, 0.96, {}, Milliseconds(120), Milliseconds(14)},
-                       {"large@3", 2500, 10000, 0.98, {}, Milliseconds(250), Milliseconds(25)}}};
-  constexpr std::array<double, kVersions> kMeanQuality = {0.88, 0.945, 0.97, 0.985};
-  constexpr double kSpread = 0.03;
-  constexpr double kMostQuality = 0.995;
-  for (std::size_t version = 0; version < kVersions; ++version) {
-    for (std::size_t kind = 0; kind < kKinds; ++kind) {
-      const double room = (1.0 - kMeanQuality[version]);
-      const double drawn = kMeanQuality[version] + kSpread * aRandom.Normal() * std::sqrt(room);
-      world.m_versions[version].m_quality[kind] = std::min(kMostQuality, drawn);
-    }
-  }
-  // The best version is good enough for every kind, or no planner could meet the target.
-  for (std::size_t kind = 0; kind < kKinds; ++kind) {
-    double& best = world.m_versions.back().m_quality[kind];
-    constexpr double kMargin = 0.035;
-    best = std::min(kMostQuality, std::max(best, world.m_kinds[kind].m_target + kMargin));
-  }
-  return world;
-}
-
 std::vector<VersionCandidate> Candidates(const World& aWorld, std::size_t aKind,
                                          const EstimateTable& aEstimates) {
   std::vector<VersionCandidate> candidates;
@@ -110,20 +28,6 @@
   return candidates;
 }
 
-PlanQuery QueryOf(const World& aWorld, std::size_t aKind) {
-  const PlannedKind& kind = aWorld.m_kinds[aKind];
-  return PlanQuery{.m_qualityTarget = kind.m_target,
-                   .m_timeLeft = kind.m_deadline,
-                   .m_inputTokens = kind.m_inputTokens,
-                   .m_mostOutputTokens = static_cast<std::int64_t>(kind.m_outputTokens * 4.0),
-                   .m_judgeTime = kJudgeTime,
-                   .m_judgeCostMicros = kJudgeCostMicros,
-                   .m_judgeFindsBad = kJudgeFindsBad,
-                   .m_judgeDoubtsGood = kJudgeDoubtsGood,
-                   .m_mayCascade = aWorld.m_judged,
-                   .m_exploreShare = kExploreShare};
-}
-
 /// A way to choose versions.
 template<typename Planner>
 concept PlanPolicy = requires(const Planner& aPlanner, const PlanQuery& aQuery,
@@ -340,35 +244,6 @@
   return m_tallies;
 }
 
-/// The cost of a plan by its true figures.
-double TrueCost(const World& aWorld, std::size_t aKind, const TrueVersion& aVersion) {
-  constexpr double kPriceUnit = 1000.0;
-  const PlannedKind& kind = aWorld.m_kinds[aKind];
-  return (static_cast<double>(kind.m_inputTokens * aVersion.m_inputMicros) +
-          kind.m_outputTokens * static_cast<double>(aVersion.m_outputMicros)) /
-         kPriceUnit;
-}
-
-/// The cost of the cheapest plan that truly has the quality, for a kind. It is worked out here,
-/// apart from the planner that it is to judge.
-double OracleCost(const World& aWorld, std::size_t aKind, double aQuality) {
-  double least = std::numeric_limits<double>::infinity();
-  for (const TrueVersion& first : aWorld.m_versions) {
-    const double quality = first.m_quality[aKind];
-    const double cost = TrueCost(aWorld, aKind, first);
-    least = quality >= aQuality ? std::min(least, cost) : least;
-    for (const TrueVersion& second : aWorld.m_versions) {
-      const double goesOn = quality * kJudgeDoubtsGood + (1.0 - quality) * kJudgeFindsBad;
-      const double both = quality * (1.0 - kJudgeDoubtsGood) + goesOn * second.m_quality[aKind];
-      if (aWorld.m_judged && &first != &second && both >= aQuality) {
-        least = std::min(least, cost + static_cast<double>(kJudgeCostMicros) +
-                                  goesOn * TrueCost(aWorld, aKind, second));
-      }
-    }
-  }
-  return least;
-}
-
 struct Figures {
   double m_costOverOracle = 0.0;
   double m_costOverBareOracle = 0.0;
--- a/Utilities/Policy/RoutingRun.h
+++ b/Utilities/Policy/RoutingRun.h
@@ -119,4 +119,5 @@
 
 } // namespace fennelline
 
+#include "Utilities/Policy/RoutingRunFaults.h"
 #include "Utilities/Policy/RoutingRunImpl.h"
