--- a/Meta/measure.sh
+++ b/Meta/measure.sh
@@ -11,7 +11,7 @@
 cmake --build "$build" --target fennelline-policy >/dev/null
 for experiment in replicas overload fairness plans exposure decision-cost; do
   "$build/bin/fennelline-policy" "$experiment" --seeds "$seeds" --threads "$threads" \
-    --json "$results/$experiment.json" >"$results/$experiment.md"
+    --json "$results/$experiment.json" --svg "$results/$experiment.svg" >"$results/$experiment.md"
 done
 echo "commit $(git rev-parse --short HEAD), $seeds seeds from 1"
 echo "| measure | policy | median | 5th to 95th of seeds | target | |"
--- a/Utilities/Policy/Main.cpp
+++ b/Utilities/Policy/Main.cpp
@@ -10,6 +10,7 @@
 DEFINE_int64(first_seed, 1, "the first of the seeds"); // NOLINT
 DEFINE_int32(threads, 3, "threads for the seeds");     // NOLINT
 DEFINE_string(json, "", "file for the results");       // NOLINT
+DEFINE_string(svg, "", "file for a drawing of them");  // NOLINT
 
 namespace fennelline {
 
@@ -38,6 +39,16 @@
   return nullptr;
 }
 
+/// Writes the text unless there is no path; false where that fails.
+bool WriteFile(const std::string& aPath, const std::string& aText) {
+  if (aPath.empty()) {
+    return true;
+  }
+  std::ofstream file(aPath);
+  file << aText;
+  return file.good();
+}
+
 int RunExperiment(const std::string& aName) {
   const Experiment* experiment = FindExperiment(aName);
   if (experiment == nullptr) {
@@ -53,12 +64,9 @@
                        .m_seeds = static_cast<std::size_t>(FLAGS_seeds),
                        .m_threads = FLAGS_threads});
   std::cout << WriteTable(report);
-  if (!FLAGS_json.empty()) {
-    std::ofstream file(FLAGS_json);
-    file << WriteJson(report);
-    return file ? 0 : 1;
-  }
-  return 0;
+  const bool written =
+    WriteFile(FLAGS_json, WriteJson(report)) && WriteFile(FLAGS_svg, WriteSvg(report));
+  return written ? 0 : 1;
 }
 
 } // namespace
--- a/Utilities/Policy/Report.h
+++ b/Utilities/Policy/Report.h
@@ -42,5 +42,7 @@
 /// The report as JSON text, and as lines of a table for people.
 std::string WriteJson(const Report& aReport);
 std::string WriteTable(const Report& aReport);
+/// The report as a drawing: for each measure a bar for each policy, with the spread over seeds.
+std::string WriteSvg(const Report& aReport);
 
 } // namespace fennelline
