--- a/Meta/run.sh
+++ b/Meta/run.sh
@@ -193,9 +193,12 @@
 echo
 echo "== The settled bills"
 ledger() { curl -sS --max-time 5 "http://$platform/kv?prefix=fennelline%2Fledger%2F"; }
-is_settled() { ledger | jq -e '.keys | length > 0'; }
-wait_for 20 "a settled bill" is_settled
+billed() { ledger | jq -r '.keys[].value | fromjson | .customers[] | "\(.requests) \(.micros)"'; }
+is_settled() { [ "$(billed | awk '{ sum += $1 } END { print sum + 0 }')" -ge 4 ]; }
+wait_for 30 "the settled bills of four requests" is_settled
 ledger | jq -r '.keys[] | "\(.key) = \(.value)"'
+billed | awk '{ requests += $1; micros += $2 }
+  END { print "   together: " requests " requests, " micros " micros" }'
 
 echo
 echo "Stopping."
