--- a/Tests/Process/TestGracefulStop.cpp
+++ b/Tests/Process/TestGracefulStop.cpp
@@ -36,10 +36,18 @@
     calls.push_back(cluster.CallLater(cluster.m_entries[0],
                                       Chat("k-" + std::to_string(number), prompt, kTokens, true)));
   }
-  REQUIRE(WaitUntil(Seconds(10), [&] {
+  const bool allRun = WaitUntil(Seconds(10), [&] {
     return cluster.Runs(cluster.m_engines[0]).size() + cluster.Runs(cluster.m_engines[1]).size() >=
            kStreams;
-  }));
+  });
+  if (!allRun) {
+    for (std::future<HttpReply>& call : calls) {
+      const HttpReply reply = call.get();
+      constexpr std::size_t kShown = 300;
+      MESSAGE("status " << reply.m_status << " " << reply.m_body.substr(0, kShown));
+    }
+  }
+  REQUIRE(allRun);
   cluster.m_entries[0].m_process.Signal(SIGTERM);
   CHECK(WaitUntil(Seconds(5), [&] {
     return !IsListed(cluster, cluster.m_entries[1], cluster.m_entries[0].m_address);
