--- a/Libraries/LibCoordination/Rollout/RolloutController.h
+++ b/Libraries/LibCoordination/Rollout/RolloutController.h
@@ -34,7 +34,7 @@
   std::size_t m_mostLoads = 2;
   Duration m_loadSpacing = Milliseconds(500);
   /// An order without an answer for this long counts as lost: it may still take effect.
-  Duration m_orderTimeout = Seconds(60);
+  Duration m_orderTimeout = Seconds(130);
   /// After an order, what an engine reports is believed again after this time: reports lag.
   Duration m_settleTime = Seconds(3);
   /// A new holder gives no order to an engine that does not check fences for this long: orders of
@@ -151,8 +151,8 @@
   void Append(RolloutEffects& aEffects, Step<ApplyOutcome> aStep, Time aNow);
   void BeginHolding(Time aNow);
   void WatchConfiguration(RolloutEffects& aEffects, Time aNow);
-  void OnConfigurationReply(const PlatformReply& aReply, Time aNow);
-  void TakeConfiguration(const KeyValue& aKey, Time aNow);
+  void OnConfigurationReply(RolloutEffects& aEffects, const PlatformReply& aReply, Time aNow);
+  void TakeConfiguration(RolloutEffects& aEffects, const KeyValue& aKey, Time aNow);
   void UpdateTrial(const Rollout& aRollout, Time aNow);
   void Decide(RolloutEffects& aEffects, Time aNow);
   std::optional<Configuration> Decision(const Rollout& aRollout, Time aNow) const;
