Claim first, so that a refusal's "not run" speaks for the key

Cause: a caller whose first sending was lost with its entry could be refused at another one, by the spend limit or for want of capacity, with ran: no, although the first sending had run. Change: an operation that must not be repeated takes its claim before it is planned and admitted; a refusal after the grant abandons the claim, which makes the promise true. Where no claim can be had the answer says unknown. New versions wait in their first step for the judgement of answers (the exposure gate), explored answers are rated, choices look at a bounded sample, and a full ledger refuses work. The stop waits until the slices of budgets are returned.

--- a/Services/Entry/Backends/BackendDirectory.cpp
+++ b/Services/Entry/Backends/BackendDirectory.cpp
@@ -33,6 +33,7 @@
   view.m_ownOutstandingTokens = aServer.m_outstandingTokens;
   view.m_ownSinceReport = aServer.m_sentSinceReport;
   view.m_ownTokensSinceReport = aServer.m_tokensSinceReport;
+  view.m_ownEndedSinceReport = aServer.m_endedSinceReport;
   view.m_distance = aServer.m_distance;
   view.m_slots = aServer.m_slots;
   view.m_failureRate = aServer.m_failureRate;
@@ -81,6 +82,7 @@
   aServer.m_reported = true;
   aServer.m_sentSinceReport = 0;
   aServer.m_tokensSinceReport = 0;
+  aServer.m_endedSinceReport = 0;
   if (aServer.m_versions != aReport.m_versions) {
     aServer.m_versions = aReport.m_versions;
     RebuildIndexes();
@@ -136,6 +138,7 @@
   }
   BackendServer& server = found->second;
   server.m_outstanding -= 1;
+  server.m_endedSinceReport += 1;
   server.m_outstandingTokens -= aWork.m_tokens;
   server.m_suspects -= aWork.m_suspect ? 1 : 0;
   server.m_failureRate =
--- a/Services/Entry/Backends/BackendDirectory.h
+++ b/Services/Entry/Backends/BackendDirectory.h
@@ -39,6 +39,7 @@
   std::int64_t m_outstandingTokens = 0;
   std::int64_t m_sentSinceReport = 0;
   std::int64_t m_tokensSinceReport = 0;
+  std::int64_t m_endedSinceReport = 0;
   /// Requests now there that were running on another server when it crashed.
   std::int64_t m_suspects = 0;
   double m_failureRate = 0.0;
--- a/Services/Entry/EntryParts.cpp
+++ b/Services/Entry/EntryParts.cpp
@@ -22,6 +22,16 @@
   return digest;
 }
 
+/// The data centres that there are, whether or not an entry of theirs has been heard.
+ConfigurationSettings ConfigurationSettingsOf(const EntrySettings& aSettings) {
+  ConfigurationSettings settings;
+  settings.m_dataCentres = {aSettings.m_dataCentre};
+  for (const std::pair<std::string, Duration>& distance : aSettings.m_distances) {
+    settings.m_dataCentres.push_back(distance.first);
+  }
+  return settings;
+}
+
 ClaimSettings ClaimSettingsOf(const EntrySettings& aSettings) {
   ClaimSettings settings;
   settings.m_retryWindow = aSettings.m_retryWindow;
@@ -50,7 +60,8 @@
   , m_self(aStart.m_self)
   , m_random(aStart.m_seed)
   , m_membership(MembershipSettings{}, SelfDigest(aStart), m_random.Next())
-  , m_configuration(ConfigurationSettings{}, m_self, m_settings.m_dataCentre, m_random.Next())
+  , m_configuration(ConfigurationSettingsOf(m_settings), m_self, m_settings.m_dataCentre,
+                    m_random.Next())
   , m_claims(ClaimSettingsOf(m_settings), m_self, m_settings.m_dataCentre, m_random.Next())
   , m_usage(EntryUsageSettings(), m_self, m_settings.m_dataCentre, m_random.Next())
   , m_spend(EntrySpendSettings(), m_self, m_random.Next())
--- a/Services/Entry/EntryParts.h
+++ b/Services/Entry/EntryParts.h
@@ -13,11 +13,13 @@
 #include "LibCoordination/Usage/UsageLedger.h"
 #include "LibDecision/Admission.h"
 #include "LibDecision/Estimates.h"
+#include "LibDecision/ExposureGate.h"
 #include "LibDecision/PrefixIndex.h"
 #include "LibDecision/RetryBudget.h"
 #include "Services/Entry/Backends/BackendDirectory.h"
 
 #include <cstdint>
+#include <map>
 #include <memory>
 
 namespace fennelline {
@@ -32,6 +34,12 @@
   std::uint64_t m_seed = 0;
 };
 
+/// Requests of one version in its first roll-out step, as this entry counts them.
+struct ExposureCount {
+  std::int64_t m_sent = 0;
+  std::int64_t m_judged = 0;
+};
+
 /// The embedded parts of one entry, with all its state but that of the open requests.
 struct EntryParts {
   explicit EntryParts(const EntryStart& aStart);
@@ -52,6 +60,8 @@
   EstimateTable m_estimates;
   AdmissionController m_admission;
   RetryBudget m_retryBudget;
+  /// By version, for the new versions of roll-outs in their first step.
+  std::map<std::string, ExposureCount> m_exposures;
   /// Live entries, this one included.
   std::size_t m_liveEntries = 1;
   /// How long the rating service takes, as lately seen.
--- a/Services/Entry/EntryReducer.cpp
+++ b/Services/Entry/EntryReducer.cpp
@@ -172,6 +172,11 @@
   Emit(m_parts.m_spend.Tick(aNow), aEffects);
   Emit(m_parts.m_crashes.Tick(aNow), aEffects);
   m_pipeline.OnTick(aNow, aEffects);
+  if (m_parts.m_usage.IsClosed() && !m_parts.m_stopping) {
+    // This entry was taken for dead for so long that its ledger is gone: a new process must start.
+    aEffects.emplace_back(RecordTimeline{{.m_name = "usage.closed"}});
+    On(StopRequested{}, aNow, aEffects);
+  }
   ContinueStop(aNow, aEffects);
 }
 
@@ -206,7 +211,7 @@
     Follow(Emit(m_parts.m_usage.Flush(aNow), aEffects), aNow, aEffects);
     Emit(m_parts.m_spend.ReturnAll(aNow), aEffects);
   }
-  const bool clean = idle && m_parts.m_usage.Unsettled() == 0;
+  const bool clean = idle && m_parts.m_usage.Unsettled() == 0 && m_parts.m_spend.HasReturnedAll();
   if (clean || aNow >= m_stopLimit) {
     m_stopped = true;
     aEffects.emplace_back(StopNow{.m_clean = clean});
@@ -273,6 +278,13 @@
   m_parts.m_membership.SetConfigurationRevision(aConfiguration.m_revision);
   m_parts.m_evidence.SetRatedShare(HasRunningRollout(aConfiguration) ? kRatedShareInRollout
                                                                      : kRatedShare);
+  std::map<std::string, ExposureCount> exposures;
+  for (const Rollout& rollout : aConfiguration.m_rollouts) {
+    if (rollout.m_state == RolloutState::Running && rollout.m_step == 0) {
+      exposures[rollout.m_to] = m_parts.m_exposures[rollout.m_to];
+    }
+  }
+  m_parts.m_exposures = std::move(exposures);
   for (const Contract& contract : aConfiguration.m_contracts) {
     Emit(m_parts.m_spend.OnLimits(contract.m_customer, contract.m_spendLimitMicros,
                                   contract.m_spendPeriod, aNow),
--- a/Services/Entry/Requests/ActiveRequest.h
+++ b/Services/Entry/Requests/ActiveRequest.h
@@ -91,6 +91,8 @@
   Plan m_plan;
   std::size_t m_step = 0;
   Duration m_expectedTime{0};
+  /// The part of it before a server starts the request.
+  Duration m_expectedWait{0};
   double m_poolFree = 1.0;
   std::vector<std::uint64_t> m_prefixHashes;
   /// The admission to give back, if there is one.
--- a/Services/Entry/Requests/Problem.cpp
+++ b/Services/Entry/Requests/Problem.cpp
@@ -17,7 +17,7 @@
   std::string_view m_title;
 };
 
-constexpr std::array<ProblemRow, 24> kProblems = {{
+constexpr std::array<ProblemRow, 25> kProblems = {{
   {ProblemCode::MalformedBody, 400, "malformed-body", "The body cannot be read"},
   {ProblemCode::BodyTooLarge, 413, "body-too-large", "The body is too large"},
   {ProblemCode::BadKey, 401, "bad-key", "No contract has this key"},
@@ -34,6 +34,7 @@
   {ProblemCode::CannotFinishInTime, 503, "cannot-finish-in-time", "It cannot finish in time"},
   {ProblemCode::NoBackendServer, 503, "no-backend-server", "No backend server can take it"},
   {ProblemCode::ClaimsUnavailable, 503, "claims-unavailable", "The request cannot be claimed now"},
+  {ProblemCode::UsageUnsettled, 503, "usage-unsettled", "Too much usage is not settled yet"},
   {ProblemCode::Starting, 503, "starting", "The entry has no configuration yet"},
   {ProblemCode::CutOff, 503, "cut-off", "The entry cannot know which configuration is in force"},
   {ProblemCode::Leaving, 503, "leaving", "The entry is leaving"},
--- a/Services/Entry/Requests/Problem.h
+++ b/Services/Entry/Requests/Problem.h
@@ -29,6 +29,7 @@
   CannotFinishInTime,
   NoBackendServer,
   ClaimsUnavailable,
+  UsageUnsettled,
   Starting,
   CutOff,
   Leaving,
--- a/Services/Entry/Requests/RequestAnswers.cpp
+++ b/Services/Entry/Requests/RequestAnswers.cpp
@@ -96,6 +96,10 @@
   }
   const RatingInFlight rating = found->second;
   m_ratings.erase(found);
+  const auto exposure = m_parts.m_exposures.find(rating.m_version);
+  if (exposure != m_parts.m_exposures.end()) {
+    exposure->second.m_judged += 1;
+  }
   if (!aEvent.m_failed) {
     m_parts.m_estimates.ObserveRating(rating.m_kind, rating.m_version, aEvent.m_good, aNow);
     m_parts.m_evidence.OnRating(rating.m_version, rating.m_kind, rating.m_session, aEvent.m_good,
@@ -300,7 +304,9 @@
 void RequestPipeline::SampleRating(ActiveRequest& aActive, Time aNow, EntryEffects& aEffects) {
   const std::string& version = aActive.m_answer.m_version;
   const bool judgedAlready = aActive.m_rating != 0 && aActive.m_step == 0;
-  if (version.empty() || judgedAlready || !m_parts.m_evidence.ChosenForRating(ClusterOf(aActive))) {
+  const bool chosen =
+    aActive.m_plan.m_exploring || m_parts.m_evidence.ChosenForRating(ClusterOf(aActive));
+  if (version.empty() || judgedAlready || !chosen) {
     return;
   }
   const std::uint64_t rating = m_nextRating++;
--- a/Services/Entry/Requests/RequestCalls.cpp
+++ b/Services/Entry/Requests/RequestCalls.cpp
@@ -78,6 +78,19 @@
   return servers;
 }
 
+void RequestPipeline::Sample(std::vector<const BackendServer*>& aServers) {
+  if (aServers.size() <= kMostReplicasConsidered) {
+    return;
+  }
+  std::array<std::size_t, kMostReplicasConsidered> indices{};
+  const std::size_t count = SampleIndices(aServers.size(), indices, m_parts.m_random);
+  std::vector<const BackendServer*> sample;
+  for (std::size_t index = 0; index < count; ++index) {
+    sample.push_back(aServers[indices[index]]);
+  }
+  aServers = std::move(sample);
+}
+
 std::optional<ReplicaChoice> RequestPipeline::ChooseServer(
   const ActiveRequest& aActive, const std::vector<const BackendServer*>& aServers, Time aNow) {
   std::vector<ReplicaView> views;
@@ -120,7 +133,8 @@
     }
     version = aActive.m_plan.m_steps.front().m_version;
   }
-  const std::vector<const BackendServer*> servers = EligibleServers(aActive, version);
+  std::vector<const BackendServer*> servers = EligibleServers(aActive, version);
+  Sample(servers);
   const std::optional<ReplicaChoice> choice = ChooseServer(aActive, servers, aNow);
   if (!choice) {
     return SendResult::NoServer;
@@ -139,6 +153,10 @@
                  .m_tokens = aActive.m_request.m_mostOutputTokens,
                  .m_sent = aNow,
                  .m_suspect = aActive.m_crashes > 0};
+  const auto exposure = m_parts.m_exposures.find(version);
+  if (exposure != m_parts.m_exposures.end()) {
+    exposure->second.m_sent += 1;
+  }
   aActive.m_sent = true;
   aActive.m_lastServer = server.m_id;
   aActive.m_triedServers.insert(server.m_id);
--- a/Services/Entry/Requests/RequestPipeline.cpp
+++ b/Services/Entry/Requests/RequestPipeline.cpp
@@ -53,6 +53,10 @@
     return Refusal(ProblemCode::Leaving, "this entry is leaving; ask for the list of entries",
                    kRetryAfterStart);
   }
+  if (m_parts.m_usage.IsFull()) {
+    return Refusal(ProblemCode::UsageUnsettled,
+                   "too much usage waits for the platform to come back", kRetryAfterCutOff);
+  }
   switch (m_parts.m_configuration.Standing(aNow)) {
     case ConfigurationStanding::Starting:
       return Refusal(ProblemCode::Starting, "no configuration is in force here yet",
@@ -72,6 +76,11 @@
   m_parts.m_retryBudget.OnRequest();
   ActiveRequest rejected{.m_request = aRequest, .m_arrival = aNow, .m_deadline = aNow};
   if (std::optional<Problem> problem = RefuseBeforeReading(aNow)) {
+    // Whether the operation may be repeated is not known here, and an earlier sending of the same
+    // key may have run.
+    const bool mayHaveRun =
+      aRequest.m_target == CallerRequest::Target::Service && !aRequest.m_idempotencyKey.empty();
+    problem->m_ran = mayHaveRun ? Ran::Unknown : Ran::No;
     Refuse(rejected, *problem, aNow, aEffects);
     return;
   }
@@ -148,7 +157,21 @@
                  .m_detail = "requests with this content crashed two backend servers"};
 }
 
+bool RequestPipeline::NeedsClaim(const ActiveRequest& aActive) {
+  return aActive.m_keyed && !aActive.m_idempotent;
+}
+
 void RequestPipeline::Start(ActiveRequest& aActive, Time aNow, EntryEffects& aEffects) {
+  // The claim comes first: a refusal after it may promise that the request did not run, since the
+  // claim tells that it did not run under this key before either.
+  if (NeedsClaim(aActive)) {
+    Claim(aActive, aNow, aEffects);
+    return;
+  }
+  PlanAndSend(aActive, aNow, aEffects);
+}
+
+void RequestPipeline::PlanAndSend(ActiveRequest& aActive, Time aNow, EntryEffects& aEffects) {
   const bool isModel = aActive.m_request.m_target == CallerRequest::Target::Model;
   const bool planned =
     isModel ? PlanModelWork(aActive, aNow, aEffects) : PlanServiceWork(aActive, aNow, aEffects);
@@ -160,6 +183,24 @@
   }
 }
 
+double RequestPipeline::RolloutDrawOf(const Configuration& aConfiguration,
+                                      const ActiveRequest& aActive) const {
+  constexpr double kOldVersion = 1.0;
+  for (const Rollout& rollout : aConfiguration.m_rollouts) {
+    const bool isFirstStep = rollout.m_state == RolloutState::Running && rollout.m_step == 0;
+    const auto exposure = m_parts.m_exposures.find(rollout.m_to);
+    if (!isFirstStep || exposure == m_parts.m_exposures.end()) {
+      continue;
+    }
+    const ExposureCount& count = exposure->second;
+    if (!MayExpose(ExposureGatePlan{}, count.m_sent - count.m_judged, count.m_judged,
+                   m_parts.m_liveEntries)) {
+      return kOldVersion;
+    }
+  }
+  return aActive.m_rolloutDraw;
+}
+
 bool RequestPipeline::PlanModelWork(ActiveRequest& aActive, Time aNow, EntryEffects& aEffects) {
   const std::shared_ptr<const Configuration> configuration = m_parts.m_configuration.Current();
   const Contract* contract = FindContract(*configuration, aActive.m_identity.m_customer);
@@ -170,7 +211,7 @@
   }
   const VersionWish wish{.m_model = aActive.m_request.m_model,
                          .m_pinned = aActive.m_pinnedVersion,
-                         .m_rolloutDraw = aActive.m_rolloutDraw};
+                         .m_rolloutDraw = RolloutDrawOf(*configuration, aActive)};
   const std::vector<const ModelVersion*> allowed =
     AllowedVersions(*configuration, *contract, aActive.m_kind, wish);
   if (allowed.empty()) {
@@ -222,6 +263,7 @@
   const auto chosen = std::find_if(candidates.begin(), candidates.end(), [&](const auto& aItem) {
     return aItem.m_version == aActive.m_plan.m_steps.front().m_version;
   });
+  aActive.m_expectedWait = chosen->m_expectedWait;
   const double outputTokens = std::max(chosen->m_estimate.m_outputTokens, 1.0);
   aActive.m_expectedTime =
     chosen->m_expectedWait + chosen->m_estimate.m_firstToken +
@@ -247,8 +289,9 @@
   aActive.m_plan.m_steps = {
     {.m_version = "", .m_giveUpAfter = aActive.m_deadline - aActive.m_arrival}};
   aActive.m_plan.m_reason = "the operation has one service";
+  aActive.m_expectedWait = ForeseeWait(aActive, "", aNow);
   aActive.m_expectedTime =
-    (estimate.m_samples > 0 ? estimate.m_firstToken : Duration{0}) + ForeseeWait(aActive, "", aNow);
+    (estimate.m_samples > 0 ? estimate.m_firstToken : Duration{0}) + aActive.m_expectedWait;
   return true;
 }
 
@@ -273,7 +316,7 @@
   query.m_urgency = aActive.m_kind.m_urgency;
   query.m_timeLeft = aActive.m_deadline - aNow;
   query.m_expectedTime = aActive.m_expectedTime;
-  query.m_work = std::max(InSeconds(aActive.m_expectedTime), 0.001);
+  query.m_work = std::max(InSeconds(aActive.m_expectedTime - aActive.m_expectedWait), 0.001);
   query.m_poolFree = slots > 0.0 ? std::clamp(1.0 - busy / slots, 0.0, 1.0) : 0.0;
   query.m_poolSlots = slots / static_cast<double>(std::max<std::size_t>(m_parts.m_liveEntries, 1));
   aActive.m_poolFree = query.m_poolFree;
@@ -339,7 +382,7 @@
     AskForPin(aActive, aNow, aEffects);
     return;
   }
-  ClaimOrSend(aActive, aNow, aEffects);
+  SendFirst(aActive, aNow, aEffects);
 }
 
 void RequestPipeline::AskForPin(ActiveRequest& aActive, Time aNow, EntryEffects& aEffects) {
@@ -352,18 +395,17 @@
   OnClaimOutcomes(outcomes, aNow, aEffects);
 }
 
-void RequestPipeline::ClaimOrSend(ActiveRequest& aActive, Time aNow, EntryEffects& aEffects) {
-  const bool needsClaim = aActive.m_keyed && !aActive.m_idempotent;
-  if (!needsClaim) {
-    aActive.m_phase = RequestPhase::Running;
-    if (Send(aActive, false, aNow, aEffects) == SendResult::NoServer) {
-      Refuse(aActive,
-             Refusal(ProblemCode::NoBackendServer, "no backend server can take the request",
-                     kRetryAfterNoServer),
-             aNow, aEffects);
-    }
-    return;
+void RequestPipeline::SendFirst(ActiveRequest& aActive, Time aNow, EntryEffects& aEffects) {
+  aActive.m_phase = RequestPhase::Running;
+  if (Send(aActive, false, aNow, aEffects) == SendResult::NoServer) {
+    Refuse(aActive,
+           Refusal(ProblemCode::NoBackendServer, "no backend server can take the request",
+                   kRetryAfterNoServer),
+           aNow, aEffects);
   }
+}
+
+void RequestPipeline::Claim(ActiveRequest& aActive, Time aNow, EntryEffects& aEffects) {
   aActive.m_phase = RequestPhase::AwaitingClaim;
   const std::uint64_t ticket = TicketOf(aActive.m_request.m_caller, ClaimPurpose::Run);
   const std::vector<ClaimOutcomeReport> outcomes = Emit(
@@ -421,7 +463,7 @@
   if (aActive.m_pinnedVersion != proposed && !PlanModelWork(aActive, aNow, aEffects)) {
     return;
   }
-  ClaimOrSend(aActive, aNow, aEffects);
+  SendFirst(aActive, aNow, aEffects);
 }
 
 void RequestPipeline::OnRunOutcome(ActiveRequest& aActive, const ClaimOutcomeReport& aOutcome,
@@ -429,13 +471,7 @@
   switch (aOutcome.m_result) {
     case ClaimResult::Granted:
       aActive.m_claim = aOutcome.m_attempt;
-      aActive.m_phase = RequestPhase::Running;
-      if (Send(aActive, false, aNow, aEffects) == SendResult::NoServer) {
-        Refuse(aActive,
-               Refusal(ProblemCode::NoBackendServer, "no backend server can take the request",
-                       kRetryAfterNoServer),
-               aNow, aEffects);
-      }
+      PlanAndSend(aActive, aNow, aEffects);
       return;
     case ClaimResult::Replay:
       Replay(aActive, aOutcome.m_answer, aNow, aEffects);
@@ -454,8 +490,12 @@
              aNow, aEffects);
       return;
     case ClaimResult::NotRun:
+      // This sending did not run; an earlier one under the same key may have.
       Refuse(aActive,
-             Refusal(ProblemCode::ClaimsUnavailable, aOutcome.m_reason, aOutcome.m_retryAfter),
+             Problem{.m_code = ProblemCode::ClaimsUnavailable,
+                     .m_ran = Ran::Unknown,
+                     .m_detail = aOutcome.m_reason + "; send it again under the same key",
+                     .m_retryAfter = aOutcome.m_retryAfter},
              aNow, aEffects);
       return;
   }
--- a/Services/Entry/Requests/RequestPipeline.h
+++ b/Services/Entry/Requests/RequestPipeline.h
@@ -16,8 +16,8 @@
 /// Follows each open request from the caller to backend servers and back. A part of the entry's
 /// reducer: it decides, and yields effects as data.
 ///
-/// The order for one request: validate; agree on the session's version; plan; admit; reserve the
-/// spend; claim, when it may run only once; send; judge, when a cascade's step may not be the
+/// The order for one request: validate; claim, when it may run only once; plan; admit; reserve the
+/// spend; agree on the session's version; send; judge, when a cascade's step may not be the
 /// last; copy the usage record; claim the bill, when the same key may have run elsewhere; end.
 class RequestPipeline {
 public:
@@ -58,7 +58,12 @@
   ActiveRequest MakeActive(const CallerRequest& aRequest, const ValidRequest& aValid, Time aNow);
   std::optional<Problem> ReadSession(ActiveRequest& aActive) const;
   std::optional<Problem> CheckContent(const ActiveRequest& aActive, Time aNow) const;
+  static bool NeedsClaim(const ActiveRequest& aActive);
   void Start(ActiveRequest& aActive, Time aNow, EntryEffects& aEffects);
+  void PlanAndSend(ActiveRequest& aActive, Time aNow, EntryEffects& aEffects);
+  /// The request's draw between the versions of a roll-out, or one that gives it the old version
+  /// while too many answers of the new one are not judged yet.
+  double RolloutDrawOf(const Configuration& aConfiguration, const ActiveRequest& aActive) const;
   bool PlanModelWork(ActiveRequest& aActive, Time aNow, EntryEffects& aEffects);
   bool PlanServiceWork(ActiveRequest& aActive, Time aNow, EntryEffects& aEffects);
   bool Admit(ActiveRequest& aActive, Time aNow, EntryEffects& aEffects);
@@ -67,7 +72,8 @@
   /// Reserves the spend and goes on, waits for a further slice of the budget, or refuses.
   void ReserveSpend(ActiveRequest& aActive, Time aNow, EntryEffects& aEffects);
   void AfterReserve(ActiveRequest& aActive, Time aNow, EntryEffects& aEffects);
-  void ClaimOrSend(ActiveRequest& aActive, Time aNow, EntryEffects& aEffects);
+  void Claim(ActiveRequest& aActive, Time aNow, EntryEffects& aEffects);
+  void SendFirst(ActiveRequest& aActive, Time aNow, EntryEffects& aEffects);
   void AskForPin(ActiveRequest& aActive, Time aNow, EntryEffects& aEffects);
   void OnPinOutcome(ActiveRequest& aActive, const ClaimOutcomeReport& aOutcome, Time aNow,
                     EntryEffects& aEffects);
@@ -79,6 +85,8 @@
   // Calls to backend servers, in RequestCalls.cpp.
   std::vector<const BackendServer*> EligibleServers(const ActiveRequest& aActive,
                                                     const std::string& aVersion) const;
+  /// Leaves a bounded random sample of the servers.
+  void Sample(std::vector<const BackendServer*>& aServers);
   std::optional<ReplicaChoice> ChooseServer(const ActiveRequest& aActive,
                                             const std::vector<const BackendServer*>& aServers,
                                             Time aNow);
