--- a/Services/Entry/Shell/Pollers.cpp
+++ b/Services/Entry/Shell/Pollers.cpp
@@ -1,12 +1,19 @@
 #include "Services/Entry/Shell/Pollers.h"
 
+#include <algorithm>
+
 namespace fennelline {
 
 namespace {
 
-constexpr Duration kLoadInterval = Milliseconds(100);
+/// Load reports are read this often, or more rarely where there are many backend servers: the polls
+/// of one entry stay below one in kTimePerPoll.
+/// FIXME: entries of one data centre should share the polls and pass on what they read
+/// (LoadReports); thousands of servers cannot each be asked by every entry.
+constexpr Duration kLeastLoadInterval = Milliseconds(100);
+constexpr Duration kTimePerPoll = Milliseconds(25);
+constexpr Duration kVmListInterval = Milliseconds(500);
 constexpr int kLoadsPerCacheRead = 3;
-constexpr int kLoadsPerVmList = 5;
 constexpr Duration kPollTimeout = Milliseconds(1'000);
 
 LoadPolled PolledFrom(const std::string& aBackendServer, const BackendLoad& aLoad) {
@@ -61,10 +68,13 @@
 
 void Pollers::Run() {
   int round = 0;
+  Duration interval = kLeastLoadInterval;
+  Duration sinceVmList = kVmListInterval;
   std::unique_lock<std::mutex> lock(m_mutex);
   do {
     lock.unlock();
-    if (round % kLoadsPerVmList == 0) {
+    if (sinceVmList >= kVmListInterval) {
+      sinceVmList = Duration{0};
       ReadVmList();
     }
     for (const std::string& name : TargetNames()) {
@@ -75,7 +85,10 @@
     }
     ++round;
     lock.lock();
-  } while (!m_wake.wait_for(lock, kLoadInterval, [this]() { return m_stop; }));
+    const std::int64_t targets = static_cast<std::int64_t>(m_targets.size());
+    interval = std::max(kLeastLoadInterval, kTimePerPoll * targets);
+    sinceVmList += interval;
+  } while (!m_wake.wait_for(lock, interval, [this]() { return m_stop; }));
 }
 
 void Pollers::ReadVmList() {
