--- a/Meta/measure-entry.py
+++ b/Meta/measure-entry.py
@@ -187,7 +187,7 @@
 
 
 def row_of(report):
-    return next(row for row in report["kinds"] if row["name"] == "all")
+    return next(row for row in report["kinds"] if row["kind"] == "all")
 
 
 def summary(report):
--- a/Tests/Entry/TestEntryUnderFaults.cpp
+++ b/Tests/Entry/TestEntryUnderFaults.cpp
@@ -115,8 +115,9 @@
     ran[request->m_customer] += aRuns.contains(request->m_body) ? request->m_costMicros : 0;
   }
   std::map<std::string, Bill> bills = aCluster.Bills();
-  for (const auto& [customer, micros] : delivered) {
-    CHECK_MESSAGE(bills[customer].m_micros >= micros, customer, ": an answer was not billed");
+  for (const std::pair<const std::string, std::int64_t>& item : delivered) {
+    const std::string& customer = item.first;
+    CHECK_MESSAGE(bills[customer].m_micros >= item.second, customer, ": an answer was not billed");
     CHECK_MESSAGE(bills[customer].m_micros <= ran[customer], customer, ": billed twice");
   }
 }
