--- a/Libraries/LibCoordination/Claims/ClaimTable.cpp
+++ b/Libraries/LibCoordination/Claims/ClaimTable.cpp
@@ -55,23 +55,23 @@
 
 void ClaimTable::Parts::OnMessage(const EntryId& aFrom, const Message& aMessage, ClaimStep& aStep,
                                   Time aNow) {
-  if (const auto* request = std::get_if<ClaimRequest>(&aMessage)) {
+  if (const ClaimRequest* request = std::get_if<ClaimRequest>(&aMessage)) {
     OnRequest(aFrom, *request, aStep, aNow);
-  } else if (const auto* reply = std::get_if<ClaimReply>(&aMessage)) {
+  } else if (const ClaimReply* reply = std::get_if<ClaimReply>(&aMessage)) {
     OnReply(aFrom, *reply, aStep, aNow);
-  } else if (const auto* release = std::get_if<ClaimRelease>(&aMessage)) {
+  } else if (const ClaimRelease* release = std::get_if<ClaimRelease>(&aMessage)) {
     m_holder.Release(*release);
-  } else if (const auto* outcome = std::get_if<ClaimOutcome>(&aMessage)) {
+  } else if (const ClaimOutcome* outcome = std::get_if<ClaimOutcome>(&aMessage)) {
     OnOutcome(aFrom, *outcome, aStep, aNow);
-  } else if (const auto* stored = std::get_if<ClaimOutcomeStored>(&aMessage)) {
+  } else if (const ClaimOutcomeStored* stored = std::get_if<ClaimOutcomeStored>(&aMessage)) {
     m_spread.OnStored(aFrom, *stored);
-  } else if (const auto* query = std::get_if<AnswerQuery>(&aMessage)) {
+  } else if (const AnswerQuery* query = std::get_if<AnswerQuery>(&aMessage)) {
     OnQuery(aFrom, *query, aStep);
-  } else if (const auto* answer = std::get_if<AnswerReply>(&aMessage)) {
+  } else if (const AnswerReply* answer = std::get_if<AnswerReply>(&aMessage)) {
     m_claimant.OnAnswer(aFrom, *answer, aStep, aNow);
-  } else if (const auto* adopt = std::get_if<ViewAdopt>(&aMessage)) {
+  } else if (const ViewAdopt* adopt = std::get_if<ViewAdopt>(&aMessage)) {
     OnViewAdopt(aFrom, adopt->m_view, aStep, aNow);
-  } else if (const auto* page = std::get_if<ViewHandover>(&aMessage)) {
+  } else if (const ViewHandover* page = std::get_if<ViewHandover>(&aMessage)) {
     m_holder.OnHandover(aFrom, *page, aStep.m_effects, aNow);
   }
 }
@@ -155,7 +155,7 @@
   while (!aStep.m_effects.empty() || !aStep.m_outcomes.empty()) {
     ClaimStep next;
     for (Effect& effect : aStep.m_effects) {
-      const auto* message = std::get_if<SendMessage>(&effect);
+      const SendMessage* message = std::get_if<SendMessage>(&effect);
       if (message != nullptr && message->m_to == m_self) {
         OnMessage(m_self, message->m_message, next, aNow);
       } else {
--- a/Libraries/LibCoordination/Usage/UsageLedger.cpp
+++ b/Libraries/LibCoordination/Usage/UsageLedger.cpp
@@ -205,11 +205,11 @@
 UsageLedger::UsageStep UsageLedger::OnMessage(const EntryId& aFrom, const Message& aMessage,
                                               Time aNow) {
   UsageStep step;
-  if (const auto* copy = std::get_if<UsageCopy>(&aMessage)) {
+  if (const UsageCopy* copy = std::get_if<UsageCopy>(&aMessage)) {
     m_parts->m_copies.Take(aFrom, *copy, step.m_effects, aNow);
-  } else if (const auto* copied = std::get_if<UsageCopied>(&aMessage)) {
+  } else if (const UsageCopied* copied = std::get_if<UsageCopied>(&aMessage)) {
     m_parts->OnCopied(*copied, step);
-  } else if (const auto* settled = std::get_if<UsageSettled>(&aMessage)) {
+  } else if (const UsageSettled* settled = std::get_if<UsageSettled>(&aMessage)) {
     m_parts->m_copies.OnSettled(*settled);
   }
   return step;
--- a/Services/Entry/Requests/Problem.h
+++ b/Services/Entry/Requests/Problem.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <string>
+#include <utility>
 
 namespace fennelline {
 
@@ -50,6 +51,12 @@
   Duration m_retryAfter{0};
 };
 
+/// A refusal of a request that did not run.
+inline Problem Refusal(ProblemCode aCode, std::string aDetail, Duration aRetryAfter) {
+  return Problem{
+    .m_code = aCode, .m_ran = Ran::No, .m_detail = std::move(aDetail), .m_retryAfter = aRetryAfter};
+}
+
 /// The HTTP status that goes with a code.
 int StatusOf(ProblemCode aCode);
 /// The stable code, such as "spend-limit".
--- a/Services/Entry/Requests/RequestPipeline.cpp
+++ b/Services/Entry/Requests/RequestPipeline.cpp
@@ -2,9 +2,7 @@
 
 #include "LibBase/Sha256.h"
 #include "LibDecision/PrefixHashes.h"
-#include "Services/Entry/Emit.h"
 #include "Services/Entry/Requests/AllowedVersions.h"
-#include "Services/Entry/Requests/ClaimTickets.h"
 
 #include <algorithm>
 
@@ -20,11 +18,6 @@
 constexpr std::int64_t kCharactersPerToken = 4;
 constexpr double kExploreShare = 0.02;
 
-Problem Refusal(ProblemCode aCode, std::string aDetail, Duration aRetryAfter) {
-  return Problem{
-    .m_code = aCode, .m_ran = Ran::No, .m_detail = std::move(aDetail), .m_retryAfter = aRetryAfter};
-}
-
 /// Uniform in [0, 1), the same on every entry.
 double DrawOf(const std::string& aText) {
   constexpr double kTwoTo64 = 0x1.0p64;
@@ -385,16 +378,6 @@
   SendFirst(aActive, aNow, aEffects);
 }
 
-void RequestPipeline::AskForPin(ActiveRequest& aActive, Time aNow, EntryEffects& aEffects) {
-  aActive.m_phase = RequestPhase::AwaitingPin;
-  const std::uint64_t ticket = TicketOf(aActive.m_request.m_caller, ClaimPurpose::Session);
-  const std::vector<ClaimOutcomeReport> outcomes =
-    Emit(SessionPins::Begin(m_parts.m_claims, ticket, aActive.m_identity.m_customer,
-                            aActive.m_sessionName, aActive.m_deadline, aNow),
-         aEffects);
-  OnClaimOutcomes(outcomes, aNow, aEffects);
-}
-
 void RequestPipeline::SendFirst(ActiveRequest& aActive, Time aNow, EntryEffects& aEffects) {
   if (NeedsSuspectClaim(aActive, aNow)) {
     AskForSuspectClaim(aActive, aNow, aEffects);
@@ -409,105 +392,6 @@
   }
 }
 
-void RequestPipeline::Claim(ActiveRequest& aActive, Time aNow, EntryEffects& aEffects) {
-  aActive.m_phase = RequestPhase::AwaitingClaim;
-  const std::uint64_t ticket = TicketOf(aActive.m_request.m_caller, ClaimPurpose::Run);
-  const std::vector<ClaimOutcomeReport> outcomes = Emit(
-    m_parts.m_claims.Begin(ticket, RunSlot(aActive), aActive.m_bodyHash, aActive.m_deadline, aNow),
-    aEffects);
-  OnClaimOutcomes(outcomes, aNow, aEffects);
-}
-
-void RequestPipeline::OnClaimOutcomes(const std::vector<ClaimOutcomeReport>& aOutcomes, Time aNow,
-                                      EntryEffects& aEffects) {
-  for (const ClaimOutcomeReport& outcome : aOutcomes) {
-    const auto found = m_requests.find(CallerOf(outcome.m_ticket));
-    if (found == m_requests.end()) {
-      // The caller has gone meanwhile: a granted attempt is given up for good.
-      if (outcome.m_result == ClaimResult::Granted) {
-        Emit(m_parts.m_claims.Abandon(outcome.m_identity, outcome.m_attempt, aNow), aEffects);
-      }
-      continue;
-    }
-    switch (PurposeOf(outcome.m_ticket)) {
-      case ClaimPurpose::Session:
-        OnPinOutcome(found->second, outcome, aNow, aEffects);
-        break;
-      case ClaimPurpose::Run:
-        OnRunOutcome(found->second, outcome, aNow, aEffects);
-        break;
-      case ClaimPurpose::Suspect:
-        OnSuspectOutcome(found->second, outcome, aNow, aEffects);
-        break;
-      case ClaimPurpose::Bill:
-        OnBillOutcome(found->second, outcome, aNow, aEffects);
-        break;
-    }
-  }
-}
-
-void RequestPipeline::OnPinOutcome(ActiveRequest& aActive, const ClaimOutcomeReport& aOutcome,
-                                   Time aNow, EntryEffects& aEffects) {
-  const std::string proposed = aActive.m_plan.m_steps.front().m_version;
-  const std::vector<SessionPin> pins =
-    Emit(SessionPins::Finish(m_parts.m_claims, aOutcome, proposed, aNow), aEffects);
-  for (const SessionPin& pin : pins) {
-    if (pin.m_result == SessionPin::Result::NotRun) {
-      Refuse(aActive, Refusal(ProblemCode::ClaimsUnavailable, pin.m_reason, pin.m_retryAfter), aNow,
-             aEffects);
-      return;
-    }
-    if (pin.m_result == SessionPin::Result::Lost) {
-      Refuse(aActive,
-             Refusal(ProblemCode::InvalidSession,
-                     "the session's version cannot be known; start a new session", Duration{0}),
-             aNow, aEffects);
-      return;
-    }
-    aActive.m_pinnedVersion = pin.m_version;
-  }
-  // The plan was made for the version that this entry proposed.
-  if (aActive.m_pinnedVersion != proposed && !PlanModelWork(aActive, aNow, aEffects)) {
-    return;
-  }
-  SendFirst(aActive, aNow, aEffects);
-}
-
-void RequestPipeline::OnRunOutcome(ActiveRequest& aActive, const ClaimOutcomeReport& aOutcome,
-                                   Time aNow, EntryEffects& aEffects) {
-  switch (aOutcome.m_result) {
-    case ClaimResult::Granted:
-      aActive.m_claim = aOutcome.m_attempt;
-      PlanAndSend(aActive, aNow, aEffects);
-      return;
-    case ClaimResult::Replay:
-      Replay(aActive, aOutcome.m_answer, aNow, aEffects);
-      return;
-    case ClaimResult::Conflict:
-      Refuse(aActive,
-             Refusal(ProblemCode::KeyReused, "this request did not run; the other one may have",
-                     Duration{0}),
-             aNow, aEffects);
-      return;
-    case ClaimResult::Unknown:
-      Refuse(aActive,
-             Problem{.m_code = ProblemCode::FateUnknown,
-                     .m_ran = Ran::Unknown,
-                     .m_detail = "the request was sent under this key and its answer is lost"},
-             aNow, aEffects);
-      return;
-    case ClaimResult::NotRun:
-      // This sending did not run; an earlier one under the same key may have.
-      Refuse(aActive,
-             Problem{.m_code = ProblemCode::ClaimsUnavailable,
-                     .m_ran = Ran::Unknown,
-                     .m_detail = aOutcome.m_reason + "; send it again under the same key",
-                     .m_retryAfter = aOutcome.m_retryAfter},
-             aNow, aEffects);
-      return;
-  }
-}
-
 void RequestPipeline::OnCallerGone(CallerId aCaller, Time aNow, EntryEffects& aEffects) {
   const auto found = m_requests.find(aCaller);
   if (found == m_requests.end()) {
--- a/Services/Entry/Requests/RequestPipeline.h
+++ b/Services/Entry/Requests/RequestPipeline.h
@@ -88,6 +88,8 @@
   void OnBillOutcome(ActiveRequest& aActive, const ClaimOutcomeReport& aOutcome, Time aNow,
                      EntryEffects& aEffects);
 
+  // Claims of runs and sessions are in RequestClaims.cpp, those of suspects in RequestSuspects.cpp.
+
   // Calls to backend servers, in RequestCalls.cpp.
   std::vector<const BackendServer*> EligibleServers(const ActiveRequest& aActive,
                                                     const std::string& aVersion) const;
--- a/Services/Entry/Requests/ValidateRequest.cpp
+++ b/Services/Entry/Requests/ValidateRequest.cpp
@@ -8,10 +8,6 @@
 
 namespace {
 
-Problem Refuse(ProblemCode aCode, std::string aDetail) {
-  return Problem{.m_code = aCode, .m_ran = Ran::No, .m_detail = std::move(aDetail)};
-}
-
 const Contract* FindByKeyHash(const Configuration& aConfiguration, const std::string& aKeyHash) {
   for (const Contract& contract : aConfiguration.m_contracts) {
     for (const std::string& hash : contract.m_keyHashes) {
@@ -63,20 +59,23 @@
   if (isService) {
     valid.m_operation = FindOperation(aConfiguration, aRequest.m_service, aRequest.m_operation);
     if (valid.m_operation == nullptr) {
-      return Refuse(ProblemCode::UnknownOperation,
-                    "no operation " + aRequest.m_service + "/" + aRequest.m_operation);
+      return Refusal(ProblemCode::UnknownOperation,
+                     "no operation " + aRequest.m_service + "/" + aRequest.m_operation,
+                     Duration{0});
     }
   }
   if (aRequest.m_kind.empty() && !isService) {
-    return Refuse(ProblemCode::MissingKind,
-                  "the header Fennelline-Kind is missing; one of: " + KindNames(aContract));
+    return Refusal(ProblemCode::MissingKind,
+                   "the header Fennelline-Kind is missing; one of: " + KindNames(aContract),
+                   Duration{0});
   }
   valid.m_kind = aRequest.m_kind.empty() ? KindOfOperation(aContract, aRequest)
                                          : FindKind(aContract, aRequest.m_kind);
   if (valid.m_kind == nullptr || !KindFitsTarget(*valid.m_kind, aRequest)) {
-    return Refuse(ProblemCode::UnknownKind,
-                  "\"" + aRequest.m_kind +
-                    "\" is not a kind for this; one of: " + KindNames(aContract));
+    return Refusal(ProblemCode::UnknownKind,
+                   "\"" + aRequest.m_kind +
+                     "\" is not a kind for this; one of: " + KindNames(aContract),
+                   Duration{0});
   }
   valid.m_deadline = valid.m_kind->m_deadline;
   if (aRequest.m_deadlineMs > 0) {
@@ -90,7 +89,7 @@
 Validation ValidateRequest(const Configuration& aConfiguration, const CallerRequest& aRequest) {
   const Contract* contract = FindByKeyHash(aConfiguration, aRequest.m_keyHash);
   if (contract == nullptr) {
-    return Refuse(ProblemCode::BadKey, "the bearer key belongs to no contract");
+    return Refusal(ProblemCode::BadKey, "the bearer key belongs to no contract", Duration{0});
   }
   Validation validation = ValidateKind(aConfiguration, *contract, aRequest);
   const ValidRequest* valid = std::get_if<ValidRequest>(&validation);
@@ -98,8 +97,9 @@
     aRequest.m_target == CallerRequest::Target::Model && !aRequest.m_model.empty();
   if (valid != nullptr && namesModel &&
       !KnowsModel(aConfiguration, *contract, *valid->m_kind, aRequest.m_model)) {
-    return Refuse(ProblemCode::VersionNotAllowed,
-                  "\"" + aRequest.m_model + "\" is not allowed for kind " + valid->m_kind->m_name);
+    return Refusal(ProblemCode::VersionNotAllowed,
+                   "\"" + aRequest.m_model + "\" is not allowed for kind " + valid->m_kind->m_name,
+                   Duration{0});
   }
   return validation;
 }
--- a/Tests/LibCoordination/Claims/MeasureClaims.cpp
+++ b/Tests/LibCoordination/Claims/MeasureClaims.cpp
@@ -59,13 +59,13 @@
 
   void Apply(int aEntry, ClaimTable::ClaimStep aStep) {
     for (Effect& effect : aStep.m_effects) {
-      if (auto* message = std::get_if<SendMessage>(&effect)) {
+      if (SendMessage* message = std::get_if<SendMessage>(&effect)) {
         for (int to = 0; to < kEntries; ++to) {
           if (Name(to) == message->m_to) {
             m_letters.push_back({aEntry, to, std::move(message->m_message)});
           }
         }
-      } else if (auto* call = std::get_if<CallPlatform>(&effect)) {
+      } else if (CallPlatform* call = std::get_if<CallPlatform>(&effect)) {
         const PlatformReply reply = m_platform.Handle(call->m_call, call->m_request);
         Apply(aEntry, m_tables[aEntry].OnPlatformReply(reply, m_now));
       }
@@ -179,7 +179,7 @@
     Effects effects;
     writer.Advance(pending, true, effects, calls, now);
     const CallPlatform& call = std::get<CallPlatform>(effects.at(0));
-    if (const auto* put = std::get_if<PutKey>(&call.m_request)) {
+    if (const PutKey* put = std::get_if<PutKey>(&call.m_request)) {
       bytes = put->m_value.size();
     }
     writer.OnReply(platform.Handle(call.m_call, call.m_request), pending, now);
--- a/Tests/LibCoordination/Fakes/FakePlatform.h
+++ b/Tests/LibCoordination/Fakes/FakePlatform.h
@@ -18,17 +18,17 @@
     // As in docs/design/outside-protocols.md: a reading of one key names that key's revision, or
     // none where there is no such key; all other replies name the service's.
     bool isOfOneKey = false;
-    if (const auto* get = std::get_if<GetKey>(&aRequest)) {
+    if (const GetKey* get = std::get_if<GetKey>(&aRequest)) {
       ++m_reads;
       Get(get->m_key);
       isOfOneKey = true;
-    } else if (const auto* list = std::get_if<ListKeys>(&aRequest)) {
+    } else if (const ListKeys* list = std::get_if<ListKeys>(&aRequest)) {
       ++m_reads;
       List(list->m_prefix);
-    } else if (const auto* put = std::get_if<PutKey>(&aRequest)) {
+    } else if (const PutKey* put = std::get_if<PutKey>(&aRequest)) {
       ++m_writes;
       Put(*put);
-    } else if (const auto* remove = std::get_if<RemoveKey>(&aRequest)) {
+    } else if (const RemoveKey* remove = std::get_if<RemoveKey>(&aRequest)) {
       ++m_writes;
       Remove(*remove);
     } else {
--- a/Tests/LibCoordination/Fakes/FakeWorld.h
+++ b/Tests/LibCoordination/Fakes/FakeWorld.h
@@ -120,9 +120,9 @@
 
   void Apply(const EntryId& aEntry, Step<Outcome> aStep) {
     for (Effect& effect : aStep.m_effects) {
-      if (auto* message = std::get_if<SendMessage>(&effect)) {
+      if (SendMessage* message = std::get_if<SendMessage>(&effect)) {
         Send(aEntry, std::move(*message));
-      } else if (auto* call = std::get_if<CallPlatform>(&effect)) {
+      } else if (CallPlatform* call = std::get_if<CallPlatform>(&effect)) {
         Call(aEntry, std::move(*call));
       }
     }
--- a/Tests/LibCoordination/Usage/TestUsage.cpp
+++ b/Tests/LibCoordination/Usage/TestUsage.cpp
@@ -303,7 +303,7 @@
                              .m_sequences = {static_cast<std::uint64_t>(tenth) + 1}};
     ledger.OnMessage("entry-1#1", copied, now);
     for (const Effect& effect : ledger.Tick(now).m_effects) {
-      if (const auto* call = std::get_if<CallPlatform>(&effect)) {
+      if (const CallPlatform* call = std::get_if<CallPlatform>(&effect)) {
         ledger.OnPlatformReply(platform.Handle(call->m_call, call->m_request), now);
       }
     }
