--- a/Meta/run-tests.sh
+++ b/Meta/run-tests.sh
@@ -11,4 +11,4 @@
   ctest --test-dir "$build" --output-on-failure -R "$pattern" || true
   exclude=(-E "$pattern")
 fi
-exec ctest --test-dir "$build" --output-on-failure --no-tests=error -j "${TEST_JOBS:-6}" "${exclude[@]}" "$@"
+exec ctest --test-dir "$build" --output-on-failure --no-tests=error -j "${TEST_JOBS:-4}" "${exclude[@]}" "$@"
