Check operators' secrets in one place on the admin port

Cause: the check stood three times, in Serve() and in the handlers of the time line and of explain; a path added by copying one of them could miss it. Change: Guard() holds the check, and all paths but /metrics go through it. Behaviour is the same. Measured: status, evidence, timeline and explain answer 401 without a secret and 200 with one on a running entry; format and lint of the file are clean. The whole test set was not run again.

--- a/Services/Entry/Shell/AdminServer.cpp
+++ b/Services/Entry/Shell/AdminServer.cpp
@@ -17,6 +17,7 @@
 constexpr std::size_t kThreads = 8;
 constexpr Duration kAnswerWait = Seconds(2);
 constexpr int kUnauthorized = 401;
+constexpr const char* kJsonLines = "application/x-ndjson";
 constexpr int kUnavailable = 503;
 
 /// A whole number among the query's parameters; zero where it is missing or malformed.
@@ -61,18 +62,25 @@
     aResponse.set_content(text.get(), aType);
   }
 
-  /// Serves a path from the reducer's state to those who show a secret.
-  void Serve(const char* aPath, const WriteText& aWrite) {
+  /// Serves a path to those who show a secret.
+  void Guard(const char* aPath, const httplib::Server::Handler& aHandler) {
     m_http.Get(aPath,
-               [this, aWrite](const httplib::Request& aRequest, httplib::Response& aResponse) {
+               [this, aHandler](const httplib::Request& aRequest, httplib::Response& aResponse) {
                  if (!IsAuthorized(aRequest)) {
                    aResponse.status = kUnauthorized;
                    return;
                  }
-                 Answer(aWrite, "application/json", aResponse);
+                 aHandler(aRequest, aResponse);
                });
   }
 
+  /// Serves a path from the reducer's state to those who show a secret.
+  void Serve(const char* aPath, const WriteText& aWrite) {
+    Guard(aPath, [this, aWrite](const httplib::Request&, httplib::Response& aResponse) {
+      Answer(aWrite, "application/json", aResponse);
+    });
+  }
+
   /// The time line's records of one request, oldest first.
   std::string LinesOf(const std::string& aRequest) const {
     std::string lines;
@@ -99,22 +107,12 @@
     Serve("/admin/status", WriteStatus);
     Serve("/admin/evidence",
           [](const EntryReducer& aReducer, Time) { return WriteEvidence(aReducer); });
-    m_http.Get("/admin/timeline",
-               [this](const httplib::Request& aRequest, httplib::Response& aResponse) {
-                 if (IsAuthorized(aRequest)) {
-                   aResponse.set_content(m_timeline.Since(ReadNumber(aRequest, "after")),
-                                         "application/x-ndjson");
-                 } else {
-                   aResponse.status = kUnauthorized;
-                 }
-               });
-    m_http.Get("/admin/explain", [this](const httplib::Request& aRequest,
-                                        httplib::Response& aResponse) {
-      if (IsAuthorized(aRequest)) {
-        aResponse.set_content(LinesOf(aRequest.get_param_value("request")), "application/x-ndjson");
-      } else {
-        aResponse.status = kUnauthorized;
-      }
+    Guard("/admin/timeline",
+          [this](const httplib::Request& aRequest, httplib::Response& aResponse) {
+            aResponse.set_content(m_timeline.Since(ReadNumber(aRequest, "after")), kJsonLines);
+          });
+    Guard("/admin/explain", [this](const httplib::Request& aRequest, httplib::Response& aResponse) {
+      aResponse.set_content(LinesOf(aRequest.get_param_value("request")), kJsonLines);
     });
     m_http.Get("/metrics", [this](const httplib::Request&, httplib::Response& aResponse) {
       Answer(WriteMetrics, "text/plain; version=0.0.4", aResponse);
