--- a/Libraries/LibBase/FieldReader.cpp
+++ b/Libraries/LibBase/FieldReader.cpp
@@ -28,9 +28,10 @@
   return ParseJson(text.str());
 }
 
-FieldReader::FieldReader(const json& aObject, std::string aPath)
+FieldReader::FieldReader(const json& aObject, std::string aPath, UnknownFields aUnknown)
   : m_object(aObject)
-  , m_path(std::move(aPath)) {
+  , m_path(std::move(aPath))
+  , m_unknown(aUnknown) {
   if (!m_object.is_object()) {
     m_error = MakeError(ErrorCode::InvalidField,
                         (m_path.empty() ? "the document" : m_path) + ": must be an object");
@@ -143,6 +144,16 @@
   return Milliseconds(Integer(aName, aRangeMs, InMilliseconds(aDefault)));
 }
 
+Duration FieldReader::FractionalMs(const std::string& aName, Range<double> aRangeMs) {
+  const std::chrono::duration<double, std::milli> value(Number(aName, aRangeMs));
+  return std::chrono::duration_cast<Duration>(value);
+}
+
+Duration FieldReader::FractionalMs(const std::string& aName, Range<double> aRangeMs,
+                                   Duration aDefault) {
+  return Has(aName) ? FractionalMs(aName, aRangeMs) : (Find(aName), aDefault);
+}
+
 std::vector<std::string> FieldReader::Strings(const std::string& aName) {
   const json* value = Find(aName);
   if (value == nullptr) {
@@ -169,7 +180,8 @@
     return;
   }
   for (std::size_t index = 0; index < value->size(); ++index) {
-    FieldReader reader(value->at(index), PathOf(aName) + "[" + std::to_string(index) + "]");
+    FieldReader reader(value->at(index), PathOf(aName) + "[" + std::to_string(index) + "]",
+                       m_unknown);
     aRead(reader);
     Result<void> outcome = reader.Finish();
     if (outcome.IsError() && !m_error) {
@@ -183,7 +195,7 @@
   if (value == nullptr) {
     return;
   }
-  FieldReader reader(*value, PathOf(aName));
+  FieldReader reader(*value, PathOf(aName), m_unknown);
   aRead(reader);
   Result<void> outcome = reader.Finish();
   if (outcome.IsError() && !m_error) {
@@ -195,6 +207,9 @@
   if (m_error) {
     return *m_error;
   }
+  if (m_unknown == UnknownFields::Ignore) {
+    return {};
+  }
   for (const auto& field : m_object.items()) {
     if (std::find(m_asked.begin(), m_asked.end(), field.key()) != m_asked.end()) {
       continue;
--- a/Libraries/LibBase/FieldReader.h
+++ b/Libraries/LibBase/FieldReader.h
@@ -27,13 +27,17 @@
 /// Reads a file of JSON text.
 Result<std::shared_ptr<const nlohmann::json>> ReadJsonFile(const std::string& aPath);
 
+/// What becomes of fields that a parse function does not ask for.
+enum class UnknownFields { Refuse, Ignore };
+
 /// Reads the fields of one JSON object, strictly. It keeps the first error and from then on yields
 /// defaults, so that a parse function reads field after field and checks once, with Finish(),
-/// which also refuses fields that were never asked for.
+/// which also refuses fields that were never asked for, unless told to ignore them.
 class FieldReader {
 public:
   /// aPath is the object's place in the document, such as "contracts[2]"; empty for the root.
-  FieldReader(const nlohmann::json& aObject, std::string aPath);
+  FieldReader(const nlohmann::json& aObject, std::string aPath,
+              UnknownFields aUnknown = UnknownFields::Refuse);
 
   bool Has(const std::string& aName) const;
 
@@ -47,6 +51,9 @@
   /// A whole number of milliseconds.
   Duration DurationMs(const std::string& aName, Range<std::int64_t> aRangeMs);
   Duration DurationMs(const std::string& aName, Range<std::int64_t> aRangeMs, Duration aDefault);
+  /// A number of milliseconds, whole or not.
+  Duration FractionalMs(const std::string& aName, Range<double> aRangeMs);
+  Duration FractionalMs(const std::string& aName, Range<double> aRangeMs, Duration aDefault);
   /// An array of strings; a missing field is an empty array.
   std::vector<std::string> Strings(const std::string& aName);
 
@@ -92,6 +99,7 @@
 
   const nlohmann::json& m_object;
   std::string m_path;
+  UnknownFields m_unknown;
   std::vector<std::string> m_asked;
   std::optional<Error> m_error;
 };
--- a/Libraries/LibCoordination/Membership/Membership.cpp
+++ b/Libraries/LibCoordination/Membership/Membership.cpp
@@ -97,6 +97,20 @@
   return step;
 }
 
+Step<MembershipOutcome> Membership::SetCallerAddress(const std::string& aAddress, Time aNow) {
+  Outcomes step;
+  Advance(aNow);
+  if (m_self.m_callerAddress == aAddress) {
+    return step;
+  }
+  ++m_self.m_version;
+  m_self.m_callerAddress = aAddress;
+  step.m_outcomes.emplace_back(MemberChanged{m_self});
+  SpreadMember(m_self.m_entry, aNow);
+  SendUrgent(step, aNow);
+  return step;
+}
+
 Step<MembershipOutcome> Membership::MarkLeaving(const BackendServerId& aServer, Time aNow) {
   Outcomes step;
   Advance(aNow);
--- a/Libraries/LibCoordination/Membership/Membership.h
+++ b/Libraries/LibCoordination/Membership/Membership.h
@@ -101,6 +101,9 @@
   /// Tells all members that this entry is leaving. It keeps answering until the process ends.
   Step<MembershipOutcome> Leave(Time aNow);
 
+  /// Where callers reach this entry; empty while it takes none. All members are told.
+  Step<MembershipOutcome> SetCallerAddress(const std::string& aAddress, Time aNow);
+
   /// Some entry learned that a backend server is leaving: all will know.
   Step<MembershipOutcome> MarkLeaving(const BackendServerId& aServer, Time aNow);
   /// The backend server itself says that it takes work. Honoured only when the mark is older than
--- a/Libraries/LibCoordination/PlatformCall.h
+++ b/Libraries/LibCoordination/PlatformCall.h
@@ -30,6 +30,8 @@
   std::string m_value;
   /// The revision of the write that set this value.
   Revision m_revision = 0;
+  /// In a watch: the key was removed at this revision.
+  bool m_removed = false;
 };
 
 struct GetKey {
@@ -37,6 +39,8 @@
 };
 struct ListKeys {
   std::string m_prefix;
+  /// The page begins after this key; empty for the first.
+  std::string m_after = {};
 };
 /// Compare-and-swap. m_lease ties the key to a lease: it goes when the lease ends.
 struct PutKey {
@@ -77,6 +81,8 @@
   Unavailable,
   /// The reply was lost: the call may have taken effect.
   Unknown,
+  /// The changes that a watch asked for are no longer kept.
+  HistoryGone,
 };
 
 struct PlatformReply {
@@ -88,6 +94,8 @@
   /// has an empty value and its removal's revision.
   std::vector<KeyValue> m_keys;
   std::uint64_t m_lease = 0;
+  /// A listing has further pages.
+  bool m_hasMore = false;
 };
 
 } // namespace fennelline
--- /dev/null
+++ b/Libraries/LibHttp/ClientPool.cpp
@@ -0,0 +1,81 @@
+#include "LibHttp/ClientPool.h"
+
+#include <algorithm>
+
+namespace fennelline {
+
+namespace {
+
+/// Part of the server's own idle limit after which a kept channel is not trusted any more.
+constexpr double kTrustedPartOfIdleLimit = 0.6;
+
+} // namespace
+
+ClientPool::ClientPool(EventLoop& aLoop, ClientPoolSettings aSettings)
+  : m_loop(aLoop)
+  , m_settings(std::move(aSettings)) {}
+
+ClientPool::~ClientPool() {
+  CloseIdle();
+}
+
+bool ClientPool::IsTooOld(const ClientChannel& aChannel) const {
+  Duration limit = m_settings.m_mostIdle;
+  if (aChannel.ServerKeepsIdle() > Duration(0)) {
+    const Duration trusted =
+      std::chrono::duration_cast<Duration>(aChannel.ServerKeepsIdle() * kTrustedPartOfIdleLimit);
+    limit = std::min(limit, trusted);
+  }
+  return m_loop.Now() - aChannel.IdleSince() > limit;
+}
+
+Result<std::shared_ptr<ClientChannel>> ClientPool::Take(bool aFresh) {
+  while (!aFresh && !m_idle.empty()) {
+    std::shared_ptr<ClientChannel> channel = std::move(m_idle.back());
+    m_idle.pop_back();
+    channel->SetOnClosed({});
+    if (channel->IsReusable() && !IsTooOld(*channel)) {
+      ++m_onLoan;
+      return channel;
+    }
+    channel->Abandon();
+  }
+  std::shared_ptr<ClientChannel> channel = TRY(ClientChannel::Connect(
+    m_loop, m_settings.m_address, m_settings.m_connectTime, m_settings.m_socket));
+  ++m_onLoan;
+  ++m_connected;
+  return channel;
+}
+
+void ClientPool::GiveBack(const std::shared_ptr<ClientChannel>& aChannel) {
+  --m_onLoan;
+  if (!aChannel->IsReusable()) {
+    aChannel->Abandon();
+    return;
+  }
+  aChannel->SetOnClosed([this, raw = aChannel.get()] {
+    std::erase_if(m_idle, [raw](const std::shared_ptr<ClientChannel>& aKept) {
+      return aKept.get() == raw;
+    });
+  });
+  m_idle.push_back(aChannel);
+}
+
+void ClientPool::Sweep() {
+  // The oldest stand first, for the newest are used first.
+  while (!m_idle.empty() && IsTooOld(*m_idle.front())) {
+    m_idle.front()->SetOnClosed({});
+    m_idle.front()->Abandon();
+    m_idle.erase(m_idle.begin());
+  }
+}
+
+void ClientPool::CloseIdle() {
+  for (const std::shared_ptr<ClientChannel>& channel : m_idle) {
+    channel->SetOnClosed({});
+    channel->Abandon();
+  }
+  m_idle.clear();
+}
+
+} // namespace fennelline
--- /dev/null
+++ b/Libraries/LibHttp/ClientPool.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "LibHttp/ClientChannel.h"
+
+#include <cstddef>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace fennelline {
+
+struct ClientPoolSettings {
+  std::string m_address;
+  /// A connection that takes longer counts as failed.
+  Duration m_connectTime = Milliseconds(300);
+  /// A kept channel that was idle longer is not used again.
+  Duration m_mostIdle = Seconds(4);
+  SocketLimits m_socket;
+};
+
+/// The channels to one server. A channel is out on loan for each call.
+class ClientPool {
+public:
+  ClientPool(EventLoop& aLoop, ClientPoolSettings aSettings);
+  ~ClientPool();
+  ClientPool(const ClientPool&) = delete;
+  ClientPool& operator=(const ClientPool&) = delete;
+
+  /// A kept channel, or a new one. aFresh asks for one that was never used, for a call that must
+  /// not meet a server which is just closing an idle channel.
+  Result<std::shared_ptr<ClientChannel>> Take(bool aFresh);
+  /// The call has ended, in whatever way.
+  void GiveBack(const std::shared_ptr<ClientChannel>& aChannel);
+  /// Closes all channels that carry no call.
+  void CloseIdle();
+  /// Closes kept channels that are too old to be used again.
+  void Sweep();
+
+  std::size_t CountOnLoan() const { return m_onLoan; }
+  std::size_t CountOpen() const { return m_onLoan + m_idle.size(); }
+  std::uint64_t CountConnected() const { return m_connected; }
+
+private:
+  bool IsTooOld(const ClientChannel& aChannel) const;
+
+  EventLoop& m_loop;
+  ClientPoolSettings m_settings;
+  std::vector<std::shared_ptr<ClientChannel>> m_idle;
+  std::size_t m_onLoan = 0;
+  std::uint64_t m_connected = 0;
+};
+
+} // namespace fennelline
--- /dev/null
+++ b/Libraries/LibHttp/EventLoop.cpp
@@ -0,0 +1,121 @@
+#include "LibHttp/EventLoop.h"
+
+#include <algorithm>
+
+namespace fennelline {
+
+namespace {
+
+/// The poll sleeps for at most this long, so that a timer that was missed is late by no more.
+constexpr Duration kLongestWait = Seconds(1);
+
+/// Rounds up to the poller's whole milliseconds, so that a timer does not wake it too early.
+constexpr Duration kPollResolution = Milliseconds(1);
+
+} // namespace
+
+Result<void> EventLoop::Open() {
+  return m_poller.Open();
+}
+
+std::uint64_t EventLoop::Watch(int aDescriptor, OnReady aOnReady) {
+  const std::uint64_t watch = ++m_lastWatch;
+  m_watched[watch] = {.m_descriptor = aDescriptor,
+                      .m_onReady = std::make_shared<OnReady>(std::move(aOnReady))};
+  m_poller.Add(aDescriptor, watch, false);
+  return watch;
+}
+
+void EventLoop::SetInterest(std::uint64_t aWatch, bool aReading, bool aWriting) {
+  const auto found = m_watched.find(aWatch);
+  if (found == m_watched.end()) {
+    return;
+  }
+  if (aReading) {
+    m_poller.Change(found->second.m_descriptor, aWatch, aWriting);
+  } else {
+    m_poller.Pause(found->second.m_descriptor, aWatch, aWriting);
+  }
+}
+
+void EventLoop::Unwatch(std::uint64_t aWatch) {
+  const auto found = m_watched.find(aWatch);
+  if (found != m_watched.end()) {
+    m_poller.Remove(found->second.m_descriptor);
+    m_watched.erase(found);
+  }
+}
+
+EventLoop::TimerId EventLoop::At(Time aWhen, Task aTask) {
+  const TimerId timer = ++m_lastTimer;
+  m_timers.emplace(TimerKey(aWhen, timer), std::move(aTask));
+  m_timerTimes.emplace(timer, aWhen);
+  return timer;
+}
+
+void EventLoop::Every(Duration aInterval, Task aTask) {
+  After(aInterval, [this, aInterval, task = std::move(aTask)]() mutable {
+    task();
+    Every(aInterval, std::move(task));
+  });
+}
+
+void EventLoop::Cancel(TimerId aTimer) {
+  const auto found = m_timerTimes.find(aTimer);
+  if (found != m_timerTimes.end()) {
+    m_timers.erase(TimerKey(found->second, aTimer));
+    m_timerTimes.erase(found);
+  }
+}
+
+Duration EventLoop::TimeToNextTimer() const {
+  if (!m_posted.empty()) {
+    return Duration(0);
+  }
+  if (m_timers.empty()) {
+    return kLongestWait;
+  }
+  const Duration left = m_timers.begin()->first.first - m_clock.Now();
+  if (left <= Duration(0)) {
+    return Duration(0);
+  }
+  return std::min(left + kPollResolution, kLongestWait);
+}
+
+void EventLoop::RunTimers() {
+  while (!m_timers.empty() && m_timers.begin()->first.first <= m_now) {
+    const auto due = m_timers.begin();
+    Task task = std::move(due->second);
+    m_timerTimes.erase(due->first.second);
+    m_timers.erase(due);
+    task();
+  }
+}
+
+void EventLoop::RunPosted() {
+  std::vector<Task> posted;
+  posted.swap(m_posted);
+  for (const Task& task : posted) {
+    task();
+  }
+}
+
+void EventLoop::Run() {
+  while (!m_stopped) {
+    const std::vector<Readiness> ready = m_poller.Wait(TimeToNextTimer());
+    m_now = m_clock.Now();
+    for (const Readiness& readiness : ready) {
+      const auto found = m_watched.find(readiness.m_token);
+      if (found == m_watched.end()) {
+        continue;
+      }
+      // The callback may remove its own watch.
+      const std::shared_ptr<OnReady> onReady = found->second.m_onReady;
+      (*onReady)(readiness);
+    }
+    RunTimers();
+    RunPosted();
+  }
+}
+
+} // namespace fennelline
--- /dev/null
+++ b/Libraries/LibHttp/EventLoop.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "LibBase/Error.h"
+#include "LibBase/Time.h"
+#include "LibWire/Poller.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace fennelline {
+
+/// Runs callbacks for descriptors and timers on one thread.
+class EventLoop {
+public:
+  using OnReady = std::function<void(const Readiness&)>;
+  using Task = std::function<void()>;
+  using TimerId = std::uint64_t;
+  static constexpr TimerId kNoTimer = 0;
+
+  Result<void> Open();
+  /// Runs until Stop().
+  void Run();
+  void Stop() { m_stopped = true; }
+
+  /// The time at which the callback that runs now was called.
+  Time Now() const { return m_now; }
+
+  /// Watches a descriptor for reading. The number returned names it in the other calls.
+  std::uint64_t Watch(int aDescriptor, OnReady aOnReady);
+  void SetInterest(std::uint64_t aWatch, bool aReading, bool aWriting);
+  void Unwatch(std::uint64_t aWatch);
+
+  TimerId At(Time aWhen, Task aTask);
+  TimerId After(Duration aDelay, Task aTask) { return At(m_now + aDelay, std::move(aTask)); }
+  /// Calls the task again and again, for as long as the loop runs.
+  void Every(Duration aInterval, Task aTask);
+  void Cancel(TimerId aTimer);
+  /// Runs the task once the callback that runs now has returned.
+  void Post(Task aTask) { m_posted.push_back(std::move(aTask)); }
+
+private:
+  struct Watched {
+    int m_descriptor = 0;
+    std::shared_ptr<OnReady> m_onReady;
+  };
+  using TimerKey = std::pair<Time, TimerId>;
+
+  Duration TimeToNextTimer() const;
+  void RunTimers();
+  void RunPosted();
+
+  SystemClock m_clock;
+  Poller m_poller;
+  Time m_now = m_clock.Now();
+  bool m_stopped = false;
+  std::uint64_t m_lastWatch = 0;
+  std::unordered_map<std::uint64_t, Watched> m_watched;
+  TimerId m_lastTimer = kNoTimer;
+  std::map<TimerKey, Task> m_timers;
+  std::unordered_map<TimerId, Time> m_timerTimes;
+  std::vector<Task> m_posted;
+};
+
+} // namespace fennelline
--- /dev/null
+++ b/Libraries/LibHttp/MessageParser.cpp
@@ -0,0 +1,129 @@
+#include "LibHttp/MessageParser.h"
+
+#include <utility>
+
+namespace fennelline {
+
+namespace {
+
+constexpr int kSkipBody = 1;
+constexpr int kFirstFinalStatus = 200;
+constexpr int kNoContent = 204;
+constexpr int kNotModified = 304;
+
+} // namespace
+
+MessageParser::MessageParser(MessageKind aKind)
+  : m_kind(aKind) {
+  Reset();
+}
+
+void MessageParser::Reset() {
+  http_parser_init(&m_parser, m_kind == MessageKind::Request ? HTTP_REQUEST : HTTP_RESPONSE);
+  m_parser.data = this;
+  m_head = {};
+  m_body.clear();
+  m_noBody = false;
+  m_started = false;
+  m_hasHead = false;
+  m_complete = false;
+  m_lastWasValue = true;
+}
+
+MessageParser& MessageParser::Self(http_parser* aParser) {
+  return *static_cast<MessageParser*>(aParser->data);
+}
+
+const http_parser_settings& MessageParser::Callbacks() {
+  static const http_parser_settings settings = [] {
+    http_parser_settings callbacks;
+    http_parser_settings_init(&callbacks);
+    callbacks.on_message_begin = [](http_parser* aParser) {
+      Self(aParser).m_started = true;
+      return 0;
+    };
+    callbacks.on_url = [](http_parser* aParser, const char* aText, std::size_t aLength) {
+      Self(aParser).m_head.m_target.append(aText, aLength);
+      return 0;
+    };
+    callbacks.on_header_field = [](http_parser* aParser, const char* aText, std::size_t aLength) {
+      MessageParser& self = Self(aParser);
+      // Trailers, which come after the head, concern one connection only.
+      if (self.m_hasHead) {
+        return 0;
+      }
+      if (std::exchange(self.m_lastWasValue, false)) {
+        self.m_head.m_headers.Add({}, {});
+      }
+      self.m_head.m_headers.Rows().back().m_name.append(aText, aLength);
+      return 0;
+    };
+    callbacks.on_header_value = [](http_parser* aParser, const char* aText, std::size_t aLength) {
+      MessageParser& self = Self(aParser);
+      if (self.m_hasHead) {
+        return 0;
+      }
+      self.m_lastWasValue = true;
+      self.m_head.m_headers.Rows().back().m_value.append(aText, aLength);
+      return 0;
+    };
+    callbacks.on_headers_complete = [](http_parser* aParser) {
+      return Self(aParser).OnHeadersComplete();
+    };
+    callbacks.on_body = [](http_parser* aParser, const char* aText, std::size_t aLength) {
+      Self(aParser).m_body.append(aText, aLength);
+      return 0;
+    };
+    callbacks.on_message_complete = [](http_parser* aParser) {
+      Self(aParser).m_complete = true;
+      // Whatever follows belongs to another message.
+      http_parser_pause(aParser, 1);
+      return 0;
+    };
+    return callbacks;
+  }();
+  return settings;
+}
+
+int MessageParser::OnHeadersComplete() {
+  m_hasHead = true;
+  // Upgrades are not offered, so the bytes that follow are a body like any other.
+  m_parser.upgrade = 0;
+  m_head.m_minorVersion = m_parser.http_minor;
+  m_head.m_keepAlive = http_should_keep_alive(&m_parser) != 0;
+  if (m_kind == MessageKind::Request) {
+    m_head.m_method = http_method_str(static_cast<http_method>(m_parser.method));
+    return 0;
+  }
+  m_head.m_status = static_cast<int>(m_parser.status_code);
+  const bool isInterim = m_head.m_status < kFirstFinalStatus;
+  const bool hasBody = !m_noBody && !isInterim && m_head.m_status != kNoContent &&
+                       m_head.m_status != kNotModified;
+  const bool hasLength = (m_parser.flags & (F_CHUNKED | F_CONTENTLENGTH)) != 0;
+  m_head.m_endsWithConnection = hasBody && !hasLength;
+  return m_noBody && !isInterim ? kSkipBody : 0;
+}
+
+Result<std::size_t> MessageParser::Feed(std::string_view aBytes) {
+  if (m_complete || aBytes.empty()) {
+    return std::size_t{0};
+  }
+  const std::size_t taken =
+    http_parser_execute(&m_parser, &Callbacks(), aBytes.data(), aBytes.size());
+  const http_errno problem = HTTP_PARSER_ERRNO(&m_parser);
+  if (problem == HPE_OK || (problem == HPE_PAUSED && m_complete)) {
+    return taken;
+  }
+  const ErrorCode code =
+    problem == HPE_HEADER_OVERFLOW ? ErrorCode::LimitExceeded : ErrorCode::InvalidMessage;
+  return MakeError(code, http_errno_description(problem));
+}
+
+bool MessageParser::FinishAtEnd() {
+  if (!m_complete && m_hasHead) {
+    http_parser_execute(&m_parser, &Callbacks(), nullptr, 0);
+  }
+  return m_complete;
+}
+
+} // namespace fennelline
--- /dev/null
+++ b/Libraries/LibHttp/ServerChannel.cpp
@@ -0,0 +1,308 @@
+#include "LibHttp/ServerChannel.h"
+
+#include <algorithm>
+#include <cctype>
+#include <string_view>
+#include <utility>
+
+namespace fennelline {
+
+namespace {
+
+constexpr int kBadRequest = 400;
+constexpr int kRequestTimeout = 408;
+constexpr int kContentTooLarge = 413;
+constexpr int kHeadersTooLarge = 431;
+constexpr int kUnavailable = 503;
+
+/// Bytes of later requests that are read while one is in hand.
+constexpr std::size_t kMostPipelinedBytes = 64UL * 1024;
+
+/// Idle channels are closed this much after the limit, so that a request sent at the limit is not
+/// crossed by the close.
+constexpr Duration kIdleSlack = Seconds(1);
+
+constexpr std::string_view kTokenMarks = "!#$%&'*+-.^_`|~";
+
+bool IsToken(std::string_view aText) {
+  return !aText.empty() && std::all_of(aText.begin(), aText.end(), [](char aCharacter) {
+    return std::isalnum(static_cast<unsigned char>(aCharacter)) != 0 ||
+           kTokenMarks.find(aCharacter) != std::string_view::npos;
+  });
+}
+
+bool HasControlCharacter(std::string_view aText) {
+  constexpr unsigned char kFirstPrintable = 0x20;
+  constexpr unsigned char kDelete = 0x7f;
+  return std::any_of(aText.begin(), aText.end(), [](char aCharacter) {
+    const auto code = static_cast<unsigned char>(aCharacter);
+    return (code < kFirstPrintable && aCharacter != '\t') || code == kDelete;
+  });
+}
+
+/// Why a request's head is not acceptable; empty where it is.
+std::string_view ProblemOf(const MessageHead& aHead) {
+  if (!aHead.m_target.starts_with('/')) {
+    return "the target is not a path";
+  }
+  if (aHead.m_headers.Count("host") != 1) {
+    return "there is not exactly one Host header";
+  }
+  for (const Header& header : aHead.m_headers.Rows()) {
+    if (!IsToken(header.m_name) || HasControlCharacter(header.m_value)) {
+      return "a header is malformed";
+    }
+  }
+  const std::string* coding = aHead.m_headers.Find("transfer-encoding");
+  if (coding != nullptr && (!EqualIgnoringCase(*coding, "chunked") ||
+                            aHead.m_headers.Count("transfer-encoding") != 1 ||
+                            aHead.m_headers.Count("content-length") != 0)) {
+    return "the body's length is ambiguous";
+  }
+  if (aHead.m_headers.Count("content-length") > 1) {
+    return "there is more than one Content-Length";
+  }
+  return {};
+}
+
+} // namespace
+
+ServerChannel::ServerChannel(EventLoop& aLoop, std::shared_ptr<ServerContext> aContext,
+                             std::shared_ptr<StreamSocket> aSocket)
+  : m_loop(aLoop)
+  , m_context(std::move(aContext))
+  , m_socket(std::move(aSocket))
+  , m_since(aLoop.Now()) {}
+
+ServerChannel::~ServerChannel() {
+  Release(m_buffered);
+}
+
+void ServerChannel::Start() {
+  SocketListener listener;
+  listener.m_onInput = [self = shared_from_this()] { self->OnInput(); };
+  listener.m_onEnd = [self = shared_from_this()](SocketEnd) { self->OnEnd(); };
+  listener.m_onDrained = [self = shared_from_this()] {
+    // The callback may end the answer and with it itself.
+    const std::function<void()> onDrained = self->m_onDrained;
+    if (onDrained) {
+      onDrained();
+    }
+  };
+  m_socket->SetListener(std::move(listener));
+}
+
+void ServerChannel::Release(std::size_t aBytes) {
+  m_context->m_bufferedBytes -= aBytes;
+  m_buffered -= aBytes;
+}
+
+void ServerChannel::OnEnd() {
+  Release(m_buffered);
+  const std::function<void()> onGone = std::exchange(m_onGone, {});
+  m_onDrained = {};
+  m_busy = false;
+  if (onGone) {
+    onGone();
+  }
+}
+
+void ServerChannel::OnInput() {
+  while (!m_busy && m_socket->IsOpen() && !m_socket->Input().empty()) {
+    if (!FeedParser()) {
+      return;
+    }
+  }
+  if (m_busy && m_socket->Input().size() > kMostPipelinedBytes) {
+    m_socket->SetReading(false);
+  }
+}
+
+bool ServerChannel::FeedParser() {
+  if (!m_parser.HasStarted()) {
+    m_since = m_loop.Now();
+  }
+  const bool hadHead = m_parser.HasHead();
+  const Result<std::size_t> taken = m_parser.Feed(m_socket->Input());
+  if (taken.IsError()) {
+    const bool isTooLong = taken.GetError().m_code == ErrorCode::LimitExceeded;
+    Reject(isTooLong ? kHeadersTooLarge : kBadRequest, taken.GetError().m_detail);
+    return false;
+  }
+  m_socket->Input().erase(0, taken.Get());
+  m_headerBytes += hadHead ? 0 : taken.Get() - m_parser.BodySize();
+  const std::size_t body = m_parser.BodySize();
+  m_context->m_bufferedBytes += body - m_buffered;
+  m_buffered = body;
+  if (!IsWithinLimits()) {
+    return false;
+  }
+  if (m_parser.HasHead() && !std::exchange(m_sawHead, m_parser.HasHead())) {
+    OnHead();
+  }
+  if (m_socket->IsOpen() && m_parser.IsComplete()) {
+    TakeRequest();
+  }
+  return true;
+}
+
+bool ServerChannel::IsWithinLimits() {
+  const ServerLimits& limits = m_context->m_limits;
+  if (m_headerBytes > limits.m_headerBytes) {
+    Reject(kHeadersTooLarge, "the headers are too long");
+    return false;
+  }
+  const std::string* length = m_parser.Head().m_headers.Find("content-length");
+  const bool announcesTooMuch = m_parser.HasHead() && length != nullptr &&
+                                std::strtoull(length->c_str(), nullptr, 10) > limits.m_bodyBytes;
+  if (announcesTooMuch || m_buffered > limits.m_bodyBytes) {
+    Reject(kContentTooLarge, "the body is too long");
+    return false;
+  }
+  if (m_context->m_bufferedBytes > m_context->m_mostBufferedBytes) {
+    Reject(kUnavailable, "no memory left for request bodies");
+    return false;
+  }
+  return true;
+}
+
+void ServerChannel::OnHead() {
+  const std::string* expectation = m_parser.Head().m_headers.Find("expect");
+  if (!m_parser.IsComplete() && expectation != nullptr &&
+      EqualIgnoringCase(*expectation, "100-continue")) {
+    m_socket->Write("HTTP/1.1 100 Continue\r\n\r\n");
+  }
+}
+
+void ServerChannel::TakeRequest() {
+  const std::string_view problem = ProblemOf(m_parser.Head());
+  if (!problem.empty()) {
+    Reject(kBadRequest, problem);
+    return;
+  }
+  IncomingRequest request;
+  request.m_head = std::move(m_parser.Head());
+  request.m_body = m_parser.TakeBody();
+  request.m_arrived = m_since;
+  m_busy = true;
+  m_closes = !request.m_head.m_keepAlive;
+  m_raw = request.m_head.m_minorVersion == 0;
+  m_parser.Reset();
+  m_sawHead = false;
+  m_headerBytes = 0;
+  m_context->m_onRequest(shared_from_this(), std::move(request));
+}
+
+void ServerChannel::Reject(int aStatus, std::string_view aReason) {
+  if (m_context->m_onRejected) {
+    m_context->m_onRejected(aStatus, aReason);
+  }
+  m_busy = true;
+  m_closes = true;
+  Answer({.m_status = aStatus, .m_headers = {}}, {});
+}
+
+std::string ServerChannel::WriteHead(const AnswerHead& aHead) {
+  std::string text = StatusLine(aHead.m_status);
+  for (const Header& header : aHead.m_headers.Rows()) {
+    AppendHeader(text, header.m_name, header.m_value);
+  }
+  m_closes = m_closes || m_context->m_closing;
+  if (m_closes) {
+    AppendHeader(text, "Connection", "close");
+  }
+  return text;
+}
+
+void ServerChannel::Answer(AnswerHead aHead, std::string_view aBody) {
+  if (!m_busy || !m_socket->IsOpen()) {
+    return;
+  }
+  std::string text = WriteHead(aHead);
+  AppendHeader(text, "Content-Length", std::to_string(aBody.size()));
+  text += "\r\n";
+  text += aBody;
+  m_socket->Write(text);
+  FinishAnswer();
+}
+
+void ServerChannel::BeginAnswer(AnswerHead aHead) {
+  if (!m_busy || !m_socket->IsOpen()) {
+    return;
+  }
+  m_closes = m_closes || m_raw;
+  std::string text = WriteHead(aHead);
+  if (!m_raw) {
+    AppendHeader(text, "Transfer-Encoding", "chunked");
+  }
+  text += "\r\n";
+  m_socket->Write(text);
+}
+
+void ServerChannel::SendPart(std::string_view aPart) {
+  if (m_raw) {
+    m_socket->Write(aPart);
+    return;
+  }
+  std::string chunk;
+  AppendChunk(chunk, aPart);
+  m_socket->Write(chunk);
+}
+
+void ServerChannel::EndAnswer() {
+  if (!m_busy || !m_socket->IsOpen()) {
+    return;
+  }
+  if (!m_raw) {
+    m_socket->Write(kLastChunk);
+  }
+  FinishAnswer();
+}
+
+void ServerChannel::Abort() {
+  m_onGone = {};
+  m_onDrained = {};
+  m_busy = false;
+  Release(m_buffered);
+  m_socket->Reset();
+}
+
+void ServerChannel::FinishAnswer() {
+  m_onGone = {};
+  m_onDrained = {};
+  m_busy = false;
+  Release(m_buffered);
+  m_since = m_loop.Now();
+  m_promisedIdle = m_context->m_limits.m_idleTime;
+  if (m_closes) {
+    m_socket->CloseAfterWriting();
+    return;
+  }
+  m_socket->SetReading(true);
+  if (!m_socket->Input().empty()) {
+    m_loop.Post([self = shared_from_this()] { self->OnInput(); });
+  }
+}
+
+void ServerChannel::CheckTime(Time aNow) {
+  if (m_busy || !m_socket->IsOpen()) {
+    return;
+  }
+  const bool isReadingHead = m_parser.HasStarted() && !m_parser.HasHead();
+  if (isReadingHead && aNow - m_since > m_context->m_limits.m_headerTime) {
+    Reject(kRequestTimeout, "the headers took too long");
+    return;
+  }
+  const Duration idleTime = std::max(m_promisedIdle, m_context->m_limits.m_idleTime) + kIdleSlack;
+  if (IsIdle() && aNow - m_since > idleTime) {
+    m_socket->CloseAfterWriting();
+  }
+}
+
+void ServerChannel::CloseIfIdle() {
+  if (IsIdle() && m_socket->IsOpen()) {
+    m_socket->CloseAfterWriting();
+  }
+}
+
+} // namespace fennelline
--- /dev/null
+++ b/Libraries/LibHttp/StreamSocket.cpp
@@ -0,0 +1,212 @@
+#include "LibHttp/StreamSocket.h"
+
+#include <array>
+#include <cerrno>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <utility>
+
+namespace fennelline {
+
+namespace {
+
+/// Bytes read at a time; a stream's events and most requests fit.
+constexpr std::size_t kReadBytes = 32UL * 1024;
+
+/// How long a closing connection waits for its peer to close too.
+constexpr Duration kLingerTime = Seconds(1);
+
+void SetOption(int aDescriptor, int aLevel, int aOption, int aValue) {
+  setsockopt(aDescriptor, aLevel, aOption, &aValue, sizeof(aValue));
+}
+
+void ApplyLimits(int aDescriptor, const SocketLimits& aLimits) {
+  SetOption(aDescriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
+  SetOption(aDescriptor, IPPROTO_TCP, TCP_KEEPIDLE, aLimits.m_keepAliveSeconds);
+  SetOption(aDescriptor, IPPROTO_TCP, TCP_KEEPINTVL, 1);
+  SetOption(aDescriptor, IPPROTO_TCP, TCP_KEEPCNT, aLimits.m_keepAliveProbes);
+  SetOption(aDescriptor, IPPROTO_TCP, TCP_USER_TIMEOUT,
+            static_cast<int>(InMilliseconds(aLimits.m_unacknowledged)));
+}
+
+} // namespace
+
+StreamSocket::StreamSocket(EventLoop& aLoop, FileDescriptor aDescriptor, bool aConnecting)
+  : m_loop(aLoop)
+  , m_descriptor(std::move(aDescriptor))
+  , m_connecting(aConnecting)
+  , m_wantsWriting(aConnecting) {}
+
+std::shared_ptr<StreamSocket> StreamSocket::Adopt(EventLoop& aLoop, FileDescriptor aDescriptor,
+                                                  const SocketLimits& aLimits) {
+  ApplyLimits(aDescriptor.Number(), aLimits);
+  std::shared_ptr<StreamSocket> socket =
+    std::make_shared<StreamSocket>(aLoop, std::move(aDescriptor), false);
+  socket->Start();
+  return socket;
+}
+
+Result<std::shared_ptr<StreamSocket>> StreamSocket::Connect(EventLoop& aLoop,
+                                                            const std::string& aAddress,
+                                                            const SocketLimits& aLimits) {
+  FileDescriptor descriptor = TRY(ConnectStream(aAddress));
+  ApplyLimits(descriptor.Number(), aLimits);
+  std::shared_ptr<StreamSocket> socket =
+    std::make_shared<StreamSocket>(aLoop, std::move(descriptor), true);
+  socket->Start();
+  return socket;
+}
+
+void StreamSocket::Start() {
+  m_watch = m_loop.Watch(
+    m_descriptor.Number(),
+    [self = shared_from_this()](const Readiness& aReadiness) { self->OnReady(aReadiness); });
+  if (m_wantsWriting) {
+    UpdateInterest();
+  }
+}
+
+void StreamSocket::Notify(std::function<void()> SocketListener::*aCallback) {
+  const std::shared_ptr<const SocketListener> listener = m_listener;
+  ((*listener).*aCallback)();
+}
+
+void StreamSocket::UpdateInterest() {
+  m_loop.SetInterest(m_watch, m_reading, m_wantsWriting);
+}
+
+void StreamSocket::SetReading(bool aReading) {
+  if (IsOpen() && m_reading != aReading) {
+    m_reading = aReading;
+    UpdateInterest();
+  }
+}
+
+void StreamSocket::OnReady(const Readiness& aReadiness) {
+  if (m_connecting && (aReadiness.m_writable || aReadiness.m_hungUp)) {
+    FinishConnecting();
+  }
+  if (IsOpen() && aReadiness.m_writable) {
+    Flush();
+  }
+  // A hang-up would be told again and again, so it is read out even where reading is paused.
+  if (IsOpen() && ((m_reading && aReadiness.m_readable) || aReadiness.m_hungUp)) {
+    ReadAll();
+  }
+}
+
+void StreamSocket::FinishConnecting() {
+  int problem = 0;
+  socklen_t length = sizeof(problem);
+  getsockopt(m_descriptor.Number(), SOL_SOCKET, SO_ERROR, &problem, &length);
+  if (problem != 0) {
+    End(SocketEnd::Failed);
+    return;
+  }
+  m_connecting = false;
+  if (m_listener->m_onConnected) {
+    Notify(&SocketListener::m_onConnected);
+  }
+}
+
+void StreamSocket::ReadAll() {
+  std::array<char, kReadBytes> buffer;
+  const ssize_t count = ::recv(m_descriptor.Number(), buffer.data(), buffer.size(), 0);
+  if (count > 0) {
+    if (m_lingering) {
+      return;
+    }
+    m_input.append(buffer.data(), static_cast<std::size_t>(count));
+    if (m_listener->m_onInput) {
+      Notify(&SocketListener::m_onInput);
+    }
+    return;
+  }
+  if (count < 0 && (errno == EAGAIN || errno == EINTR)) {
+    return;
+  }
+  End(count == 0 ? SocketEnd::Closed : SocketEnd::Failed);
+}
+
+void StreamSocket::Write(std::string_view aBytes) {
+  if (!IsOpen() || m_endsOutput) {
+    return;
+  }
+  m_output.append(aBytes);
+  if (!m_connecting && !m_wantsWriting) {
+    Flush();
+  }
+}
+
+void StreamSocket::Flush() {
+  std::size_t done = 0;
+  while (done < m_output.size()) {
+    const ssize_t count =
+      ::send(m_descriptor.Number(), m_output.data() + done, m_output.size() - done, MSG_NOSIGNAL);
+    if (count < 0) {
+      if (errno == EINTR) {
+        continue;
+      }
+      // A failure shows itself when the socket is read.
+      break;
+    }
+    done += static_cast<std::size_t>(count);
+    m_sent = true;
+  }
+  m_output.erase(0, done);
+  const bool wantsWriting = !m_output.empty();
+  if (wantsWriting != m_wantsWriting) {
+    m_wantsWriting = wantsWriting;
+    UpdateInterest();
+  }
+  if (wantsWriting) {
+    return;
+  }
+  if (m_endsOutput) {
+    ::shutdown(m_descriptor.Number(), SHUT_WR);
+  } else if (done > 0 && m_listener->m_onDrained) {
+    Notify(&SocketListener::m_onDrained);
+  }
+}
+
+void StreamSocket::End(SocketEnd aEnd) {
+  const std::shared_ptr<StreamSocket> self = shared_from_this();
+  const std::shared_ptr<const SocketListener> listener = m_listener;
+  Close();
+  if (listener->m_onEnd) {
+    listener->m_onEnd(aEnd);
+  }
+}
+
+void StreamSocket::Close() {
+  if (!IsOpen()) {
+    return;
+  }
+  m_loop.Unwatch(m_watch);
+  m_descriptor.Close();
+  SetListener({});
+}
+
+void StreamSocket::Reset() {
+  if (IsOpen()) {
+    const linger atOnce{.l_onoff = 1, .l_linger = 0};
+    setsockopt(m_descriptor.Number(), SOL_SOCKET, SO_LINGER, &atOnce, sizeof(atOnce));
+    Close();
+  }
+}
+
+void StreamSocket::CloseAfterWriting() {
+  if (!IsOpen() || m_endsOutput) {
+    return;
+  }
+  m_lingering = true;
+  m_endsOutput = true;
+  SetListener({});
+  SetReading(true);
+  if (!m_connecting && !m_wantsWriting) {
+    Flush();
+  }
+  m_loop.After(kLingerTime, [self = shared_from_this()] { self->Close(); });
+}
+
+} // namespace fennelline
--- /dev/null
+++ b/Libraries/LibRouting/EntryDirectory.cpp
@@ -0,0 +1,29 @@
+#include "LibRouting/EntryDirectory.h"
+
+namespace fennelline {
+
+namespace {
+
+/// With a single entry in its zone, a caller would have nowhere to go when that one fails.
+constexpr std::size_t kFewestInZone = 2;
+
+} // namespace
+
+std::vector<std::string> ChooseEntries(const std::vector<DirectoryEntry>& aEntries,
+                                       const std::string& aZone, std::size_t aMost) {
+  std::vector<std::string> near;
+  std::vector<std::string> all;
+  for (const DirectoryEntry& entry : aEntries) {
+    all.push_back(entry.m_address);
+    if (entry.m_zone == aZone) {
+      near.push_back(entry.m_address);
+    }
+  }
+  std::vector<std::string> chosen = near.size() >= kFewestInZone ? near : all;
+  if (chosen.size() > aMost) {
+    chosen.resize(aMost);
+  }
+  return chosen;
+}
+
+} // namespace fennelline
--- /dev/null
+++ b/Libraries/LibRouting/Placement.cpp
@@ -0,0 +1,81 @@
+#include "LibRouting/Placement.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace fennelline {
+
+namespace {
+
+/// All costs are in milliseconds of delay.
+
+/// Reading a token of a prompt again: engines read some 60 a millisecond, and delay their other
+/// requests meanwhile.
+constexpr double kReadAgainMsPerToken = 0.05;
+
+/// Crossing to another data centre: the way there and back, and the links' price for each byte,
+/// weighed like the delay of reading a prompt of that price again.
+constexpr double kFarMs = 3.0;
+constexpr double kFarMsPerByte = 0.004;
+
+/// A failure costs a retry, and some requests cannot be repeated.
+constexpr double kFailureMs = 1500.0;
+
+/// Where all slots are taken, a request waits for one.
+constexpr double kFullMs = 400.0;
+
+/// A last resort comes after everything else.
+constexpr double kShunnedMs = 100'000.0;
+
+/// Spreads requests over equal servers.
+constexpr double kNoiseMs = 2.0;
+
+std::uint64_t Mix(std::uint64_t aValue) {
+  return Random(aValue).Next();
+}
+
+/// The server that every entry thinks of first for a prefix.
+std::size_t FindHome(std::uint64_t aPrefix, std::span<const PlacementCandidate> aCandidates) {
+  std::size_t home = 0;
+  std::uint64_t highest = 0;
+  for (std::size_t index = 0; index < aCandidates.size(); ++index) {
+    const std::uint64_t rank = Mix(aPrefix ^ aCandidates[index].m_identity);
+    if (!aCandidates[index].m_isShunned && rank >= highest) {
+      highest = rank;
+      home = index;
+    }
+  }
+  return home;
+}
+
+} // namespace
+
+std::optional<std::size_t> ChoosePlacement(const PlacementQuery& aQuery,
+                                           std::span<const PlacementCandidate> aCandidates,
+                                           Random& aRandom) {
+  if (aCandidates.empty()) {
+    return std::nullopt;
+  }
+  const std::size_t home = aQuery.m_prefix == 0 ? aCandidates.size()
+                                                : FindHome(aQuery.m_prefix, aCandidates);
+  std::size_t best = 0;
+  double leastCost = 0.0;
+  for (std::size_t index = 0; index < aCandidates.size(); ++index) {
+    const PlacementCandidate& candidate = aCandidates[index];
+    const bool isHeld = index == home || candidate.m_holdsPrefix;
+    double cost = aRandom.Uniform() * kNoiseMs;
+    cost += candidate.m_load * aQuery.m_crowdingMs;
+    cost += candidate.m_load >= candidate.m_slots ? kFullMs : 0.0;
+    cost += isHeld ? 0.0 : static_cast<double>(aQuery.m_prefixTokens) * kReadAgainMsPerToken;
+    cost += candidate.m_isNear ? 0.0 : kFarMs + aQuery.m_bytes * kFarMsPerByte;
+    cost += candidate.m_failureRate * kFailureMs;
+    cost += candidate.m_isShunned ? kShunnedMs : 0.0;
+    if (index == 0 || cost < leastCost) {
+      best = index;
+      leastCost = cost;
+    }
+  }
+  return best;
+}
+
+} // namespace fennelline
--- /dev/null
+++ b/Libraries/LibRouting/Placement.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "LibBase/Random.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <span>
+
+namespace fennelline {
+
+/// One backend server as a request may be placed on it.
+struct PlacementCandidate {
+  /// Hash of its identity.
+  std::uint64_t m_identity = 0;
+  /// Requests there, of all entries as far as known.
+  double m_load = 0.0;
+  double m_slots = 1.0;
+  bool m_isNear = true;
+  /// It is believed to hold the request's shared prefix.
+  bool m_holdsPrefix = false;
+  double m_failureRate = 0.0;
+  /// Only as a last resort: not reached lately, or it has failed this request before.
+  bool m_isShunned = false;
+};
+
+/// The request that is placed.
+struct PlacementQuery {
+  /// Names the shared prefix and the model; zero where there is none.
+  std::uint64_t m_prefix = 0;
+  std::int64_t m_prefixTokens = 0;
+  /// Bytes of the request and its expected answer that would cross to another data centre.
+  double m_bytes = 0.0;
+  /// Time that one more request on a server adds to each other there, in milliseconds.
+  double m_crowdingMs = 1.0;
+};
+
+/// Chooses a backend server, or none of none. It answers the load of many entries that place at
+/// the same time without knowing of each other: requests with a shared prefix prefer the same
+/// server on every entry, by rendezvous hashing, until it has more than its part of the load.
+std::optional<std::size_t> ChoosePlacement(const PlacementQuery& aQuery,
+                                           std::span<const PlacementCandidate> aCandidates,
+                                           Random& aRandom);
+
+} // namespace fennelline
--- /dev/null
+++ b/Libraries/LibRouting/ReplicaRecord.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "LibBase/NameTable.h"
+#include "LibBase/Time.h"
+
+#include <cstdint>
+#include <string>
+
+namespace fennelline {
+
+enum class ReplicaState : std::uint8_t { Ready, Draining };
+
+constexpr NameTable<ReplicaState, 2> kReplicaStateNames = {{
+  {ReplicaState::Ready, "ready"},
+  {ReplicaState::Draining, "draining"},
+}};
+
+/// What a backend server says of itself in the platform's store.
+struct ReplicaRecord {
+  std::string m_id;
+  std::string m_service;
+  std::string m_address;
+  std::string m_zone;
+  std::string m_version;
+  int m_slots = 1;
+  ReplicaState m_state = ReplicaState::Ready;
+  /// How much longer it is slow after its start.
+  Duration m_coldLeft{0};
+  /// Unix milliseconds of its start: a server that starts again under its id holds nothing of
+  /// before.
+  std::int64_t m_born = 0;
+
+  friend bool operator==(const ReplicaRecord&, const ReplicaRecord&) = default;
+};
+
+} // namespace fennelline
--- /dev/null
+++ b/Libraries/LibRouting/RequestPlan.h
@@ -0,0 +1,104 @@
+#pragma once
+
+#include "LibBase/NameTable.h"
+#include "LibBase/Time.h"
+#include "LibRouting/RetryWindow.h"
+#include "LibRouting/RoutingConfiguration.h"
+
+#include <cstdint>
+
+namespace fennelline {
+
+/// What the router owes one request.
+struct RequestPromise {
+  RouteKind m_kind = RouteKind::NonIdempotent;
+  bool m_resumable = false;
+  /// Backend servers that it may run on.
+  int m_attempts = 1;
+  /// The final answer is given by then.
+  Time m_answerBy = kNever;
+
+  /// Whether it may run more than once.
+  bool MayRepeat() const {
+    return m_kind == RouteKind::Idempotent || (m_kind == RouteKind::Streaming && m_resumable);
+  }
+};
+
+/// How one send to a backend server ended without the answer being passed on.
+enum class AttemptOutcome : std::uint8_t {
+  /// No byte of the request left.
+  NotSent,
+  /// The server says that it did not run the request.
+  NotRun,
+  /// It may have run; no whole answer came.
+  Lost,
+  /// What came cannot be the answer.
+  Spoilt,
+  /// The server ran the request and answers with a failure of its own.
+  Failed,
+  /// No sign of an answer for so long that another server is more likely to be in time.
+  Stalled,
+  /// The model doubts its answer, and a larger one may take over.
+  Doubtful,
+};
+
+constexpr NameTable<AttemptOutcome, 7> kAttemptOutcomeNames = {{
+  {AttemptOutcome::NotSent, "not-sent"},
+  {AttemptOutcome::NotRun, "not-run"},
+  {AttemptOutcome::Lost, "lost"},
+  {AttemptOutcome::Spoilt, "spoilt"},
+  {AttemptOutcome::Failed, "failed"},
+  {AttemptOutcome::Stalled, "stalled"},
+  {AttemptOutcome::Doubtful, "doubtful"},
+}};
+
+enum class NextAction : std::uint8_t {
+  /// Send it to another server.
+  Send,
+  /// Answer that it has not run and will not.
+  Refuse,
+  /// Answer that it failed and may have run.
+  Fail,
+  /// Pass the server's own failure on.
+  PassOn,
+  /// Part of the answer has gone to the caller: break it off.
+  Cut,
+};
+
+constexpr NameTable<NextAction, 5> kNextActionNames = {{
+  {NextAction::Send, "send"},
+  {NextAction::Refuse, "refuse"},
+  {NextAction::Fail, "fail"},
+  {NextAction::PassOn, "pass-on"},
+  {NextAction::Cut, "cut"},
+}};
+
+/// Decides what follows after each attempt of one request. It alone knows whether the request may
+/// have run, so no refusal can say "not run" of one that has.
+class RequestPlan {
+public:
+  explicit RequestPlan(RequestPromise aPromise)
+    : m_promise(aPromise) {}
+
+  /// aAnswerBegun: part of an answer has gone to the caller.
+  NextAction OnOutcome(AttemptOutcome aOutcome, bool aAnswerBegun, RetryWindow& aRetries,
+                       const RetryWindowPlan& aRetryPlan, Time aNow);
+  /// No server can take it, or its time is over.
+  NextAction OnGivenUp(bool aAnswerBegun) const;
+  /// Whether one more run would be allowed now, without counting it.
+  bool HasRunLeft() const { return m_promise.MayRepeat() && m_runs < m_promise.m_attempts; }
+  bool MayHaveRun() const { return m_mayHaveRun; }
+  const RequestPromise& Promise() const { return m_promise; }
+  /// Times that some byte of it went to a server.
+  int Sends() const { return m_sends; }
+
+private:
+  RequestPromise m_promise;
+  int m_sends = 0;
+  int m_runs = 0;
+  int m_unsent = 0;
+  bool m_mayHaveRun = false;
+  bool m_hasFailure = false;
+};
+
+} // namespace fennelline
--- /dev/null
+++ b/Libraries/LibRouting/RolloutRecordJson.cpp
@@ -0,0 +1,33 @@
+#include "LibBase/FieldReader.h"
+#include "LibRouting/RolloutRecord.h"
+
+#include <limits>
+#include <nlohmann/json.hpp>
+
+namespace fennelline {
+
+std::string WriteRolloutRecord(const RolloutRecord& aRecord) {
+  const nlohmann::json document = {{"service", aRecord.m_service},
+                                   {"version", aRecord.m_version},
+                                   {"orderRevision", aRecord.m_orderRevision},
+                                   {"phase", std::string(NameOf(kRolloutPhaseNames, aRecord.m_phase))}};
+  return document.dump();
+}
+
+Result<RolloutRecord> ParseRolloutRecord(const std::string& aText) {
+  const std::shared_ptr<const nlohmann::json> document = TRY(ParseJson(aText));
+  FieldReader reader(*document, "", UnknownFields::Ignore);
+  RolloutRecord record;
+  record.m_service = reader.String("service");
+  record.m_version = reader.String("version");
+  record.m_orderRevision = static_cast<std::uint64_t>(reader.Integer(
+    "orderRevision", {.m_least = 0, .m_most = std::numeric_limits<std::int64_t>::max()}));
+  record.m_phase = reader.Enum("phase", kRolloutPhaseNames);
+  const Result<void> outcome = reader.Finish();
+  if (outcome.IsError()) {
+    return outcome.GetError();
+  }
+  return record;
+}
+
+} // namespace fennelline
--- a/Libraries/LibWire/Poller.cpp
+++ b/Libraries/LibWire/Poller.cpp
@@ -5,6 +5,14 @@
 
 namespace fennelline {
 
+namespace {
+
+std::uint32_t WritingEvents(bool aWriting) {
+  return aWriting ? static_cast<std::uint32_t>(EPOLLOUT) : 0U;
+}
+
+} // namespace
+
 Result<void> Poller::Open() {
   m_epoll = FileDescriptor(epoll_create1(EPOLL_CLOEXEC));
   if (!m_epoll.IsOpen()) {
@@ -14,16 +22,25 @@
 }
 
 void Poller::Add(int aDescriptor, std::uint64_t aToken, bool aWriting) {
-  Control(EPOLL_CTL_ADD, aDescriptor, aToken, aWriting);
+  Control(EPOLL_CTL_ADD, aDescriptor, aToken, EPOLLIN | WritingEvents(aWriting));
 }
 
 void Poller::Change(int aDescriptor, std::uint64_t aToken, bool aWriting) {
-  Control(EPOLL_CTL_MOD, aDescriptor, aToken, aWriting);
+  Control(EPOLL_CTL_MOD, aDescriptor, aToken, EPOLLIN | WritingEvents(aWriting));
+}
+
+void Poller::Pause(int aDescriptor, std::uint64_t aToken, bool aWriting) {
+  Control(EPOLL_CTL_MOD, aDescriptor, aToken, WritingEvents(aWriting));
+}
+
+void Poller::Remove(int aDescriptor) {
+  epoll_ctl(m_epoll.Number(), EPOLL_CTL_DEL, aDescriptor, nullptr);
 }
 
-void Poller::Control(int aOperation, int aDescriptor, std::uint64_t aToken, bool aWriting) {
+void Poller::Control(int aOperation, int aDescriptor, std::uint64_t aToken,
+                     std::uint32_t aEvents) {
   epoll_event event{};
-  event.events = EPOLLIN | (aWriting ? EPOLLOUT : 0U);
+  event.events = aEvents;
   event.data.u64 = aToken;
   epoll_ctl(m_epoll.Number(), aOperation, aDescriptor, &event);
 }
@@ -39,7 +56,8 @@
     // An error or a hang-up shows itself when the descriptor is read.
     const bool readable = (event.events & (EPOLLIN | EPOLLERR | EPOLLHUP)) != 0;
     const bool writable = (event.events & EPOLLOUT) != 0;
-    ready.push_back({event.data.u64, readable, writable});
+    const bool hungUp = (event.events & (EPOLLERR | EPOLLHUP)) != 0;
+    ready.push_back({event.data.u64, readable, writable, hungUp});
   }
   return ready;
 }
--- /dev/null
+++ b/Services/Edge/BackendTable.cpp
@@ -0,0 +1,108 @@
+#include "Services/Edge/BackendTable.h"
+
+#include <algorithm>
+#include <xxhash.h>
+
+namespace fennelline {
+
+namespace {
+
+std::uint64_t IdentityOf(const ReplicaRecord& aRecord) {
+  const std::string text = aRecord.m_id + "@" + std::to_string(aRecord.m_born);
+  return XXH3_64bits(text.data(), text.size());
+}
+
+ClientPoolSettings PoolSettings(const ReplicaRecord& aRecord) {
+  ClientPoolSettings settings;
+  settings.m_address = aRecord.m_address;
+  return settings;
+}
+
+} // namespace
+
+BackendLink::BackendLink(EventLoop& aLoop, ReplicaRecord aRecord)
+  : m_record(std::move(aRecord))
+  , m_identity(IdentityOf(m_record))
+  , m_pool(aLoop, PoolSettings(m_record)) {}
+
+void BackendTable::Update(const ReplicaRecord& aRecord) {
+  const std::shared_ptr<BackendLink> known = Find(aRecord.m_id);
+  const bool isSame = known && known->m_record.m_born == aRecord.m_born &&
+                      known->m_record.m_address == aRecord.m_address &&
+                      known->m_record.m_service == aRecord.m_service;
+  if (isSame) {
+    known->m_record = aRecord;
+    known->m_lapsesAt = kNever;
+    return;
+  }
+  if (known) {
+    Drop(known);
+  }
+  std::shared_ptr<BackendLink> link = std::make_shared<BackendLink>(m_loop, aRecord);
+  m_links[aRecord.m_id] = link;
+  m_services[aRecord.m_service].push_back(std::move(link));
+}
+
+void BackendTable::Drop(const std::shared_ptr<BackendLink>& aLink) {
+  aLink->m_isGone = true;
+  aLink->m_pool.CloseIdle();
+  std::erase(m_services[aLink->m_record.m_service], aLink);
+  m_links.erase(aLink->m_record.m_id);
+}
+
+void BackendTable::Remove(const std::string& aId) {
+  const std::shared_ptr<BackendLink> link = Find(aId);
+  if (link) {
+    Drop(link);
+  }
+}
+
+void BackendTable::Lapse(const std::string& aId, Time aUntil) {
+  const std::shared_ptr<BackendLink> link = Find(aId);
+  if (link) {
+    link->m_lapsesAt = std::min(link->m_lapsesAt, aUntil);
+  }
+}
+
+std::shared_ptr<BackendLink> BackendTable::Find(const std::string& aId) const {
+  const auto found = m_links.find(aId);
+  return found == m_links.end() ? nullptr : found->second;
+}
+
+const std::vector<std::shared_ptr<BackendLink>>& BackendTable::OfService(
+  const std::string& aService) const {
+  static const std::vector<std::shared_ptr<BackendLink>> none;
+  const auto found = m_services.find(aService);
+  return found == m_services.end() ? none : found->second;
+}
+
+std::vector<std::shared_ptr<BackendLink>> BackendTable::All() const {
+  std::vector<std::shared_ptr<BackendLink>> links;
+  for (const auto& [id, link] : m_links) {
+    links.push_back(link);
+  }
+  return links;
+}
+
+void BackendTable::Sweep() {
+  std::vector<std::shared_ptr<BackendLink>> lapsed;
+  for (const auto& [id, link] : m_links) {
+    link->m_pool.Sweep();
+    if (m_loop.Now() >= link->m_lapsesAt) {
+      lapsed.push_back(link);
+    }
+  }
+  for (const std::shared_ptr<BackendLink>& link : lapsed) {
+    Drop(link);
+  }
+}
+
+std::size_t BackendTable::CountChannels() const {
+  std::size_t count = 0;
+  for (const auto& [id, link] : m_links) {
+    count += link->m_pool.CountOpen();
+  }
+  return count;
+}
+
+} // namespace fennelline
--- /dev/null
+++ b/Services/Edge/Beliefs.cpp
@@ -0,0 +1,168 @@
+#include "Services/Edge/Beliefs.h"
+
+#include "platform/ConfigurationCodec.h"
+#include "platform/ReplicaCodec.h"
+#include "platform/RolloutCodec.h"
+#include "platform/StoreCodec.h"
+
+namespace fennelline {
+
+namespace {
+
+/// A backend server whose entry ran out while the store was away is back within this time of its
+/// return, as the platform's operators say.
+constexpr Duration kLapseGrace = Seconds(2);
+
+} // namespace
+
+void Beliefs::OnNews(const std::vector<KeyValue>& aNews, bool aAfterOutage) {
+  for (const KeyValue& key : aNews) {
+    const platform::StoreKey name = platform::ParseKey(key.m_key);
+    switch (name.m_kind) {
+      case platform::KeyKind::Configuration:
+        TakeConfiguration(key);
+        break;
+      case platform::KeyKind::Replica:
+        TakeReplica(name.m_name, key, aAfterOutage);
+        break;
+      case platform::KeyKind::RolloutOrder:
+        TakeOrder(name.m_name, key);
+        break;
+      case platform::KeyKind::RolloutRecord:
+        TakeRecord(name.m_name, key);
+        break;
+      case platform::KeyKind::RolloutStatus:
+      case platform::KeyKind::Member:
+      case platform::KeyKind::Other:
+        break;
+    }
+  }
+}
+
+void Beliefs::LogUnreadable(const KeyValue& aKey, const Error& aError) const {
+  LogLine line("unreadable");
+  line.Text("key", aKey.m_key).Count("revision", aKey.m_revision);
+  line.Text("reason", aError.m_detail);
+  m_context.Log(LogRank::Notable, line);
+}
+
+void Beliefs::TakeConfiguration(const KeyValue& aKey) {
+  if (aKey.m_removed) {
+    return;
+  }
+  Result<RoutingConfiguration> configuration = platform::DecodeConfiguration(aKey.m_value);
+  if (configuration.IsError()) {
+    LogUnreadable(aKey, configuration.GetError());
+    return;
+  }
+  const std::int64_t version = configuration.Get().m_version;
+  const bool isOlder = m_context.m_routes && version <= m_context.m_routes->Version();
+  LogLine line(isOlder ? "configuration-ignored" : "configuration");
+  line.Count("version", version).Count("revision", aKey.m_revision);
+  line.Count("routes", configuration.Get().m_routes.size());
+  m_context.Log(LogRank::Notable, line);
+  if (!isOlder) {
+    m_context.m_routes = std::make_shared<const RouteTable>(configuration.Take());
+  }
+}
+
+void Beliefs::TakeReplica(const std::string& aId, const KeyValue& aKey, bool aAfterOutage) {
+  const Time now = m_context.m_loop.Now();
+  LogLine line("backend");
+  line.Text("backend", aId).Count("revision", aKey.m_revision);
+  if (aKey.m_removed) {
+    const std::shared_ptr<BackendLink> known = m_context.m_backends.Find(aId);
+    const bool mayBeBack = aAfterOutage && known && known->m_record.m_state == ReplicaState::Ready;
+    line.Text("state", mayBeBack ? "lapsed" : "gone");
+    if (mayBeBack) {
+      m_context.m_backends.Lapse(aId, now + kLapseGrace);
+    } else {
+      m_context.m_backends.Remove(aId);
+    }
+    m_context.Log(LogRank::Notable, line);
+    return;
+  }
+  const Result<ReplicaRecord> record = platform::DecodeReplica(aId, aKey.m_value);
+  if (record.IsError()) {
+    LogUnreadable(aKey, record.GetError());
+    m_context.m_backends.Remove(aId);
+    return;
+  }
+  line.Text("state", NameOf(kReplicaStateNames, record.Get().m_state));
+  line.Text("service", record.Get().m_service).Text("version", record.Get().m_version);
+  line.Text("address", record.Get().m_address).Text("zone", record.Get().m_zone);
+  m_context.Log(LogRank::Notable, line);
+  m_context.m_backends.Update(record.Get());
+}
+
+void Beliefs::TakeOrder(const std::string& aService, const KeyValue& aKey) {
+  if (aKey.m_removed) {
+    m_orders.erase(aService);
+    UpdateRule(aService);
+    return;
+  }
+  Result<RolloutOrder> order = platform::DecodeRolloutOrder(aService, aKey.m_value);
+  if (order.IsError()) {
+    LogUnreadable(aKey, order.GetError());
+    return;
+  }
+  order.Get().m_revision = aKey.m_revision;
+  LogLine line("rollout-order");
+  line.Text("service", aService).Text("version", order.Get().m_version);
+  line.Ms("within", order.Get().m_within).Count("revision", aKey.m_revision);
+  m_context.Log(LogRank::Notable, line);
+  m_orders[aService] = order.Take();
+  UpdateRule(aService);
+}
+
+void Beliefs::TakeRecord(const std::string& aService, const KeyValue& aKey) {
+  if (aKey.m_removed) {
+    m_records.erase(aService);
+    UpdateRule(aService);
+    return;
+  }
+  Result<RolloutRecord> record = ParseRolloutRecord(aKey.m_value);
+  if (record.IsError()) {
+    LogUnreadable(aKey, record.GetError());
+    return;
+  }
+  record.Get().m_revision = aKey.m_revision;
+  LogLine line("rollout");
+  line.Text("service", aService).Text("version", record.Get().m_version);
+  line.Text("phase", NameOf(kRolloutPhaseNames, record.Get().m_phase));
+  line.Count("revision", aKey.m_revision).Count("order", record.Get().m_orderRevision);
+  m_context.Log(LogRank::Notable, line);
+  m_records[aService] = record.Take();
+  UpdateRule(aService);
+}
+
+void Beliefs::UpdateRule(const std::string& aService) {
+  const auto order = m_orders.find(aService);
+  const auto record = m_records.find(aService);
+  VersionRule& rule = m_context.m_versions[aService];
+  if (order == m_orders.end()) {
+    rule = {};
+    return;
+  }
+  rule.m_version = order->second.m_version;
+  const bool isBegun =
+    record != m_records.end() && record->second.m_orderRevision == order->second.m_revision;
+  if (!isBegun) {
+    rule.m_preference = VersionPreference::Never;
+    return;
+  }
+  switch (record->second.m_phase) {
+    case RolloutPhase::Canary:
+      rule.m_preference = VersionPreference::Trial;
+      break;
+    case RolloutPhase::Moving:
+    case RolloutPhase::Succeeded:
+      rule.m_preference = VersionPreference::Prefer;
+      break;
+    case RolloutPhase::RolledBack:
+      rule.m_preference = VersionPreference::Never;
+      break;
+  }
+}
+
+} // namespace fennelline
--- /dev/null
+++ b/Services/Edge/EdgeContext.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "LibBase/Random.h"
+#include "LibHttp/EventLoop.h"
+#include "LibRouting/EntryFacts.h"
+#include "LibRouting/RetryWindow.h"
+#include "LibRouting/RouteTable.h"
+#include "LibRouting/VersionRule.h"
+#include "Services/Edge/BackendTable.h"
+#include "Services/Edge/EdgeLog.h"
+#include "Services/Edge/EdgeMetrics.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+namespace fennelline {
+
+/// How one request at a version ended, as evidence for or against the version.
+struct VersionEvidenceEvent {
+  std::string m_service;
+  std::string m_version;
+  std::string m_route;
+  bool m_isBad = false;
+};
+
+/// What the parts of the edge process share. One thread uses it.
+struct EdgeContext {
+  EventLoop& m_loop;
+  EntryFacts m_facts;
+  EdgeLog& m_log;
+  EdgeMetrics& m_metrics;
+  BackendTable m_backends;
+  mutable Random m_random;
+  /// The configuration in force; null until one is known.
+  std::shared_ptr<const RouteTable> m_routes;
+  std::unordered_map<std::string, RetryWindow> m_retries;
+  std::unordered_map<std::string, VersionRule> m_versions;
+  /// Live entries, this one included.
+  std::size_t m_entries = 1;
+  /// When what is believed of the store was last known to be its newest.
+  Time m_believedAt{};
+  /// When the process was told to stop.
+  std::optional<Time> m_stopSince;
+  std::function<void(const VersionEvidenceEvent&)> m_onEvidence;
+
+  RetryWindowPlan RetryPlan() const {
+    return {.m_ratio = m_facts.m_retryRatio,
+            .m_slack = m_facts.m_retrySlack,
+            .m_window = m_facts.m_retryWindow,
+            .m_entries = m_entries};
+  }
+  void Log(LogRank aRank, const LogLine& aLine) const { m_log.Write(aRank, aLine, m_loop.Now()); }
+};
+
+} // namespace fennelline
--- /dev/null
+++ b/Services/Edge/EdgeLog.cpp
@@ -0,0 +1,145 @@
+#include "Services/Edge/EdgeLog.h"
+
+#include <array>
+#include <cmath>
+#include <cstdio>
+#include <poll.h>
+#include <unistd.h>
+
+namespace fennelline {
+
+namespace {
+
+/// Bytes a second. A node of the size to design for handles some 50 requests a second, each with
+/// two lines of 400 bytes.
+constexpr std::size_t kRoutineBytesPerSecond = 120'000;
+constexpr std::size_t kNotableBytesPerSecond = 120'000;
+
+/// Lines that wait for a slow reader, in bytes.
+constexpr std::size_t kMostBuffered = 512UL * 1024;
+
+/// Bytes handed to the descriptor at a time: a pipe that polls writable takes as many without
+/// blocking (PIPE_BUF).
+constexpr std::size_t kBytesPerWrite = 4096;
+
+void AppendEscaped(std::string& aText, std::string_view aValue) {
+  constexpr unsigned char kFirstPrintable = 0x20;
+  constexpr unsigned char kLastAscii = 0x7e;
+  for (const char character : aValue) {
+    const auto code = static_cast<unsigned char>(character);
+    if (character == '"' || character == '\\') {
+      aText += '\\';
+      aText += character;
+    } else if (code < kFirstPrintable || code > kLastAscii) {
+      std::array<char, 8> escape{};
+      std::snprintf(escape.data(), escape.size(), "\\u%04x", code);
+      aText += escape.data();
+    } else {
+      aText += character;
+    }
+  }
+}
+
+} // namespace
+
+LogLine::LogLine(std::string_view aEvent) {
+  Text("event", aEvent);
+}
+
+LogLine& LogLine::Raw(std::string_view aName, std::string_view aValue) {
+  m_fields += ",\"";
+  m_fields += aName;
+  m_fields += "\":";
+  m_fields += aValue;
+  return *this;
+}
+
+LogLine& LogLine::Text(std::string_view aName, std::string_view aValue) {
+  Raw(aName, "\"");
+  AppendEscaped(m_fields, aValue);
+  m_fields += '"';
+  return *this;
+}
+
+LogLine& LogLine::Flag(std::string_view aName, bool aValue) {
+  return Raw(aName, aValue ? "true" : "false");
+}
+
+LogLine& LogLine::Real(std::string_view aName, double aValue) {
+  if (!std::isfinite(aValue)) {
+    return Raw(aName, "null");
+  }
+  std::array<char, 32> text{};
+  std::snprintf(text.data(), text.size(), "%.3f", aValue);
+  return Raw(aName, text.data());
+}
+
+EdgeLog::EdgeLog(int aDescriptor, std::string aNode)
+  : m_descriptor(aDescriptor)
+  , m_node(std::move(aNode)) {}
+
+EdgeLog::~EdgeLog() {
+  Flush();
+}
+
+void EdgeLog::Append(const LogLine& aLine, Time aNow) {
+  const std::int64_t milliseconds =
+    std::chrono::duration_cast<std::chrono::milliseconds>(aNow.time_since_epoch()).count();
+  m_buffer += "{\"at\":" + std::to_string(milliseconds) + ",\"node\":\"" + m_node + '"';
+  m_buffer += aLine.Fields();
+  m_buffer += "}\n";
+}
+
+void EdgeLog::StartSecond(Time aNow) {
+  const std::int64_t second =
+    std::chrono::duration_cast<std::chrono::seconds>(aNow.time_since_epoch()).count();
+  if (second == m_second) {
+    return;
+  }
+  m_second = second;
+  const bool hasDropped = m_routine.m_dropped + m_notable.m_dropped > 0;
+  if (hasDropped) {
+    LogLine line("log-dropped");
+    line.Count("routine", m_routine.m_dropped).Count("notable", m_notable.m_dropped);
+    Append(line, aNow);
+  }
+  m_routine = {};
+  m_notable = {};
+}
+
+void EdgeLog::Write(LogRank aRank, const LogLine& aLine, Time aNow) {
+  StartSecond(aNow);
+  Budget& budget = aRank == LogRank::Routine ? m_routine : m_notable;
+  const std::size_t most =
+    aRank == LogRank::Routine ? kRoutineBytesPerSecond : kNotableBytesPerSecond;
+  // Half of the buffer is kept for what is notable.
+  const std::size_t mostBuffered =
+    aRank == LogRank::Routine ? kMostBuffered / 2 : kMostBuffered;
+  const std::size_t size = aLine.Fields().size();
+  if (budget.m_bytes + size > most || m_buffer.size() + size > mostBuffered) {
+    ++budget.m_dropped;
+    ++m_droppedInAll;
+    return;
+  }
+  budget.m_bytes += size;
+  Append(aLine, aNow);
+}
+
+void EdgeLog::Flush() {
+  std::size_t done = 0;
+  while (done < m_buffer.size()) {
+    pollfd writable{.fd = m_descriptor, .events = POLLOUT, .revents = 0};
+    if (::poll(&writable, 1, 0) != 1 || (writable.revents & POLLOUT) == 0) {
+      break;
+    }
+    const std::size_t size = std::min(kBytesPerWrite, m_buffer.size() - done);
+    const ssize_t count = ::write(m_descriptor, m_buffer.data() + done, size);
+    if (count <= 0) {
+      break;
+    }
+    done += static_cast<std::size_t>(count);
+  }
+  m_buffer.erase(0, done);
+}
+
+} // namespace fennelline
--- /dev/null
+++ b/Services/Edge/EdgeMetrics.cpp
@@ -0,0 +1,104 @@
+#include "Services/Edge/EdgeMetrics.h"
+
+#include <prometheus/text_serializer.h>
+
+namespace fennelline {
+
+namespace {
+
+const prometheus::Histogram::BucketBoundaries kSeconds = {0.005, 0.01, 0.02, 0.05, 0.1, 0.2,
+                                                          0.4,   0.8,  1.5,  3.0,  6.0, 12.0,
+                                                          25.0};
+
+std::string TextOf(std::string_view aName) {
+  return std::string(aName);
+}
+
+} // namespace
+
+EdgeMetrics::EdgeMetrics() {
+  prometheus::Family<prometheus::Counter>& requests = prometheus::BuildCounter()
+                                                        .Name("fennelline_requests_total")
+                                                        .Help("Requests of callers by their end.")
+                                                        .Register(*m_registry);
+  prometheus::Family<prometheus::Histogram>& firstByte =
+    prometheus::BuildHistogram()
+      .Name("fennelline_first_byte_seconds")
+      .Help("From a request's arrival to the first byte of its answer.")
+      .Register(*m_registry);
+  prometheus::Family<prometheus::Histogram>& answered =
+    prometheus::BuildHistogram()
+      .Name("fennelline_answer_seconds")
+      .Help("From a request's arrival to the end of its answer.")
+      .Register(*m_registry);
+  for (std::size_t kind = 0; kind < kKinds; ++kind) {
+    const std::string kindName = TextOf(kRouteKindNames[kind].second);
+    for (std::size_t end = 0; end < kEnds; ++end) {
+      m_requests[kind][end] =
+        &requests.Add({{"kind", kindName}, {"end", TextOf(kRequestEndNames[end].second)}});
+    }
+    m_firstByte[kind] = &firstByte.Add({{"kind", kindName}}, kSeconds);
+    m_answered[kind] = &answered.Add({{"kind", kindName}}, kSeconds);
+  }
+  prometheus::Family<prometheus::Counter>& attempts =
+    prometheus::BuildCounter()
+      .Name("fennelline_attempts_total")
+      .Help("Attempts at backend servers that gave no answer to pass on, by their outcome.")
+      .Register(*m_registry);
+  for (std::size_t outcome = 0; outcome < kOutcomes; ++outcome) {
+    m_attempts[outcome] =
+      &attempts.Add({{"outcome", TextOf(kAttemptOutcomeNames[outcome].second)}});
+  }
+  prometheus::Family<prometheus::Counter>& storeCalls =
+    prometheus::BuildCounter()
+      .Name("fennelline_store_calls_total")
+      .Help("Calls to the platform's store.")
+      .Register(*m_registry);
+  m_storeCalls = {&storeCalls.Add({{"outcome", "failed"}}), &storeCalls.Add({{"outcome", "ok"}})};
+  const auto gauge = [this](const char* aName, const char* aHelp) {
+    return &prometheus::BuildGauge().Name(aName).Help(aHelp).Register(*m_registry).Add({});
+  };
+  m_callerChannels = gauge("fennelline_caller_channels", "Open connections of callers.");
+  m_serverChannels = gauge("fennelline_server_channels", "Open connections to backend servers.");
+  m_members = gauge("fennelline_members", "Entries known to be alive, this one included.");
+  m_configurationVersion =
+    gauge("fennelline_configuration_version", "Version of the configuration in force.");
+  m_beliefAge = gauge("fennelline_belief_age_seconds",
+                      "Time since what is believed of the store was known to be its newest.");
+}
+
+void EdgeMetrics::OnRequestEnded(RouteKind aKind, RequestEnd aEnd) {
+  m_requests[static_cast<std::size_t>(aKind)][static_cast<std::size_t>(aEnd)]->Increment();
+}
+
+void EdgeMetrics::OnAttemptEnded(AttemptOutcome aOutcome) {
+  m_attempts[static_cast<std::size_t>(aOutcome)]->Increment();
+}
+
+void EdgeMetrics::OnFirstByte(RouteKind aKind, Duration aTime) {
+  m_firstByte[static_cast<std::size_t>(aKind)]->Observe(InSeconds(aTime));
+}
+
+void EdgeMetrics::OnAnswered(RouteKind aKind, Duration aTime) {
+  m_answered[static_cast<std::size_t>(aKind)]->Observe(InSeconds(aTime));
+}
+
+void EdgeMetrics::OnStoreCall(bool aSucceeded) {
+  m_storeCalls[aSucceeded ? 1 : 0]->Increment();
+}
+
+void EdgeMetrics::SetGauges(std::size_t aCallerChannels, std::size_t aServerChannels,
+                            std::size_t aMembers, std::int64_t aConfigurationVersion,
+                            Duration aBeliefAge) {
+  m_callerChannels->Set(static_cast<double>(aCallerChannels));
+  m_serverChannels->Set(static_cast<double>(aServerChannels));
+  m_members->Set(static_cast<double>(aMembers));
+  m_configurationVersion->Set(static_cast<double>(aConfigurationVersion));
+  m_beliefAge->Set(InSeconds(aBeliefAge));
+}
+
+std::string EdgeMetrics::Text() const {
+  return prometheus::TextSerializer().Serialize(m_registry->Collect());
+}
+
+} // namespace fennelline
--- /dev/null
+++ b/Services/Edge/EdgeProcess.cpp
@@ -0,0 +1,328 @@
+#include "Services/Edge/EdgeProcess.h"
+
+#include "LibRouting/EntryDirectory.h"
+#include "LibRouting/StopPlan.h"
+#include "Services/Edge/RequestRelay.h"
+#include "platform/DirectoryCodec.h"
+#include "platform/SettingsCodec.h"
+
+#include <charconv>
+#include <fstream>
+#include <sstream>
+#include <unistd.h>
+
+namespace fennelline {
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
+
+/// Callers may use an address for three times as long as they were told, and a stopping entry
+/// serves for the grace of some eight seconds: so this is below a third of it.
+constexpr Duration kListTime = Seconds(2);
+/// What callers can take of a lookup.
+constexpr std::size_t kMostAddresses = 64;
+
+/// Entries of each data centre that ask the store itself.
+constexpr std::size_t kStoreWatchersPerZone = 1;
+
+/// At the first start of the whole system, entries find each other before they ask the store.
+constexpr Duration kFirstStartDelay = Milliseconds(600);
+constexpr Duration kRestartDelay = Milliseconds(60);
+
+constexpr Duration kLogFlushInterval = Milliseconds(100);
+constexpr Duration kStopCheckInterval = Milliseconds(50);
+
+/// Part of the descriptors for callers; the rest is for backend servers and peers.
+constexpr double kCallerPartOfDescriptors = 0.6;
+/// Part of the memory for request bodies that are not whole yet.
+constexpr double kBodyPartOfMemory = 0.25;
+
+std::int64_t QueryNumber(std::string_view aTarget, std::string_view aName) {
+  const std::size_t place = aTarget.find(std::string(aName) + "=");
+  std::int64_t number = 0;
+  if (place != std::string_view::npos) {
+    const std::string_view text = aTarget.substr(place + aName.size() + 1);
+    std::from_chars(text.data(), text.data() + text.size(), number);
+  }
+  return number;
+}
+
+} // namespace
+
+Result<EntryFacts> ReadEntryFacts(const std::string& aPath, std::string& aText) {
+  std::ifstream file(aPath);
+  if (!file) {
+    return MakeError(ErrorCode::NotFound, "cannot read " + aPath);
+  }
+  std::ostringstream text;
+  text << file.rdbuf();
+  aText = text.str();
+  return platform::DecodeSettings(aText);
+}
+
+EdgeProcess::EdgeProcess(EventLoop& aLoop, EdgeOptions aOptions, EntryFacts aFacts)
+  : m_loop(aLoop)
+  , m_options(std::move(aOptions))
+  , m_log(STDOUT_FILENO, aFacts.m_name)
+  , m_context{.m_loop = aLoop,
+              .m_facts = std::move(aFacts),
+              .m_log = m_log,
+              .m_metrics = m_metrics,
+              .m_backends = BackendTable(aLoop),
+              .m_random = Random(static_cast<std::uint64_t>(
+                                   std::chrono::steady_clock::now().time_since_epoch().count()) ^
+                                 (static_cast<std::uint64_t>(getpid()) << 32U))}
+  , m_beliefs(m_context)
+  , m_members(m_context, {.m_onChanged = [this] { OnMembersChanged(); },
+                          .m_onPeerRevision =
+                            [this](const std::string& aPeer, Revision aRevision) {
+                              m_store.OnPeerRevision(aPeer, aRevision);
+                            }})
+  , m_store(m_context, [this](const std::vector<KeyValue>& aNews, bool aAfterOutage) {
+    OnNews(aNews, aAfterOutage);
+  }) {}
+
+Result<void> EdgeProcess::Start() {
+  const EntryFacts& facts = m_context.m_facts;
+  TRY(m_members.Start());
+  TRY(ServeCallers());
+  TRY(Serve(facts.m_readyAddress, [this](const std::shared_ptr<ServerChannel>& aCaller,
+                                         const IncomingRequest&) { AnswerReadiness(aCaller); }));
+  TRY(Serve(facts.m_directoryAddress,
+            [this](const std::shared_ptr<ServerChannel>& aCaller,
+                   const IncomingRequest& aRequest) { AnswerLookup(aCaller, aRequest); }));
+  TRY(Serve(facts.m_peerAddress,
+            [this](const std::shared_ptr<ServerChannel>& aPeer, const IncomingRequest& aRequest) {
+              AnswerPeer(aPeer, aRequest);
+            }));
+  if (m_options.m_metricsPort != 0) {
+    TRY(Serve(facts.m_ip + ":" + std::to_string(m_options.m_metricsPort),
+              [this](const std::shared_ptr<ServerChannel>& aCaller, const IncomingRequest&) {
+                AnswerMetrics(aCaller);
+              }));
+  }
+  LogLine line("start");
+  line.Text("zone", facts.m_zone).Text("callers-at", facts.m_callerAddress);
+  line.Text("store", facts.m_storeAddress).Flag("first-start", facts.m_isFirstStart);
+  line.Text("member", m_members.Self().m_entry);
+  m_context.Log(LogRank::Notable, line);
+  m_members.TryAddresses(SeedAddresses());
+  m_store.Start(facts.m_isFirstStart ? kFirstStartDelay : kRestartDelay);
+  m_loop.Every(kLogFlushInterval, [this] { m_log.Flush(); });
+  m_loop.Every(Seconds(1), [this] { EverySecond(); });
+  return {};
+}
+
+std::vector<std::string> EdgeProcess::SeedAddresses() const {
+  std::vector<std::string> addresses;
+  for (const std::string& seed : m_context.m_facts.m_seeds) {
+    // Seeds are addresses for calls; datagrams go to the same port on each machine.
+    addresses.push_back(seed.substr(0, seed.rfind(':')) + ":" +
+                        std::to_string(m_context.m_facts.m_datagramPort));
+  }
+  return addresses;
+}
+
+Result<void> EdgeProcess::Serve(const std::string& aAddress, Handler aHandler) {
+  std::shared_ptr<ServerContext> context = std::make_shared<ServerContext>();
+  context->m_onRequest = [handler = std::move(aHandler)](
+                           const std::shared_ptr<ServerChannel>& aChannel,
+                           const IncomingRequest& aRequest) { handler(aChannel, aRequest); };
+  constexpr std::size_t kMostInternalChannels = 500;
+  std::unique_ptr<HttpServer> server =
+    std::make_unique<HttpServer>(m_loop, std::move(context), kMostInternalChannels);
+  TRY(server->Listen(aAddress));
+  m_servers.push_back(std::move(server));
+  return {};
+}
+
+Result<void> EdgeProcess::ServeCallers() {
+  std::shared_ptr<ServerContext> context = std::make_shared<ServerContext>();
+  context->m_onRequest = [this](const std::shared_ptr<ServerChannel>& aCaller,
+                                IncomingRequest aRequest) {
+    RequestRelay::Start(m_context, aCaller, std::move(aRequest));
+  };
+  context->m_onRejected = [this](int aStatus, std::string_view aReason) {
+    LogLine line("rejected");
+    line.Text("id", "").Count("status", aStatus).Text("reason", aReason);
+    m_context.Log(LogRank::Notable, line);
+    m_metrics.OnRequestEnded(RouteKind::NonIdempotent, RequestEnd::Rejected);
+  };
+  context->m_mostBufferedBytes = static_cast<std::size_t>(
+    static_cast<double>(m_context.m_facts.m_memoryBytes) * kBodyPartOfMemory);
+  m_callers = std::make_unique<HttpServer>(
+    m_loop, std::move(context),
+    static_cast<std::size_t>(static_cast<double>(m_context.m_facts.m_mostDescriptors) *
+                             kCallerPartOfDescriptors));
+  return m_callers->Listen(m_context.m_facts.m_callerAddress);
+}
+
+void EdgeProcess::OnNews(const std::vector<KeyValue>& aNews, bool aAfterOutage) {
+  m_beliefs.OnNews(aNews, aAfterOutage);
+  m_members.SetRevision(m_store.Mirror().LastChange());
+  ApplyLimits();
+  UpdateReadiness();
+}
+
+void EdgeProcess::ApplyLimits() {
+  if (!m_context.m_routes) {
+    return;
+  }
+  const CallerLimits& limits = m_context.m_routes->Configuration().m_limits;
+  m_callers->Context().m_limits = {.m_headerBytes = limits.m_headerBytes,
+                                   .m_bodyBytes = limits.m_bodyBytes,
+                                   .m_headerTime = limits.m_headerTime,
+                                   .m_idleTime = limits.m_idleTime};
+}
+
+bool EdgeProcess::IsReady() const {
+  return m_context.m_routes && !m_context.m_stopSince;
+}
+
+void EdgeProcess::UpdateReadiness() {
+  if (m_wasReady == IsReady()) {
+    return;
+  }
+  m_wasReady = IsReady();
+  LogLine line(m_wasReady ? "ready" : "not-ready");
+  line.Count("configuration", m_context.m_routes ? m_context.m_routes->Version() : 0);
+  m_context.Log(LogRank::Notable, line);
+  if (!m_context.m_stopSince) {
+    m_members.SetCallerAddress(m_wasReady ? m_context.m_facts.m_callerAddress : std::string());
+  }
+}
+
+void EdgeProcess::OnMembersChanged() {
+  std::vector<std::string> near;
+  std::vector<std::string> others;
+  std::size_t watchers = 0;
+  bool asksStore = false;
+  std::size_t entries = 0;
+  for (const MemberDigest& member : m_members.All()) {
+    if (member.m_state != MemberState::Alive) {
+      continue;
+    }
+    ++entries;
+    const bool isSelf = member.m_entry == m_members.Self().m_entry;
+    const bool isWatcher = member.m_dataCentre == m_context.m_facts.m_zone &&
+                           watchers < kStoreWatchersPerZone;
+    watchers += isWatcher ? 1 : 0;
+    if (isSelf) {
+      asksStore = isWatcher;
+    } else {
+      (isWatcher ? near : others).push_back(member.m_streamAddress);
+    }
+  }
+  m_context.m_entries = std::max<std::size_t>(1, entries);
+  m_store.SetPeers(asksStore, std::move(near), std::move(others));
+}
+
+void EdgeProcess::AnswerLookup(const std::shared_ptr<ServerChannel>& aCaller,
+                               const IncomingRequest& aRequest) {
+  std::string zone;
+  if (!platform::IsLookup(aRequest.m_head.m_target, zone)) {
+    aCaller->Answer({.m_status = kNotFound, .m_headers = {}}, {});
+    return;
+  }
+  std::vector<DirectoryEntry> entries;
+  for (const MemberDigest& member : m_members.All()) {
+    if (member.m_state == MemberState::Alive && !member.m_callerAddress.empty()) {
+      entries.push_back({.m_address = member.m_callerAddress, .m_zone = member.m_dataCentre});
+    }
+  }
+  const std::vector<std::string> chosen = ChooseEntries(entries, zone, kMostAddresses);
+  AnswerHead head{.m_status = chosen.empty() ? kUnavailable : kOk, .m_headers = {}};
+  head.m_headers.Add("Content-Type", "application/json");
+  const Duration keepFor = std::min(kListTime, m_context.m_facts.m_longestListTime);
+  aCaller->Answer(std::move(head),
+                  chosen.empty() ? std::string() : platform::EncodeLookup(chosen, keepFor));
+}
+
+void EdgeProcess::AnswerReadiness(const std::shared_ptr<ServerChannel>& aCaller) {
+  aCaller->Answer({.m_status = IsReady() ? kOk : kUnavailable, .m_headers = {}}, {});
+}
+
+void EdgeProcess::AnswerPeer(const std::shared_ptr<ServerChannel>& aPeer,
+                             const IncomingRequest& aRequest) {
+  const std::string_view target = aRequest.m_head.m_target;
+  if (target.starts_with("/v1/mirror")) {
+    m_store.AnswerPeer(aPeer, static_cast<Revision>(QueryNumber(target, "after")),
+                       Milliseconds(QueryNumber(target, "wait-ms")));
+    return;
+  }
+  if (target.starts_with("/metrics")) {
+    AnswerMetrics(aPeer);
+    return;
+  }
+  aPeer->Answer({.m_status = kNotFound, .m_headers = {}}, {});
+}
+
+void EdgeProcess::AnswerMetrics(const std::shared_ptr<ServerChannel>& aCaller) {
+  m_metrics.SetGauges(m_callers->CountChannels(), m_context.m_backends.CountChannels(),
+                      m_context.m_entries,
+                      m_context.m_routes ? m_context.m_routes->Version() : 0,
+                      m_loop.Now() - m_context.m_believedAt);
+  AnswerHead head{.m_status = kOk, .m_headers = {}};
+  head.m_headers.Add("Content-Type", "text/plain; version=0.0.4");
+  aCaller->Answer(std::move(head), m_metrics.Text());
+}
+
+void EdgeProcess::EverySecond() {
+  m_context.m_backends.Sweep();
+  std::string text;
+  const Result<EntryFacts> facts = ReadEntryFacts(m_options.m_settingsPath, text);
+  const bool hasChanged = !text.empty() && text != m_settingsText && !m_settingsText.empty();
+  m_settingsText = text.empty() ? m_settingsText : text;
+  if (hasChanged) {
+    Reload();
+  }
+}
+
+void EdgeProcess::Reload() {
+  std::string text;
+  const Result<EntryFacts> facts = ReadEntryFacts(m_options.m_settingsPath, text);
+  LogLine line("reload");
+  if (facts.IsError()) {
+    line.Flag("accepted", false).Text("reason", facts.GetError().m_detail);
+    m_context.Log(LogRank::Notable, line);
+    return;
+  }
+  // Addresses that are in use stay; bounds and seeds take hold at once.
+  m_context.m_facts = facts.Get();
+  m_members.TryAddresses(SeedAddresses());
+  line.Flag("accepted", true).Ms("grace", m_context.m_facts.m_grace);
+  m_context.Log(LogRank::Notable, line);
+}
+
+void EdgeProcess::Stop() {
+  if (m_context.m_stopSince) {
+    return;
+  }
+  m_context.m_stopSince = m_loop.Now();
+  LogLine line("stop");
+  line.Count("requests-in-hand", m_callers->CountBusy());
+  m_context.Log(LogRank::Notable, line);
+  m_callers->Context().m_closing = true;
+  UpdateReadiness();
+  m_members.Leave();
+  m_loop.Every(kStopCheckInterval, [this] { CheckStop(); });
+}
+
+void EdgeProcess::CheckStop() {
+  const StopPlan plan{.m_grace = m_context.m_facts.m_grace};
+  const Duration since = m_loop.Now() - *m_context.m_stopSince;
+  const std::size_t busy = m_callers->CountBusy();
+  if (!plan.MayEnd(busy, since)) {
+    return;
+  }
+  LogLine line("end");
+  line.Count("requests-in-hand", busy).Ms("since-stop", since);
+  m_context.Log(LogRank::Notable, line);
+  m_log.Flush();
+  m_loop.Stop();
+}
+
+} // namespace fennelline
--- /dev/null
+++ b/Services/Edge/EdgeProcess.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "LibHttp/HttpServer.h"
+#include "Services/Edge/Beliefs.h"
+#include "Services/Edge/EdgeContext.h"
+#include "Services/Edge/Members.h"
+#include "Services/Edge/StoreLink.h"
+
+#include <memory>
+#include <string>
+
+namespace fennelline {
+
+struct EdgeOptions {
+  std::string m_settingsPath;
+  /// Where metrics are served, beside the peers' address.
+  int m_metricsPort = 0;
+};
+
+/// One entry of the fleet: takes callers' requests to backend servers, tells callers which entries
+/// to use, and keeps its beliefs up to date.
+class EdgeProcess {
+public:
+  EdgeProcess(EventLoop& aLoop, EdgeOptions aOptions, EntryFacts aFacts);
+
+  Result<void> Start();
+  /// The operator's signals. Called from the loop.
+  void Stop();
+  void Reload();
+
+private:
+  using Handler = std::function<void(const std::shared_ptr<ServerChannel>&, const IncomingRequest&)>;
+
+  Result<void> Serve(const std::string& aAddress, Handler aHandler);
+  Result<void> ServeCallers();
+  void OnNews(const std::vector<KeyValue>& aNews, bool aAfterOutage);
+  void OnMembersChanged();
+  void UpdateReadiness();
+  bool IsReady() const;
+  void AnswerLookup(const std::shared_ptr<ServerChannel>& aCaller, const IncomingRequest& aRequest);
+  void AnswerReadiness(const std::shared_ptr<ServerChannel>& aCaller);
+  void AnswerPeer(const std::shared_ptr<ServerChannel>& aPeer, const IncomingRequest& aRequest);
+  void AnswerMetrics(const std::shared_ptr<ServerChannel>& aCaller);
+  void EverySecond();
+  void CheckStop();
+  void ApplyLimits();
+  std::vector<std::string> SeedAddresses() const;
+
+  EventLoop& m_loop;
+  EdgeOptions m_options;
+  EdgeMetrics m_metrics;
+  EdgeLog m_log;
+  EdgeContext m_context;
+  Beliefs m_beliefs;
+  Members m_members;
+  StoreLink m_store;
+  std::unique_ptr<HttpServer> m_callers;
+  std::vector<std::unique_ptr<HttpServer>> m_servers;
+  std::string m_settingsText;
+  bool m_wasReady = false;
+};
+
+/// Reads a settings file.
+Result<EntryFacts> ReadEntryFacts(const std::string& aPath, std::string& aText);
+
+} // namespace fennelline
--- /dev/null
+++ b/Services/Edge/Members.cpp
@@ -0,0 +1,127 @@
+#include "Services/Edge/Members.h"
+
+#include "LibWire/MessageCodec.h"
+
+#include <array>
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+namespace fennelline {
+
+namespace {
+
+/// Datagrams between entries are tagged, so that stray ones are told apart. The deployment's
+/// network is trusted: its settings hold no secret.
+const std::vector<std::string> kDatagramTag = {"fennelline"};
+
+constexpr Duration kTickInterval = Milliseconds(50);
+
+/// Callers are sent only to entries that answer, so a dead one is to be found within a second.
+MembershipSettings FastSettings() {
+  MembershipSettings settings;
+  settings.m_probeInterval = Milliseconds(250);
+  settings.m_directTimeout = Milliseconds(120);
+  settings.m_probeTimeout = Milliseconds(300);
+  settings.m_suspicionTime = Seconds(2);
+  settings.m_seedInterval = Milliseconds(400);
+  settings.m_verifyInterval = Milliseconds(200);
+  settings.m_urgentInterval = Milliseconds(100);
+  return settings;
+}
+
+MemberDigest SelfOf(EdgeContext& aContext) {
+  MemberDigest self;
+  // A process that starts again is another member: its memory is gone.
+  self.m_entry = aContext.m_facts.m_name + "#" + std::to_string(aContext.m_random.Next());
+  self.m_dataCentre = aContext.m_facts.m_zone;
+  self.m_datagramAddress =
+    aContext.m_facts.m_ip + ":" + std::to_string(aContext.m_facts.m_datagramPort);
+  self.m_streamAddress = aContext.m_facts.m_peerAddress;
+  return self;
+}
+
+} // namespace
+
+Members::Members(EdgeContext& aContext, MembersListener aListener)
+  : m_context(aContext)
+  , m_listener(std::move(aListener))
+  , m_membership(FastSettings(), SelfOf(aContext), aContext.m_random.Next()) {}
+
+Result<void> Members::Start() {
+  m_socket = TRY(BindDatagram(m_context.m_facts.m_ip, m_context.m_facts.m_datagramPort));
+  m_context.m_loop.Watch(m_socket.Number(), [this](const Readiness&) { Receive(); });
+  m_context.m_loop.Every(kTickInterval,
+                         [this] { CarryOut(m_membership.Tick(m_context.m_loop.Now())); });
+  return {};
+}
+
+void Members::TryAddresses(std::vector<std::string> aAddresses) {
+  CarryOut(m_membership.OnVmList(std::move(aAddresses), m_context.m_loop.Now()));
+}
+
+void Members::SetCallerAddress(const std::string& aAddress) {
+  CarryOut(m_membership.SetCallerAddress(aAddress, m_context.m_loop.Now()));
+}
+
+void Members::Leave() {
+  CarryOut(m_membership.Leave(m_context.m_loop.Now()));
+}
+
+void Members::Receive() {
+  std::array<char, kMostDatagramBytes> buffer;
+  while (true) {
+    const ssize_t count = ::recv(m_socket.Number(), buffer.data(), buffer.size(), 0);
+    if (count < 0) {
+      return;
+    }
+    const Result<MembershipDatagram> datagram =
+      DecodeDatagram({buffer.data(), static_cast<std::size_t>(count)}, kDatagramTag);
+    if (datagram.IsError()) {
+      LogLine line("datagram-refused");
+      line.Text("reason", datagram.GetError().m_detail);
+      m_context.Log(LogRank::Notable, line);
+      continue;
+    }
+    const MembershipDatagram& news = datagram.Get();
+    CarryOut(m_membership.OnDatagram(news, m_context.m_loop.Now()));
+    for (const MemberDigest& member : m_membership.Members()) {
+      if (member.m_entry == news.m_from) {
+        m_listener.m_onPeerRevision(member.m_streamAddress, news.m_configurationRevision);
+      }
+    }
+  }
+}
+
+void Members::CarryOut(const Step<MembershipOutcome>& aStep) {
+  for (const Effect& effect : aStep.m_effects) {
+    const SendDatagram* send = std::get_if<SendDatagram>(&effect);
+    if (send == nullptr) {
+      continue;
+    }
+    Result<sockaddr_in> address = ParseSocketAddress(send->m_address);
+    if (address.IsError()) {
+      continue;
+    }
+    const std::string bytes = EncodeDatagram(send->m_datagram, kDatagramTag.front());
+    // A datagram that cannot be sent is one that is lost.
+    ::sendto(m_socket.Number(), bytes.data(), bytes.size(), 0,
+             reinterpret_cast<const sockaddr*>(&address.Get()), sizeof(sockaddr_in));
+  }
+  for (const MembershipOutcome& outcome : aStep.m_outcomes) {
+    const MemberChanged* change = std::get_if<MemberChanged>(&outcome);
+    if (change == nullptr) {
+      continue;
+    }
+    LogLine line("member");
+    line.Text("member", change->m_member.m_entry);
+    line.Text("state", NameOf(kMemberStateNames, change->m_member.m_state));
+    line.Count("version", change->m_member.m_version);
+    line.Text("callers-at", change->m_member.m_callerAddress);
+    m_context.Log(LogRank::Notable, line);
+  }
+  if (!aStep.m_outcomes.empty()) {
+    m_listener.m_onChanged();
+  }
+}
+
+} // namespace fennelline
--- /dev/null
+++ b/Services/Edge/RelayAnswer.cpp
@@ -0,0 +1,273 @@
+// The way of a backend server's answer back to the caller.
+
+#include "Services/Edge/RequestRelay.h"
+#include "platform/RequestCodec.h"
+
+namespace fennelline {
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kFirstRedirect = 300;
+constexpr int kFirstServerError = 500;
+constexpr int kMisdirected = 421;
+constexpr int kRequestTimeout = 408;
+constexpr int kTooMany = 429;
+constexpr int kUnavailable = 503;
+
+/// Plain answers up to this size are held until they are whole, so that one that breaks off can be
+/// replaced.
+constexpr std::size_t kMostHeldBytes = 256UL * 1024;
+
+/// With so many bytes on their way to a slow caller, the server is not read any further.
+constexpr std::size_t kMostUnsentBytes = 64UL * 1024;
+
+/// A stream that pauses for this part of the longest pause allowed goes on elsewhere.
+constexpr double kPausePartOfObjective = 0.9;
+
+
+bool SaysNotRun(int aStatus) {
+  return aStatus == kRequestTimeout || aStatus == kMisdirected || aStatus == kTooMany ||
+         aStatus == kUnavailable;
+}
+
+} // namespace
+
+HeadVerdict RequestRelay::OnHead(const MessageHead& aHead) {
+  const AnswerTraits traits = platform::DecodeAnswer(aHead);
+  if (!traits.m_requestId.empty() && traits.m_requestId != m_traits.m_requestId) {
+    LogLine line("stray-answer");
+    line.Text("id", m_traits.m_requestId).Text("stray-id", traits.m_requestId);
+    line.Text("backend", m_attempt->m_backend->m_record.m_id);
+    m_context.Log(LogRank::Notable, line);
+    return HeadVerdict::Skip;
+  }
+  if (traits.m_notRun) {
+    if (aHead.m_status == kMisdirected) {
+      m_attempt->m_backend->m_health.OnUnreachable(m_context.m_loop.Now());
+    } else {
+      m_attempt->m_backend->m_health.OnTurnedAway(m_context.m_loop.Now());
+    }
+    // Once the rest of the answer is read, the channel can be used again.
+    m_attempt->m_notRun = true;
+    return HeadVerdict::Take;
+  }
+  const bool isSuccess = aHead.m_status >= kOk && aHead.m_status < kFirstRedirect;
+  const bool isGenuine = traits.m_hasSeal && !traits.m_requestId.empty() && !traits.m_isEncoded;
+  if (!isGenuine || SaysNotRun(aHead.m_status)) {
+    EndAttempt(AttemptOutcome::Spoilt);
+    return HeadVerdict::Take;
+  }
+  m_attempt->m_head = aHead;
+  m_attempt->m_traits = traits;
+  m_attempt->m_hasHead = true;
+  m_attempt->m_isStream = isSuccess && traits.m_isEventStream;
+  if (m_answerBegun && !m_attempt->m_isStream) {
+    // Another run cannot go on with the answer that the caller has part of.
+    EndAttempt(AttemptOutcome::Failed);
+  }
+  return HeadVerdict::Take;
+}
+
+void RequestRelay::OnBody(std::string aPart) {
+  if (m_ended || !m_attempt) {
+    return;
+  }
+  if (m_attempt->m_isStream) {
+    OnStreamPart(aPart);
+    return;
+  }
+  if (m_attempt->m_notRun) {
+    return;
+  }
+  m_attempt->m_body += aPart;
+  if (m_attempt->m_body.size() <= kMostHeldBytes) {
+    return;
+  }
+  if (!m_answerBegun) {
+    m_answerBegun = true;
+    m_firstByte = m_context.m_loop.Now();
+    m_caller->BeginAnswer({.m_status = m_attempt->m_head.m_status,
+                           .m_headers = platform::EncodeAnswer(m_attempt->m_head.m_headers)});
+  }
+  m_caller->SendPart(std::exchange(m_attempt->m_body, {}));
+}
+
+void RequestRelay::OnStreamPart(std::string_view aPart) {
+  const std::string events = m_framer.Feed(aPart);
+  if (events.empty()) {
+    return;
+  }
+  const Time now = m_context.m_loop.Now();
+  if (!m_answerBegun) {
+    m_answerBegun = true;
+    m_firstByte = now;
+    m_context.m_metrics.OnFirstByte(m_route->m_kind, now - m_request.m_arrived);
+    m_caller->BeginAnswer({.m_status = m_attempt->m_head.m_status,
+                           .m_headers = platform::EncodeAnswer(m_attempt->m_head.m_headers)});
+  }
+  m_caller->SendPart(events);
+  if (m_ended || !m_attempt) {
+    return;
+  }
+  m_context.m_loop.Cancel(std::exchange(m_stall, EventLoop::kNoTimer));
+  if (m_plan.HasRunLeft() && m_route->m_pauseObjective > Duration(0)) {
+    ArmStall(
+      std::chrono::duration_cast<Duration>(m_route->m_pauseObjective * kPausePartOfObjective));
+  }
+  if (m_caller->Unsent() > kMostUnsentBytes) {
+    m_attempt->m_channel->SetReading(false);
+    m_caller->SetOnDrained([self = shared_from_this()] {
+      if (self->m_attempt) {
+        self->m_attempt->m_channel->SetReading(true);
+      }
+    });
+  }
+}
+
+void RequestRelay::OnComplete() {
+  if (m_ended || !m_attempt) {
+    return;
+  }
+  if (m_attempt->m_notRun) {
+    EndAttempt(AttemptOutcome::NotRun);
+    return;
+  }
+  if (m_attempt->m_isStream && m_framer.HasPartial()) {
+    EndAttempt(AttemptOutcome::Spoilt);
+    return;
+  }
+  if (!m_attempt->m_isStream && m_attempt->m_head.m_status >= kFirstServerError &&
+      !m_answerBegun) {
+    m_failure = FailureAnswer{.m_head = std::move(m_attempt->m_head),
+                              .m_body = std::move(m_attempt->m_body)};
+    EndAttempt(AttemptOutcome::Failed);
+    return;
+  }
+  const Time now = m_context.m_loop.Now();
+  const int status = m_attempt->m_head.m_status;
+  m_attempt->m_backend->m_health.OnSuccess(now);
+  TellEvidence(false);
+  if (m_answerBegun) {
+    m_caller->SendPart(m_attempt->m_body);
+    m_caller->EndAnswer();
+  } else if (m_attempt->m_isStream) {
+    m_caller->BeginAnswer(
+      {.m_status = status, .m_headers = platform::EncodeAnswer(m_attempt->m_head.m_headers)});
+    m_caller->EndAnswer();
+  } else {
+    m_firstByte = now;
+    m_context.m_metrics.OnFirstByte(m_route->m_kind, now - m_request.m_arrived);
+    m_caller->Answer(
+      {.m_status = status, .m_headers = platform::EncodeAnswer(m_attempt->m_head.m_headers)},
+      m_attempt->m_body);
+  }
+  End(RequestEnd::Answered, status);
+}
+
+void RequestRelay::OnFailed(CallFailure aFailure) {
+  if (m_ended || !m_attempt) {
+    return;
+  }
+  if (m_attempt->m_notRun) {
+    EndAttempt(AttemptOutcome::NotRun);
+    return;
+  }
+  const Time now = m_context.m_loop.Now();
+  switch (aFailure) {
+    case CallFailure::NotSent:
+      m_attempt->m_backend->m_health.OnUnreachable(now);
+      EndAttempt(AttemptOutcome::NotSent);
+      return;
+    case CallFailure::NoAnswer:
+    case CallFailure::BrokenAnswer:
+      EndAttempt(AttemptOutcome::Lost);
+      return;
+    case CallFailure::Malformed:
+      EndAttempt(AttemptOutcome::Spoilt);
+      return;
+  }
+}
+
+void RequestRelay::ReleaseAttempt() {
+  if (!m_attempt) {
+    return;
+  }
+  const Attempt attempt = std::move(*m_attempt);
+  m_attempt.reset();
+  --attempt.m_backend->m_running;
+  attempt.m_backend->m_pool.GiveBack(attempt.m_channel);
+}
+
+void RequestRelay::EndAttempt(AttemptOutcome aOutcome) {
+  const Time now = m_context.m_loop.Now();
+  m_context.m_loop.Cancel(std::exchange(m_stall, EventLoop::kNoTimer));
+  const std::shared_ptr<BackendLink> backend = m_attempt->m_backend;
+  const bool isFailure = aOutcome == AttemptOutcome::Lost || aOutcome == AttemptOutcome::Spoilt ||
+                         aOutcome == AttemptOutcome::Failed ||
+                         aOutcome == AttemptOutcome::Stalled;
+  if (isFailure) {
+    backend->m_health.OnFailure(now);
+    TellEvidence(true);
+  }
+  m_tried.push_back(backend->m_record.m_id);
+  m_framer.DropPartial();
+  // The server before must not work on while another one does.
+  const Duration took = now - m_attempt->m_sent;
+  ReleaseAttempt();
+  m_context.m_metrics.OnAttemptEnded(aOutcome);
+  const NextAction action = m_plan.OnOutcome(aOutcome, m_answerBegun,
+                                             m_context.m_retries[m_service],
+                                             m_context.RetryPlan(), now);
+  LogLine line("attempt-end");
+  line.Text("id", m_traits.m_requestId).Text("backend", backend->m_record.m_id);
+  line.Text("outcome", NameOf(kAttemptOutcomeNames, aOutcome));
+  line.Text("next", NameOf(kNextActionNames, action)).Ms("took", took);
+  line.Count("events", m_framer.CountEvents()).Flag("answer-begun", m_answerBegun);
+  line.Ms("time-left", m_plan.Promise().m_answerBy - now);
+  m_context.Log(LogRank::Notable, line);
+  Act(action);
+}
+
+void RequestRelay::PassOnFailure() {
+  const int status = m_failure->m_head.m_status;
+  m_caller->Answer(
+    {.m_status = status, .m_headers = platform::EncodeAnswer(m_failure->m_head.m_headers)},
+    m_failure->m_body);
+  End(RequestEnd::ServerFailure, status);
+}
+
+void RequestRelay::OnCallerGone() {
+  if (!m_ended) {
+    End(RequestEnd::CallerLeft, 0);
+  }
+}
+
+void RequestRelay::OnTimeUp() {
+  m_timeUp = EventLoop::kNoTimer;
+  if (m_ended) {
+    return;
+  }
+  if (m_attempt) {
+    EndAttempt(AttemptOutcome::Lost);
+  } else {
+    Act(m_plan.OnGivenUp(m_answerBegun));
+  }
+}
+
+void RequestRelay::OnStall() {
+  if (!m_ended && m_attempt) {
+    EndAttempt(AttemptOutcome::Stalled);
+  }
+}
+
+void RequestRelay::TellEvidence(bool aIsBad) {
+  if (m_context.m_onEvidence) {
+    m_context.m_onEvidence({.m_service = m_service,
+                            .m_version = m_attempt->m_backend->m_record.m_version,
+                            .m_route = m_route->m_name,
+                            .m_isBad = aIsBad});
+  }
+}
+
+} // namespace fennelline
--- /dev/null
+++ b/Services/Edge/RequestRelay.cpp
@@ -0,0 +1,370 @@
+#include "Services/Edge/RequestRelay.h"
+
+#include "LibRouting/Placement.h"
+#include "LibRouting/StopPlan.h"
+#include "platform/RequestCodec.h"
+
+#include <algorithm>
+#include <xxhash.h>
+
+namespace fennelline {
+
+namespace {
+
+constexpr int kBadRequest = 400;
+constexpr int kUnauthorized = 401;
+constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
+
+/// A starting entry knows the configuration within about this time.
+constexpr Duration kStartingRetryAfter = Milliseconds(300);
+/// While no backend server can be used: a crashed one is back within some seconds.
+constexpr Duration kLeastRetryAfter = Milliseconds(250);
+constexpr Duration kRetryAfterSpread = Milliseconds(750);
+
+/// An idempotent request without an answer for this part of its objective goes to another server:
+/// enough is left there for a usual answer in time.
+constexpr double kStallPartOfObjective = 0.65;
+/// The same for a stream's first event, which long prompts ahead may delay.
+constexpr double kStreamStallPartOfObjective = 0.8;
+
+/// Priorities of routes start at 0; servers take 0 to 9, with 5 for those that say nothing.
+constexpr int kMostUrgentPriority = 4;
+constexpr int kLeastUrgentPriority = 9;
+
+/// Part of a server's channels that this entry uses as its own: the entries do not know exactly
+/// how many they are.
+constexpr double kUsedPartOfChannels = 0.9;
+constexpr double kLeastChannels = 2.0;
+
+/// What one more request on a server costs the others there, see PlacementQuery.
+constexpr double kEngineCrowdingMs = 1.0;
+constexpr double kPlainCrowdingMs = 6.0;
+
+/// Bytes of a usual answer.
+constexpr double kUsualAnswerBytes = 2'000.0;
+constexpr double kBytesPerOutputToken = 12.0;
+
+std::uint64_t HashOf(std::string_view aText, std::uint64_t aSeed = 0) {
+  return XXH3_64bits_withSeed(aText.data(), aText.size(), aSeed);
+}
+
+} // namespace
+
+void RequestRelay::Start(EdgeContext& aContext, std::shared_ptr<ServerChannel> aCaller,
+                         IncomingRequest aRequest) {
+  const std::shared_ptr<RequestRelay> relay =
+    std::make_shared<RequestRelay>(aContext, std::move(aCaller), std::move(aRequest));
+  relay->m_caller->SetOnGone([relay] { relay->OnCallerGone(); });
+  relay->Admit();
+}
+
+RequestRelay::RequestRelay(EdgeContext& aContext, std::shared_ptr<ServerChannel> aCaller,
+                           IncomingRequest aRequest)
+  : m_context(aContext)
+  , m_caller(std::move(aCaller))
+  , m_request(std::move(aRequest))
+  , m_routes(aContext.m_routes) {}
+
+void RequestRelay::Reject(int aStatus, std::string_view aReason) {
+  LogLine line("rejected");
+  line.Text("id", m_traits.m_requestId).Count("status", aStatus).Text("reason", aReason);
+  line.Count("configuration", m_routes ? m_routes->Version() : 0);
+  line.Ms("belief-age", m_context.m_loop.Now() - m_context.m_believedAt);
+  m_context.Log(LogRank::Notable, line);
+  AnswerHead head{.m_status = aStatus, .m_headers = {}};
+  platform::AddRequestId(head.m_headers, m_traits.m_requestId);
+  m_caller->Answer(std::move(head), {});
+  End(RequestEnd::Rejected, aStatus);
+}
+
+bool RequestRelay::FindRoute() {
+  const std::string* host = m_request.m_head.m_headers.Find("host");
+  m_route = m_routes->FindRoute(host == nullptr ? "" : *host, m_request.m_head.m_target);
+  if (m_route == nullptr) {
+    Reject(kNotFound, "no such route");
+    return false;
+  }
+  m_account = m_routes->FindAccount(m_traits.m_key);
+  if (m_routes->HasAccounts() && !m_route->m_isPublic && m_account == nullptr) {
+    Reject(kUnauthorized, "no such key");
+    return false;
+  }
+  return true;
+}
+
+void RequestRelay::Admit() {
+  const Result<RequestTraits> traits = platform::DecodeRequest(m_request.m_head.m_headers);
+  if (traits.IsError()) {
+    Reject(kBadRequest, traits.GetError().m_detail);
+    return;
+  }
+  m_traits = traits.Get();
+  if (!m_routes) {
+    Refuse("no configuration is known yet", kStartingRetryAfter);
+    return;
+  }
+  if (!FindRoute()) {
+    return;
+  }
+  const Duration patience = m_traits.m_patience.value_or(m_route->m_timeout);
+  m_plan = RequestPlan({.m_kind = m_route->m_kind,
+                        .m_resumable = m_route->m_resumable,
+                        .m_attempts = m_route->m_attempts,
+                        .m_answerBy =
+                          m_request.m_arrived + std::min(patience, m_route->m_timeout)});
+  m_framer = EventFramer(m_traits.m_lastEvent);
+  m_hash = HashOf(m_traits.m_session.empty() ? m_traits.m_requestId : m_traits.m_session);
+  m_service = RouteTable::ChooseService(*m_route, m_hash);
+  m_context.m_retries[m_service].OnRequest(m_context.m_loop.Now());
+  const StopPlan stop{.m_grace = m_context.m_facts.m_grace};
+  if (m_context.m_stopSince &&
+      !stop.TakesRequest(m_route->m_kind, m_context.m_loop.Now() - *m_context.m_stopSince)) {
+    Refuse("stopping", Duration(0));
+    return;
+  }
+  m_timeUp = m_context.m_loop.At(m_plan.Promise().m_answerBy,
+                                 [self = shared_from_this()] { self->OnTimeUp(); });
+  Dispatch();
+}
+
+bool RequestRelay::IsVersionAllowed(const BackendLink& aBackend, const VersionRule& aRule) const {
+  const bool isRolledOut = aBackend.m_record.m_version == aRule.m_version;
+  switch (aRule.m_preference) {
+    case VersionPreference::Any:
+    case VersionPreference::Prefer:
+      return true;
+    case VersionPreference::Never:
+      return !isRolledOut;
+    case VersionPreference::Trial:
+      return !isRolledOut;
+  }
+  return true;
+}
+
+std::vector<std::shared_ptr<BackendLink>> RequestRelay::Eligible() const {
+  const Time now = m_context.m_loop.Now();
+  const auto found = m_context.m_versions.find(m_service);
+  const VersionRule rule = found == m_context.m_versions.end() ? VersionRule{} : found->second;
+  std::vector<std::shared_ptr<BackendLink>> eligible;
+  std::vector<std::shared_ptr<BackendLink>> preferred;
+  for (const std::shared_ptr<BackendLink>& backend : m_context.m_backends.OfService(m_service)) {
+    const bool wasTried = std::find(m_tried.begin(), m_tried.end(), backend->m_record.m_id) !=
+                          m_tried.end();
+    if (wasTried || !backend->TakesRequests(now) || !IsVersionAllowed(*backend, rule)) {
+      continue;
+    }
+    eligible.push_back(backend);
+    if (rule.m_preference == VersionPreference::Prefer &&
+        backend->m_record.m_version == rule.m_version) {
+      preferred.push_back(backend);
+    }
+  }
+  return preferred.empty() ? eligible : preferred;
+}
+
+std::string RequestRelay::ChooseModel() const {
+  return m_route->m_models.empty() ? std::string() : m_route->m_models.back();
+}
+
+std::shared_ptr<BackendLink> RequestRelay::Place() {
+  const std::vector<std::shared_ptr<BackendLink>> eligible = Eligible();
+  const Time now = m_context.m_loop.Now();
+  const Service* service = m_routes->FindService(m_service);
+  const bool isEngine = service != nullptr && service->m_isEngine;
+  const auto entries = static_cast<double>(m_context.m_entries);
+  PlacementQuery query;
+  query.m_crowdingMs = isEngine ? kEngineCrowdingMs : kPlainCrowdingMs;
+  query.m_bytes = static_cast<double>(m_request.m_body.size()) + kUsualAnswerBytes +
+                  static_cast<double>(m_traits.m_mostOutputTokens) * kBytesPerOutputToken;
+  if (m_traits.m_promptParts.size() > 1) {
+    // All parts but the last, which is the request's own, may be in a cache.
+    const PromptPart& lastShared = m_traits.m_promptParts[m_traits.m_promptParts.size() - 2];
+    query.m_prefix = lastShared.m_id ^ HashOf(ChooseModel());
+    for (const PromptPart& part : m_traits.m_promptParts) {
+      query.m_prefixTokens += part.m_tokens;
+    }
+    query.m_prefixTokens -= m_traits.m_promptParts.back().m_tokens;
+  }
+  const double mostChannels =
+    service == nullptr || service->m_mostChannels == 0
+      ? static_cast<double>(m_context.m_facts.m_mostDescriptors)
+      : std::max(kLeastChannels, static_cast<double>(service->m_mostChannels) *
+                                   kUsedPartOfChannels / entries);
+  std::vector<PlacementCandidate> candidates;
+  candidates.reserve(eligible.size());
+  for (const std::shared_ptr<BackendLink>& backend : eligible) {
+    const bool isFull = static_cast<double>(backend->m_pool.CountOnLoan()) >= mostChannels;
+    candidates.push_back({.m_identity = backend->m_identity,
+                          .m_load = backend->m_running * (isEngine ? entries : 1.0),
+                          .m_slots = static_cast<double>(backend->m_record.m_slots),
+                          .m_isNear = backend->m_record.m_zone == m_context.m_facts.m_zone,
+                          .m_holdsPrefix = backend->m_prefixes.Holds(query.m_prefix, now),
+                          .m_failureRate = backend->m_health.FailureRate(now),
+                          .m_isShunned = isFull || backend->m_health.IsShunned(now)});
+  }
+  const std::optional<std::size_t> chosen =
+    ChoosePlacement(query, candidates, m_context.m_random);
+  if (!chosen) {
+    return nullptr;
+  }
+  if (query.m_prefix != 0) {
+    eligible[*chosen]->m_prefixes.OnSent(query.m_prefix, now);
+  }
+  return eligible[*chosen];
+}
+
+std::string RequestRelay::EncodeForBackend(const BackendLink& aBackend, const std::string& aModel) {
+  ForwardOrder order;
+  order.m_timeLeft = std::max(Duration(0), m_plan.Promise().m_answerBy - m_context.m_loop.Now());
+  order.m_replica = aBackend.m_record.m_id;
+  order.m_account = m_account == nullptr ? std::string() : m_account->m_name;
+  order.m_model = aModel;
+  order.m_lastEvent = m_framer.LastEvent();
+  if (m_route->m_kind == RouteKind::Streaming) {
+    const int rank = m_account != nullptr && m_account->m_priority ? *m_account->m_priority
+                                                                   : m_route->m_priority;
+    order.m_priority = std::min(kMostUrgentPriority + rank, kLeastUrgentPriority);
+  }
+  return WriteRequest(m_request.m_head.m_method, m_request.m_head.m_target,
+                      platform::EncodeForward(m_request.m_head.m_headers, order),
+                      m_request.m_body);
+}
+
+void RequestRelay::Dispatch() {
+  const std::shared_ptr<BackendLink> backend = Place();
+  if (!backend) {
+    Act(m_plan.OnGivenUp(m_answerBegun));
+    return;
+  }
+  Attempt attempt;
+  attempt.m_backend = backend;
+  attempt.m_model = ChooseModel();
+  attempt.m_sent = m_context.m_loop.Now();
+  LogLine line("attempt");
+  line.Text("id", m_traits.m_requestId).Text("backend", backend->m_record.m_id);
+  line.Text("service", m_service).Text("version", backend->m_record.m_version);
+  line.Text("model", attempt.m_model).Count("number", m_plan.Sends() + 1);
+  line.Count("running", backend->m_running);
+  line.Real("failure-rate", backend->m_health.FailureRate(attempt.m_sent));
+  line.Count("configuration", m_routes->Version());
+  line.Ms("belief-age", attempt.m_sent - m_context.m_believedAt);
+  m_context.Log(LogRank::Routine, line);
+  // A server may be closing a channel that it finds idle; what cannot be repeated must not meet
+  // that, for nobody could tell whether it ran.
+  const bool needsFresh = !m_plan.Promise().MayRepeat();
+  Result<std::shared_ptr<ClientChannel>> channel = backend->m_pool.Take(needsFresh);
+  if (channel.IsError()) {
+    backend->m_health.OnUnreachable(attempt.m_sent);
+    m_tried.push_back(backend->m_record.m_id);
+    Act(m_plan.OnOutcome(AttemptOutcome::NotSent, m_answerBegun, m_context.m_retries[m_service],
+                         m_context.RetryPlan(), attempt.m_sent));
+    return;
+  }
+  attempt.m_channel = channel.Take();
+  ++backend->m_running;
+  const std::string bytes = EncodeForBackend(*backend, attempt.m_model);
+  const bool isHead = m_request.m_head.m_method == "HEAD";
+  m_attempt = std::move(attempt);
+  m_attempt->m_channel->Send(bytes, isHead, MakeListener());
+  if (m_plan.HasRunLeft() && m_route->m_objective > Duration(0)) {
+    const double part = m_route->m_kind == RouteKind::Streaming ? kStreamStallPartOfObjective
+                                                                 : kStallPartOfObjective;
+    ArmStall(std::chrono::duration_cast<Duration>(m_route->m_objective * part));
+  }
+}
+
+CallListener RequestRelay::MakeListener() {
+  CallListener listener;
+  listener.m_onHead = [self = shared_from_this()](const MessageHead& aHead) {
+    return self->OnHead(aHead);
+  };
+  listener.m_onBody = [self = shared_from_this()](std::string aPart) {
+    self->OnBody(std::move(aPart));
+  };
+  listener.m_onComplete = [self = shared_from_this()] { self->OnComplete(); };
+  listener.m_onFailed = [self = shared_from_this()](CallFailure aFailure) {
+    self->OnFailed(aFailure);
+  };
+  return listener;
+}
+
+void RequestRelay::ArmStall(Duration aTime) {
+  m_context.m_loop.Cancel(m_stall);
+  m_stall = m_context.m_loop.After(aTime, [self = shared_from_this()] {
+    self->m_stall = EventLoop::kNoTimer;
+    self->OnStall();
+  });
+}
+
+void RequestRelay::Act(NextAction aAction) {
+  switch (aAction) {
+    case NextAction::Send:
+      Dispatch();
+      return;
+    case NextAction::Refuse:
+      Refuse("no backend server can take it", RetryAfter());
+      return;
+    case NextAction::PassOn:
+      PassOnFailure();
+      return;
+    case NextAction::Cut:
+      m_caller->Abort();
+      End(RequestEnd::Cut, 0);
+      return;
+    case NextAction::Fail:
+      break;
+  }
+  constexpr int kBadGateway = 502;
+  constexpr int kGatewayTimeout = 504;
+  const bool isLate = m_context.m_loop.Now() >= m_plan.Promise().m_answerBy;
+  const int status = isLate ? kGatewayTimeout : kBadGateway;
+  AnswerHead head{.m_status = status, .m_headers = {}};
+  platform::AddRequestId(head.m_headers, m_traits.m_requestId);
+  m_caller->Answer(std::move(head), {});
+  End(RequestEnd::Failed, status);
+}
+
+Duration RequestRelay::RetryAfter() const {
+  const double spread = m_context.m_random.Uniform();
+  return kLeastRetryAfter + std::chrono::duration_cast<Duration>(kRetryAfterSpread * spread);
+}
+
+void RequestRelay::Refuse(std::string_view aReason, Duration aRetryAfter) {
+  LogLine line("refused");
+  line.Text("id", m_traits.m_requestId).Text("reason", aReason).Ms("retry-after", aRetryAfter);
+  line.Text("service", m_service).Count("sends", m_plan.Sends());
+  line.Count("configuration", m_routes ? m_routes->Version() : 0);
+  line.Ms("belief-age", m_context.m_loop.Now() - m_context.m_believedAt);
+  m_context.Log(LogRank::Notable, line);
+  AnswerHead head{.m_status = kUnavailable, .m_headers = {}};
+  platform::AddRequestId(head.m_headers, m_traits.m_requestId);
+  platform::AddRetryAfter(head.m_headers, aRetryAfter);
+  m_caller->Answer(std::move(head), {});
+  End(RequestEnd::Refused, kUnavailable);
+}
+
+void RequestRelay::End(RequestEnd aEnd, int aStatus) {
+  if (std::exchange(m_ended, true)) {
+    return;
+  }
+  const Time now = m_context.m_loop.Now();
+  m_context.m_loop.Cancel(m_timeUp);
+  m_context.m_loop.Cancel(m_stall);
+  ReleaseAttempt();
+  const RouteKind kind = m_route == nullptr ? RouteKind::NonIdempotent : m_route->m_kind;
+  m_context.m_metrics.OnRequestEnded(kind, aEnd);
+  m_context.m_metrics.OnAnswered(kind, now - m_request.m_arrived);
+  LogLine line("request");
+  line.Text("id", m_traits.m_requestId).Text("end", NameOf(kRequestEndNames, aEnd));
+  line.Count("status", aStatus).Text("route", m_route == nullptr ? "" : m_route->m_name);
+  line.Text("account", m_account == nullptr ? "" : m_account->m_name);
+  line.Count("sends", m_plan.Sends()).Ms("took", now - m_request.m_arrived);
+  if (m_firstByte != Time{}) {
+    line.Ms("first-byte", m_firstByte - m_request.m_arrived);
+  }
+  line.Count("events", m_framer.CountEvents());
+  m_context.Log(aEnd == RequestEnd::Answered ? LogRank::Routine : LogRank::Notable, line);
+}
+
+} // namespace fennelline
--- /dev/null
+++ b/Services/Edge/RequestRelay.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include "LibHttp/ServerChannel.h"
+#include "LibRouting/EventFramer.h"
+#include "LibRouting/RequestPlan.h"
+#include "LibRouting/RequestTraits.h"
+#include "Services/Edge/EdgeContext.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace fennelline {
+
+/// Takes one request from its caller to backend servers and the answer back. The decisions are
+/// RequestPlan's and Placement's; this carries them out on the channels.
+class RequestRelay : public std::enable_shared_from_this<RequestRelay> {
+public:
+  /// Takes the request over. It keeps itself alive until the request has ended.
+  static void Start(EdgeContext& aContext, std::shared_ptr<ServerChannel> aCaller,
+                    IncomingRequest aRequest);
+
+  RequestRelay(EdgeContext& aContext, std::shared_ptr<ServerChannel> aCaller,
+               IncomingRequest aRequest);
+
+private:
+  struct Attempt {
+    std::shared_ptr<BackendLink> m_backend;
+    std::shared_ptr<ClientChannel> m_channel;
+    std::string m_model;
+    Time m_sent{};
+    /// The answer's head, once it has come.
+    MessageHead m_head;
+    AnswerTraits m_traits;
+    bool m_hasHead = false;
+    /// The server has turned the request away.
+    bool m_notRun = false;
+    bool m_isStream = false;
+    std::string m_body;
+  };
+  /// A backend server's own failure, kept in case nothing better comes.
+  struct FailureAnswer {
+    MessageHead m_head;
+    std::string m_body;
+  };
+
+  void Admit();
+  bool FindRoute();
+  void Reject(int aStatus, std::string_view aReason);
+  void Dispatch();
+  std::shared_ptr<BackendLink> Place();
+  std::vector<std::shared_ptr<BackendLink>> Eligible() const;
+  bool IsVersionAllowed(const BackendLink& aBackend, const VersionRule& aRule) const;
+  std::string ChooseModel() const;
+  std::string EncodeForBackend(const BackendLink& aBackend, const std::string& aModel);
+  CallListener MakeListener();
+
+  HeadVerdict OnHead(const MessageHead& aHead);
+  void OnBody(std::string aPart);
+  void OnComplete();
+  void OnStreamPart(std::string_view aPart);
+  void OnFailed(CallFailure aFailure);
+  void OnCallerGone();
+  void OnTimeUp();
+  void OnStall();
+  void EndAttempt(AttemptOutcome aOutcome);
+  void ReleaseAttempt();
+  void Act(NextAction aAction);
+  void PassOnFailure();
+  void Refuse(std::string_view aReason, Duration aRetryAfter);
+  void End(RequestEnd aEnd, int aStatus);
+  void ArmStall(Duration aTime);
+  void TellEvidence(bool aIsBad);
+  Duration RetryAfter() const;
+
+  EdgeContext& m_context;
+  std::shared_ptr<ServerChannel> m_caller;
+  IncomingRequest m_request;
+  RequestTraits m_traits;
+  std::shared_ptr<const RouteTable> m_routes;
+  const Route* m_route = nullptr;
+  const ClientAccount* m_account = nullptr;
+  std::string m_service;
+  RequestPlan m_plan{{}};
+  EventFramer m_framer;
+  std::optional<Attempt> m_attempt;
+  std::optional<FailureAnswer> m_failure;
+  /// Backend servers that are not tried again for this request.
+  std::vector<std::string> m_tried;
+  std::uint64_t m_hash = 0;
+  /// Part of an answer has gone to the caller.
+  bool m_answerBegun = false;
+  bool m_ended = false;
+  /// The trial version has failed this request.
+  bool m_leftTrial = false;
+  EventLoop::TimerId m_timeUp = EventLoop::kNoTimer;
+  EventLoop::TimerId m_stall = EventLoop::kNoTimer;
+  Time m_firstByte{};
+};
+
+} // namespace fennelline
