--- a/Libraries/LibRouting/RequestPlan.cpp
+++ b/Libraries/LibRouting/RequestPlan.cpp
@@ -26,6 +26,18 @@
   return m_mayHaveRun ? NextAction::Fail : NextAction::Refuse;
 }
 
+bool RequestPlan::TryEscalate(RetryWindow& aRetries, const RetryWindowPlan& aRetryPlan, Time aNow) {
+  const bool hasTime = aNow + kLeastTime < m_promise.m_answerBy;
+  const bool hasRuns = m_promise.MayRepeat() && m_runs + 2 < m_promise.m_attempts;
+  if (!hasTime || !hasRuns || !aRetries.TrySpend(aRetryPlan, aNow)) {
+    return false;
+  }
+  ++m_sends;
+  ++m_runs;
+  m_mayHaveRun = true;
+  return true;
+}
+
 NextAction RequestPlan::OnOutcome(AttemptOutcome aOutcome, bool aAnswerBegun,
                                   RetryWindow& aRetries, const RetryWindowPlan& aRetryPlan,
                                   Time aNow) {
--- a/Libraries/LibRouting/RequestPlan.h
+++ b/Libraries/LibRouting/RequestPlan.h
@@ -38,18 +38,15 @@
   Failed,
   /// No sign of an answer for so long that another server is more likely to be in time.
   Stalled,
-  /// The model doubts its answer, and a larger one may take over.
-  Doubtful,
 };
 
-constexpr NameTable<AttemptOutcome, 7> kAttemptOutcomeNames = {{
+constexpr NameTable<AttemptOutcome, 6> kAttemptOutcomeNames = {{
   {AttemptOutcome::NotSent, "not-sent"},
   {AttemptOutcome::NotRun, "not-run"},
   {AttemptOutcome::Lost, "lost"},
   {AttemptOutcome::Spoilt, "spoilt"},
   {AttemptOutcome::Failed, "failed"},
   {AttemptOutcome::Stalled, "stalled"},
-  {AttemptOutcome::Doubtful, "doubtful"},
 }};
 
 enum class NextAction : std::uint8_t {
@@ -83,6 +80,9 @@
   /// aAnswerBegun: part of an answer has gone to the caller.
   NextAction OnOutcome(AttemptOutcome aOutcome, bool aAnswerBegun, RetryWindow& aRetries,
                        const RetryWindowPlan& aRetryPlan, Time aNow);
+  /// Counts the run in hand and one more, of a larger model, if both are allowed. One run is kept
+  /// back for an answer that breaks off.
+  bool TryEscalate(RetryWindow& aRetries, const RetryWindowPlan& aRetryPlan, Time aNow);
   /// No server can take it, or its time is over.
   NextAction OnGivenUp(bool aAnswerBegun) const;
   /// Whether one more run would be allowed now, without counting it.
--- /dev/null
+++ b/Libraries/LibRouting/RolloutEvidence.cpp
@@ -0,0 +1,49 @@
+#include "LibRouting/RolloutEvidence.h"
+
+#include <nlohmann/json.hpp>
+
+namespace fennelline {
+
+using nlohmann::json;
+
+std::string EncodeRolloutReport(const RolloutReport& aReport) {
+  json routes = json::array();
+  for (const auto& [name, row] : aReport.m_routes) {
+    routes.push_back({name, row.m_newGood, row.m_newBad, row.m_oldGood, row.m_oldBad});
+  }
+  const json document = {{"entry", aReport.m_entry},
+                         {"service", aReport.m_service},
+                         {"order", aReport.m_orderRevision},
+                         {"ageMs", InMilliseconds(aReport.m_orderAge)},
+                         {"routes", std::move(routes)},
+                         {"runningOld", aReport.m_runningOld},
+                         {"record", aReport.m_recordRevision}};
+  const std::vector<std::uint8_t> bytes = json::to_msgpack(document);
+  return {bytes.begin(), bytes.end()};
+}
+
+Result<RolloutReport> DecodeRolloutReport(const std::string& aBytes) {
+  const json document = json::from_msgpack(aBytes, true, false);
+  try {
+    RolloutReport report;
+    report.m_entry = document.at("entry").get<std::string>();
+    report.m_service = document.at("service").get<std::string>();
+    report.m_orderRevision = document.at("order").get<std::uint64_t>();
+    report.m_orderAge = Milliseconds(document.at("ageMs").get<std::int64_t>());
+    report.m_runningOld = document.at("runningOld").get<std::int64_t>();
+    report.m_recordRevision = document.at("record").get<std::uint64_t>();
+    for (const json& row : document.at("routes")) {
+      report.m_routes[row.at(0).get<std::string>()] = {
+        .m_newGood = row.at(1).get<std::int64_t>(),
+        .m_newBad = row.at(2).get<std::int64_t>(),
+        .m_oldGood = row.at(3).get<std::int64_t>(),
+        .m_oldBad = row.at(4).get<std::int64_t>(),
+      };
+    }
+    return report;
+  } catch (const json::exception& error) {
+    return MakeError(ErrorCode::InvalidMessage, error.what());
+  }
+}
+
+} // namespace fennelline
--- a/Libraries/LibRouting/VersionRule.h
+++ b/Libraries/LibRouting/VersionRule.h
@@ -31,4 +31,18 @@
   std::string m_version;
 };
 
+/// Part of the exposure bound that a trial uses; retries and chance add to it.
+constexpr double kUsedPartOfExposure = 0.6;
+
+/// The share of a service's sessions that try a new version, from the bound on all requests.
+constexpr double TrialShare(double aExposedShare) {
+  return aExposedShare * kUsedPartOfExposure;
+}
+
+/// Whether a session, or a request without one, is in the trial. Every entry agrees by its hash.
+constexpr bool IsInTrial(std::uint64_t aHash, double aShare) {
+  constexpr std::uint64_t kSteps = 10'000;
+  return static_cast<double>(aHash % kSteps) < aShare * static_cast<double>(kSteps);
+}
+
 } // namespace fennelline
--- a/Services/Edge/BackendTable.h
+++ b/Services/Edge/BackendTable.h
@@ -30,6 +30,8 @@
   ClientPool m_pool;
   /// Requests of this entry that run or wait there.
   int m_running = 0;
+  /// When any answer's bytes last came from it.
+  Time m_heardAt{};
 
   bool TakesRequests(Time aNow) const {
     return !m_isGone && m_record.m_state == ReplicaState::Ready && aNow < m_lapsesAt;
--- a/Services/Edge/EdgeContext.h
+++ b/Services/Edge/EdgeContext.h
@@ -23,6 +23,9 @@
   std::string m_service;
   std::string m_version;
   std::string m_route;
+  /// Requests that usually take as long as each other: a route and a model.
+  std::string m_kind;
+  Duration m_firstByte{0};
   bool m_isBad = false;
 };
 
--- a/Services/Edge/EdgeProcess.cpp
+++ b/Services/Edge/EdgeProcess.cpp
@@ -80,10 +80,16 @@
                           .m_onPeerRevision =
                             [this](const std::string& aPeer, Revision aRevision) {
                               m_store.OnPeerRevision(aPeer, aRevision);
-                            }})
+                            },
+                          .m_onNote = [this](const std::string& aNote) { OnNote(aNote); }})
   , m_store(m_context, [this](const std::vector<KeyValue>& aNews, bool aAfterOutage) {
     OnNews(aNews, aAfterOutage);
-  }) {}
+  })
+  , m_rollouts(m_context, m_beliefs, m_members, m_store) {
+  m_context.m_onEvidence = [this](const VersionEvidenceEvent& aEvent) {
+    m_rollouts.OnAnswer(aEvent);
+  };
+}
 
 Result<void> EdgeProcess::Start() {
   const EntryFacts& facts = m_context.m_facts;
@@ -111,6 +117,7 @@
   m_context.Log(LogRank::Notable, line);
   m_members.TryAddresses(SeedAddresses());
   m_store.Start(facts.m_isFirstStart ? kFirstStartDelay : kRestartDelay);
+  m_rollouts.Start();
   m_loop.Every(kLogFlushInterval, [this] { m_log.Flush(); });
   m_loop.Every(Seconds(1), [this] { EverySecond(); });
   return {};
@@ -220,6 +227,17 @@
   m_store.SetPeers(asksStore, std::move(near), std::move(others));
 }
 
+void EdgeProcess::OnNote(const std::string& aNote) {
+  const Result<RolloutReport> report = DecodeRolloutReport(aNote);
+  if (report.IsError()) {
+    LogLine line("note-refused");
+    line.Text("reason", report.GetError().m_detail);
+    m_context.Log(LogRank::Notable, line);
+    return;
+  }
+  m_rollouts.OnReport(report.Get());
+}
+
 void EdgeProcess::AnswerLookup(const std::shared_ptr<ServerChannel>& aCaller,
                                const IncomingRequest& aRequest) {
   std::string zone;
--- a/Services/Edge/EdgeProcess.h
+++ b/Services/Edge/EdgeProcess.h
@@ -4,6 +4,7 @@
 #include "Services/Edge/Beliefs.h"
 #include "Services/Edge/EdgeContext.h"
 #include "Services/Edge/Members.h"
+#include "Services/Edge/RolloutDriver.h"
 #include "Services/Edge/StoreLink.h"
 
 #include <memory>
@@ -35,6 +36,7 @@
   Result<void> ServeCallers();
   void OnNews(const std::vector<KeyValue>& aNews, bool aAfterOutage);
   void OnMembersChanged();
+  void OnNote(const std::string& aNote);
   void UpdateReadiness();
   bool IsReady() const;
   void AnswerLookup(const std::shared_ptr<ServerChannel>& aCaller, const IncomingRequest& aRequest);
@@ -54,6 +56,7 @@
   Beliefs m_beliefs;
   Members m_members;
   StoreLink m_store;
+  RolloutDriver m_rollouts;
   std::unique_ptr<HttpServer> m_callers;
   std::vector<std::unique_ptr<HttpServer>> m_servers;
   std::string m_settingsText;
--- a/Services/Edge/Members.cpp
+++ b/Services/Edge/Members.cpp
@@ -14,6 +14,9 @@
 /// network is trusted: its settings hold no secret.
 const std::vector<std::string> kDatagramTag = {"fennelline"};
 
+/// Begins datagrams that are not about members; the tag of those consists of hexadecimal digits.
+constexpr char kNoteMark = 'N';
+
 constexpr Duration kTickInterval = Milliseconds(50);
 
 /// Callers are sent only to entries that answer, so a dead one is to be found within a second.
@@ -74,38 +77,55 @@
     if (count < 0) {
       return;
     }
-    const Result<MembershipDatagram> datagram =
-      DecodeDatagram({buffer.data(), static_cast<std::size_t>(count)}, kDatagramTag);
-    if (datagram.IsError()) {
-      LogLine line("datagram-refused");
-      line.Text("reason", datagram.GetError().m_detail);
-      m_context.Log(LogRank::Notable, line);
-      continue;
+    const std::string_view bytes(buffer.data(), static_cast<std::size_t>(count));
+    if (bytes.starts_with(kNoteMark)) {
+      m_listener.m_onNote(std::string(bytes.substr(1)));
+    } else {
+      ReceiveMembership(bytes);
     }
-    const MembershipDatagram& news = datagram.Get();
-    CarryOut(m_membership.OnDatagram(news, m_context.m_loop.Now()));
-    for (const MemberDigest& member : m_membership.Members()) {
-      if (member.m_entry == news.m_from) {
-        m_listener.m_onPeerRevision(member.m_streamAddress, news.m_configurationRevision);
-      }
+  }
+}
+
+void Members::ReceiveMembership(std::string_view aBytes) {
+  const Result<MembershipDatagram> datagram = DecodeDatagram(aBytes, kDatagramTag);
+  if (datagram.IsError()) {
+    LogLine line("datagram-refused");
+    line.Text("reason", datagram.GetError().m_detail);
+    m_context.Log(LogRank::Notable, line);
+    return;
+  }
+  const MembershipDatagram& news = datagram.Get();
+  CarryOut(m_membership.OnDatagram(news, m_context.m_loop.Now()));
+  for (const MemberDigest& member : m_membership.Members()) {
+    if (member.m_entry == news.m_from) {
+      m_listener.m_onPeerRevision(member.m_streamAddress, news.m_configurationRevision);
     }
   }
 }
 
+void Members::SendNote(const std::string& aAddress, const std::string& aNote) {
+  SendBytes(aAddress, kNoteMark + aNote);
+}
+
+void Members::SendBytes(const std::string& aAddress, const std::string& aBytes) {
+  Result<sockaddr_in> address = ParseSocketAddress(aAddress);
+  if (address.IsError()) {
+    LogLine line("datagram-unsent");
+    line.Text("reason", address.GetError().m_detail);
+    m_context.Log(LogRank::Notable, line);
+    return;
+  }
+  // A datagram that cannot be sent is one that is lost.
+  ::sendto(m_socket.Number(), aBytes.data(), aBytes.size(), 0,
+           reinterpret_cast<const sockaddr*>(&address.Get()), sizeof(sockaddr_in));
+}
+
 void Members::CarryOut(const Step<MembershipOutcome>& aStep) {
   for (const Effect& effect : aStep.m_effects) {
     const SendDatagram* send = std::get_if<SendDatagram>(&effect);
-    if (send == nullptr) {
-      continue;
-    }
-    Result<sockaddr_in> address = ParseSocketAddress(send->m_address);
-    if (address.IsError()) {
-      continue;
+    if (send != nullptr) {
+      SendBytes(send->m_address, EncodeDatagram(send->m_datagram, kDatagramTag.front()));
     }
-    const std::string bytes = EncodeDatagram(send->m_datagram, kDatagramTag.front());
-    // A datagram that cannot be sent is one that is lost.
-    ::sendto(m_socket.Number(), bytes.data(), bytes.size(), 0,
-             reinterpret_cast<const sockaddr*>(&address.Get()), sizeof(sockaddr_in));
   }
   for (const MembershipOutcome& outcome : aStep.m_outcomes) {
     const MemberChanged* change = std::get_if<MemberChanged>(&outcome);
--- a/Services/Edge/Members.h
+++ b/Services/Edge/Members.h
@@ -15,6 +15,8 @@
   std::function<void()> m_onChanged;
   /// A peer, by its address for calls, knows of a change of the store up to this revision.
   std::function<void(const std::string&, Revision)> m_onPeerRevision;
+  /// A peer sent a note, see SendNote().
+  std::function<void(const std::string&)> m_onNote;
 };
 
 /// Keeps track of the other entries over UDP.
@@ -29,6 +31,8 @@
   void SetCallerAddress(const std::string& aAddress);
   void SetRevision(Revision aRevision) { m_membership.SetConfigurationRevision(aRevision); }
   void Leave();
+  /// Sends bytes to an entry's address for datagrams. They may be lost.
+  void SendNote(const std::string& aAddress, const std::string& aNote);
 
   /// Those alive or suspected, this entry included, sorted by name.
   std::vector<MemberDigest> All() const { return m_membership.Members(); }
@@ -36,6 +40,8 @@
 
 private:
   void Receive();
+  void ReceiveMembership(std::string_view aBytes);
+  void SendBytes(const std::string& aAddress, const std::string& aBytes);
   void CarryOut(const Step<MembershipOutcome>& aStep);
 
   EdgeContext& m_context;
--- a/Services/Edge/RelayAnswer.cpp
+++ b/Services/Edge/RelayAnswer.cpp
@@ -1,5 +1,6 @@
 // The way of a backend server's answer back to the caller.
 
+#include "LibRouting/ModelPlan.h"
 #include "Services/Edge/RequestRelay.h"
 #include "platform/RequestCodec.h"
 
@@ -58,6 +59,7 @@
     EndAttempt(AttemptOutcome::Spoilt);
     return HeadVerdict::Take;
   }
+  m_attempt->m_firstByte = m_context.m_loop.Now();
   m_attempt->m_head = aHead;
   m_attempt->m_traits = traits;
   m_attempt->m_hasHead = true;
@@ -65,14 +67,37 @@
   if (m_answerBegun && !m_attempt->m_isStream) {
     // Another run cannot go on with the answer that the caller has part of.
     EndAttempt(AttemptOutcome::Failed);
+  } else if (IsDoubtful() && m_plan.TryEscalate(m_context.m_retries[m_service],
+                                                m_context.RetryPlan(), m_context.m_loop.Now())) {
+    Escalate();
   }
   return HeadVerdict::Take;
 }
 
+bool RequestRelay::IsDoubtful() const {
+  const ModelPlan plan;
+  return m_attempt->m_isStream && !m_answerBegun && !m_wantsLargest &&
+         m_route->m_models.size() > 1 && plan.IsDoubtful(m_attempt->m_traits.m_confidence);
+}
+
+void RequestRelay::Escalate() {
+  LogLine line("escalate");
+  line.Text("id", m_traits.m_requestId).Text("backend", m_attempt->m_backend->m_record.m_id);
+  line.Count("confidence", m_attempt->m_traits.m_confidence.value_or(0));
+  line.Text("from", m_attempt->m_model).Text("to", m_route->m_models.back());
+  m_context.Log(LogRank::Routine, line);
+  m_attempt->m_backend->m_health.OnSuccess(m_context.m_loop.Now());
+  TellEvidence(false);
+  m_wantsLargest = true;
+  ReleaseAttempt();
+  Dispatch();
+}
+
 void RequestRelay::OnBody(std::string aPart) {
   if (m_ended || !m_attempt) {
     return;
   }
+  m_attempt->m_backend->m_heardAt = m_context.m_loop.Now();
   if (m_attempt->m_isStream) {
     OnStreamPart(aPart);
     return;
@@ -210,6 +235,7 @@
     backend->m_health.OnFailure(now);
     TellEvidence(true);
   }
+  m_leftTrial = m_leftTrial || aOutcome == AttemptOutcome::Failed;
   m_tried.push_back(backend->m_record.m_id);
   m_framer.DropPartial();
   // The server before must not work on while another one does.
@@ -256,9 +282,16 @@
 }
 
 void RequestRelay::OnStall() {
-  if (!m_ended && m_attempt) {
-    EndAttempt(AttemptOutcome::Stalled);
+  if (m_ended || !m_attempt) {
+    return;
+  }
+  const bool isBusyElsewhere = m_route->m_kind == RouteKind::Streaming &&
+                               m_attempt->m_backend->m_heardAt > m_attempt->m_sent;
+  if (isBusyElsewhere) {
+    // The server lives and has much to do. Sending the request again would add to that.
+    return;
   }
+  EndAttempt(AttemptOutcome::Stalled);
 }
 
 void RequestRelay::TellEvidence(bool aIsBad) {
@@ -266,6 +299,8 @@
     m_context.m_onEvidence({.m_service = m_service,
                             .m_version = m_attempt->m_backend->m_record.m_version,
                             .m_route = m_route->m_name,
+                            .m_kind = m_route->m_name + "/" + m_attempt->m_model,
+                            .m_firstByte = m_attempt->m_firstByte - m_attempt->m_sent,
                             .m_isBad = aIsBad});
   }
 }
--- a/Services/Edge/RequestRelay.cpp
+++ b/Services/Edge/RequestRelay.cpp
@@ -5,6 +5,7 @@
 #include "platform/RequestCodec.h"
 
 #include <algorithm>
+#include <cmath>
 #include <xxhash.h>
 
 namespace fennelline {
@@ -49,6 +50,23 @@
   return XXH3_64bits_withSeed(aText.data(), aText.size(), aSeed);
 }
 
+/// Few servers of the new version get the trial's requests, so that each is as loaded as it will be
+/// with all of them: some versions are bad only under load.
+void KeepTrialServers(std::vector<std::shared_ptr<BackendLink>>& aServers, double aShare,
+                      Time aNow) {
+  const std::size_t count = static_cast<std::size_t>(
+    std::ceil(static_cast<double>(aServers.size()) * aShare));
+  std::sort(aServers.begin(), aServers.end(),
+            [aNow](const std::shared_ptr<BackendLink>& aOne,
+                   const std::shared_ptr<BackendLink>& aTwo) {
+              const bool isOneShunned = aOne->m_health.IsShunned(aNow);
+              const bool isTwoShunned = aTwo->m_health.IsShunned(aNow);
+              return isOneShunned != isTwoShunned ? isTwoShunned
+                                                  : aOne->m_identity < aTwo->m_identity;
+            });
+  aServers.resize(std::min(aServers.size(), std::max<std::size_t>(1, count)));
+}
+
 } // namespace
 
 void RequestRelay::Start(EdgeContext& aContext, std::shared_ptr<ServerChannel> aCaller,
@@ -128,43 +146,45 @@
   Dispatch();
 }
 
-bool RequestRelay::IsVersionAllowed(const BackendLink& aBackend, const VersionRule& aRule) const {
-  const bool isRolledOut = aBackend.m_record.m_version == aRule.m_version;
-  switch (aRule.m_preference) {
-    case VersionPreference::Any:
-    case VersionPreference::Prefer:
-      return true;
-    case VersionPreference::Never:
-      return !isRolledOut;
-    case VersionPreference::Trial:
-      return !isRolledOut;
+VersionRule RequestRelay::RuleForRequest() const {
+  const auto found = m_context.m_versions.find(m_service);
+  VersionRule rule = found == m_context.m_versions.end() ? VersionRule{} : found->second;
+  if (rule.m_preference == VersionPreference::Trial) {
+    const bool isChosen =
+      !m_leftTrial && IsInTrial(m_hash, TrialShare(m_context.m_facts.m_exposedShare));
+    rule.m_preference = isChosen ? VersionPreference::Trial : VersionPreference::Never;
   }
-  return true;
+  return rule;
 }
 
 std::vector<std::shared_ptr<BackendLink>> RequestRelay::Eligible() const {
   const Time now = m_context.m_loop.Now();
-  const auto found = m_context.m_versions.find(m_service);
-  const VersionRule rule = found == m_context.m_versions.end() ? VersionRule{} : found->second;
-  std::vector<std::shared_ptr<BackendLink>> eligible;
-  std::vector<std::shared_ptr<BackendLink>> preferred;
+  const VersionRule rule = RuleForRequest();
+  std::vector<std::shared_ptr<BackendLink>> ofVersion;
+  std::vector<std::shared_ptr<BackendLink>> others;
   for (const std::shared_ptr<BackendLink>& backend : m_context.m_backends.OfService(m_service)) {
     const bool wasTried = std::find(m_tried.begin(), m_tried.end(), backend->m_record.m_id) !=
                           m_tried.end();
-    if (wasTried || !backend->TakesRequests(now) || !IsVersionAllowed(*backend, rule)) {
-      continue;
-    }
-    eligible.push_back(backend);
-    if (rule.m_preference == VersionPreference::Prefer &&
-        backend->m_record.m_version == rule.m_version) {
-      preferred.push_back(backend);
+    if (!wasTried && backend->TakesRequests(now)) {
+      const bool isOfVersion = rule.m_preference != VersionPreference::Any &&
+                               backend->m_record.m_version == rule.m_version;
+      (isOfVersion ? ofVersion : others).push_back(backend);
     }
   }
-  return preferred.empty() ? eligible : preferred;
+  if (rule.m_preference == VersionPreference::Never || ofVersion.empty()) {
+    return others;
+  }
+  if (rule.m_preference == VersionPreference::Trial) {
+    KeepTrialServers(ofVersion, TrialShare(m_context.m_facts.m_exposedShare), now);
+  }
+  return ofVersion;
 }
 
 std::string RequestRelay::ChooseModel() const {
-  return m_route->m_models.empty() ? std::string() : m_route->m_models.back();
+  if (m_route->m_models.empty()) {
+    return {};
+  }
+  return m_wantsLargest ? m_route->m_models.back() : m_route->m_models.front();
 }
 
 std::shared_ptr<BackendLink> RequestRelay::Place() {
--- a/Services/Edge/RequestRelay.h
+++ b/Services/Edge/RequestRelay.h
@@ -30,6 +30,7 @@
     std::shared_ptr<ClientChannel> m_channel;
     std::string m_model;
     Time m_sent{};
+    Time m_firstByte{};
     /// The answer's head, once it has come.
     MessageHead m_head;
     AnswerTraits m_traits;
@@ -51,7 +52,7 @@
   void Dispatch();
   std::shared_ptr<BackendLink> Place();
   std::vector<std::shared_ptr<BackendLink>> Eligible() const;
-  bool IsVersionAllowed(const BackendLink& aBackend, const VersionRule& aRule) const;
+  VersionRule RuleForRequest() const;
   std::string ChooseModel() const;
   std::string EncodeForBackend(const BackendLink& aBackend, const std::string& aModel);
   CallListener MakeListener();
@@ -64,6 +65,8 @@
   void OnCallerGone();
   void OnTimeUp();
   void OnStall();
+  bool IsDoubtful() const;
+  void Escalate();
   void EndAttempt(AttemptOutcome aOutcome);
   void ReleaseAttempt();
   void Act(NextAction aAction);
@@ -92,6 +95,8 @@
   /// Part of an answer has gone to the caller.
   bool m_answerBegun = false;
   bool m_ended = false;
+  /// The smallest model doubts its answer.
+  bool m_wantsLargest = false;
   /// The trial version has failed this request.
   bool m_leftTrial = false;
   EventLoop::TimerId m_timeUp = EventLoop::kNoTimer;
--- /dev/null
+++ b/Services/Edge/RolloutDriver.cpp
@@ -0,0 +1,196 @@
+#include "Services/Edge/RolloutDriver.h"
+
+#include "platform/RolloutCodec.h"
+#include "platform/StoreCodec.h"
+
+#include <algorithm>
+
+namespace fennelline {
+
+namespace {
+
+constexpr Duration kTickInterval = Milliseconds(250);
+
+/// Entries that reports go to. More than one, so that the loss of the first costs no evidence.
+constexpr std::size_t kReportReceivers = 3;
+
+/// Each further entry waits so much longer before it decides in place of those before it.
+constexpr Duration kRankDelay = Milliseconds(700);
+
+/// Reports end this long after the order's time: nothing is decided any more.
+constexpr Duration kReportsAfterEnd = Seconds(5);
+
+} // namespace
+
+RolloutDriver::RolloutDriver(EdgeContext& aContext, Beliefs& aBeliefs, Members& aMembers,
+                             StoreLink& aStore)
+  : m_context(aContext)
+  , m_beliefs(aBeliefs)
+  , m_members(aMembers)
+  , m_store(aStore) {}
+
+void RolloutDriver::Start() {
+  m_context.m_loop.Every(kTickInterval, [this] { Tick(); });
+}
+
+RolloutRecord RolloutDriver::RecordOf(const RolloutOrder& aOrder) const {
+  const auto found = m_beliefs.Records().find(aOrder.m_service);
+  return found == m_beliefs.Records().end() ? RolloutRecord{} : found->second;
+}
+
+void RolloutDriver::OnAnswer(const VersionEvidenceEvent& aEvent) {
+  const bool isSlow = !aEvent.m_isBad && m_usual.IsSlow(aEvent.m_kind, aEvent.m_firstByte);
+  const auto order = m_beliefs.Orders().find(aEvent.m_service);
+  const bool isNew =
+    order != m_beliefs.Orders().end() && order->second.m_version == aEvent.m_version;
+  if (!isNew && !aEvent.m_isBad) {
+    m_usual.Learn(aEvent.m_kind, aEvent.m_firstByte);
+  }
+  if (order == m_beliefs.Orders().end()) {
+    return;
+  }
+  Own& own = m_own[aEvent.m_service];
+  if (own.m_orderRevision != order->second.m_revision) {
+    return;
+  }
+  RouteEvidence& row = own.m_routes[aEvent.m_route];
+  const bool isBad = aEvent.m_isBad || isSlow;
+  if (isNew) {
+    ++(isBad ? row.m_newBad : row.m_newGood);
+  } else {
+    ++(isBad ? row.m_oldBad : row.m_oldGood);
+  }
+}
+
+void RolloutDriver::OnReport(const RolloutReport& aReport) {
+  m_judges[aReport.m_service].OnReport(aReport, m_context.m_loop.Now());
+}
+
+bool RolloutDriver::IsUnderWay(const RolloutOrder& aOrder) const {
+  const RolloutRecord record = RecordOf(aOrder);
+  const bool isOver = record.m_orderRevision == aOrder.m_revision &&
+                      (record.m_phase == RolloutPhase::Succeeded ||
+                       record.m_phase == RolloutPhase::RolledBack);
+  return !isOver;
+}
+
+void RolloutDriver::Tick() {
+  const Time now = m_context.m_loop.Now();
+  for (const auto& [service, order] : m_beliefs.Orders()) {
+    Own& own = m_own[service];
+    if (own.m_orderRevision != order.m_revision) {
+      own = {.m_orderRevision = order.m_revision, .m_orderSeen = now, .m_routes = {}};
+    }
+    if (IsUnderWay(order) && now - own.m_orderSeen < order.m_within + kReportsAfterEnd) {
+      Report(order);
+    }
+    Drive(order);
+  }
+}
+
+std::size_t RolloutDriver::Rank() const {
+  std::size_t rank = 0;
+  for (const MemberDigest& member : m_members.All()) {
+    if (member.m_entry == m_members.Self().m_entry) {
+      return rank;
+    }
+    rank += member.m_state == MemberState::Alive ? 1 : 0;
+  }
+  return rank;
+}
+
+void RolloutDriver::Report(const RolloutOrder& aOrder) {
+  const Own& own = m_own[aOrder.m_service];
+  RolloutReport report;
+  report.m_entry = m_members.Self().m_entry;
+  report.m_service = aOrder.m_service;
+  report.m_orderRevision = aOrder.m_revision;
+  report.m_orderAge = m_context.m_loop.Now() - own.m_orderSeen;
+  report.m_routes = own.m_routes;
+  report.m_recordRevision = RecordOf(aOrder).m_revision;
+  for (const std::shared_ptr<BackendLink>& backend :
+       m_context.m_backends.OfService(aOrder.m_service)) {
+    report.m_runningOld +=
+      backend->m_record.m_version == aOrder.m_version ? 0 : backend->m_running;
+  }
+  OnReport(report);
+  std::size_t receivers = 0;
+  for (const MemberDigest& member : m_members.All()) {
+    if (member.m_state != MemberState::Alive || receivers == kReportReceivers) {
+      continue;
+    }
+    ++receivers;
+    if (member.m_entry != report.m_entry) {
+      m_members.SendNote(member.m_datagramAddress, EncodeRolloutReport(report));
+    }
+  }
+}
+
+void RolloutDriver::Drive(const RolloutOrder& aOrder) {
+  if (m_writing || m_context.m_stopSince) {
+    return;
+  }
+  const Time now = m_context.m_loop.Now();
+  const RolloutRecord record = RecordOf(aOrder);
+  const bool isBegun = record.m_orderRevision == aOrder.m_revision;
+  RolloutRecord next = {.m_service = aOrder.m_service,
+                        .m_version = aOrder.m_version,
+                        .m_orderRevision = aOrder.m_revision,
+                        .m_phase = RolloutPhase::Canary};
+  if (isBegun) {
+    next.m_phase =
+      m_judges[aOrder.m_service].Judge(aOrder, record, m_context.m_entries, now);
+  }
+  const bool isDue = !isBegun || next.m_phase != record.m_phase;
+  const bool hasStatus = isBegun && !isDue;
+  if (!isDue) {
+    m_dueSince.erase(aOrder.m_service);
+  }
+  const Time since = isDue ? m_dueSince.try_emplace(aOrder.m_service, now).first->second : now;
+  const std::size_t rank = Rank();
+  if (isDue && now - since >= kRankDelay * static_cast<std::int64_t>(rank)) {
+    LogLine line("rollout-decision");
+    line.Text("service", aOrder.m_service).Text("version", aOrder.m_version);
+    line.Text("phase", NameOf(kRolloutPhaseNames, next.m_phase));
+    line.Text("reason", m_judges[aOrder.m_service].Reason());
+    line.Ms("order-age", m_judges[aOrder.m_service].OrderAge(now)).Count("rank", rank);
+    m_context.Log(LogRank::Notable, line);
+    Write(next, record.m_revision);
+  } else if (hasStatus && rank < kReportReceivers) {
+    WriteStatus(record);
+  }
+}
+
+void RolloutDriver::Write(const RolloutRecord& aRecord, Revision aExpected) {
+  m_writing = true;
+  const PutKey put = {
+    .m_key = platform::MakeKey(platform::KeyKind::RolloutRecord, aRecord.m_service),
+    .m_value = WriteRolloutRecord(aRecord),
+    .m_expected = aExpected};
+  m_store.Call(put, [this, service = aRecord.m_service](const PlatformReply& aReply) {
+    m_writing = false;
+    if (aReply.m_status != PlatformStatus::Ok) {
+      // Whatever happened to it, the mirror will tell; then it is looked at again.
+      LogLine line("rollout-write-failed");
+      line.Text("service", service).Count("status", static_cast<int>(aReply.m_status));
+      m_context.Log(LogRank::Notable, line);
+    }
+  });
+}
+
+void RolloutDriver::WriteStatus(const RolloutRecord& aRecord) {
+  const std::string key =
+    platform::MakeKey(platform::KeyKind::RolloutStatus, aRecord.m_service);
+  const std::string status = platform::EncodeRolloutStatus(aRecord);
+  const KeyValue* held = m_store.Mirror().Find(key);
+  if (held != nullptr && held->m_value == status) {
+    return;
+  }
+  m_writing = true;
+  m_store.Call(PutKey{.m_key = key,
+                      .m_value = status,
+                      .m_expected = held == nullptr ? kAbsent : held->m_revision},
+               [this](const PlatformReply&) { m_writing = false; });
+}
+
+} // namespace fennelline
--- /dev/null
+++ b/Services/Edge/RolloutDriver.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "LibRouting/RolloutJudge.h"
+#include "LibRouting/UsualTimes.h"
+#include "Services/Edge/Beliefs.h"
+#include "Services/Edge/Members.h"
+#include "Services/Edge/StoreLink.h"
+
+#include <map>
+#include <string>
+
+namespace fennelline {
+
+/// Drives roll-outs: counts this entry's evidence and reports it to the entries that may decide,
+/// and, on those, writes the decisions to the store. Every write is under the condition that the
+/// record is as it was read, so it does not matter how many entries try.
+class RolloutDriver {
+public:
+  RolloutDriver(EdgeContext& aContext, Beliefs& aBeliefs, Members& aMembers, StoreLink& aStore);
+
+  void Start();
+  void OnAnswer(const VersionEvidenceEvent& aEvent);
+  void OnReport(const RolloutReport& aReport);
+
+private:
+  struct Own {
+    std::uint64_t m_orderRevision = 0;
+    Time m_orderSeen{};
+    std::map<std::string, RouteEvidence> m_routes;
+  };
+
+  void Tick();
+  bool IsUnderWay(const RolloutOrder& aOrder) const;
+  void Report(const RolloutOrder& aOrder);
+  void Drive(const RolloutOrder& aOrder);
+  void Write(const RolloutRecord& aRecord, Revision aExpected);
+  void WriteStatus(const RolloutRecord& aRecord);
+  /// This entry's place among those that may decide, from 0; the first decides at once.
+  std::size_t Rank() const;
+  RolloutRecord RecordOf(const RolloutOrder& aOrder) const;
+
+  EdgeContext& m_context;
+  Beliefs& m_beliefs;
+  Members& m_members;
+  StoreLink& m_store;
+  std::map<std::string, Own> m_own;
+  std::map<std::string, RolloutJudge> m_judges;
+  UsualTimes m_usual;
+  /// A write is under way.
+  bool m_writing = false;
+  /// When a phase other than the recorded one was first called for, by service.
+  std::map<std::string, Time> m_dueSince;
+};
+
+} // namespace fennelline
