Judge a rolled-out version by the pace of its streams, on two trial servers

Cause: a good version was rolled back: its one trial server read long prompts one after the other, so first events came after 1.6 s and counted as bad (5 of 9, before 0 of 156). Ruled out: failures of the version itself (no error among them). Change: a stream's pace counts instead of its first event; stalls are no evidence; two trial servers; a stalled run is given up only if another one is allowed.

--- a/Libraries/LibRouting/RequestPlan.cpp
+++ b/Libraries/LibRouting/RequestPlan.cpp
@@ -26,9 +26,10 @@
   return m_mayHaveRun ? NextAction::Fail : NextAction::Refuse;
 }
 
-bool RequestPlan::TryEscalate(RetryWindow& aRetries, const RetryWindowPlan& aRetryPlan, Time aNow) {
+bool RequestPlan::TryReplaceRun(int aSpare, RetryWindow& aRetries,
+                                const RetryWindowPlan& aRetryPlan, Time aNow) {
   const bool hasTime = aNow + kLeastTime < m_promise.m_answerBy;
-  const bool hasRuns = m_promise.MayRepeat() && m_runs + 2 < m_promise.m_attempts;
+  const bool hasRuns = m_promise.MayRepeat() && m_runs + 1 + aSpare < m_promise.m_attempts;
   if (!hasTime || !hasRuns || !aRetries.TrySpend(aRetryPlan, aNow)) {
     return false;
   }
--- a/Libraries/LibRouting/RequestPlan.h
+++ b/Libraries/LibRouting/RequestPlan.h
@@ -36,17 +36,14 @@
   Spoilt,
   /// The server ran the request and answers with a failure of its own.
   Failed,
-  /// No sign of an answer for so long that another server is more likely to be in time.
-  Stalled,
 };
 
-constexpr NameTable<AttemptOutcome, 6> kAttemptOutcomeNames = {{
+constexpr NameTable<AttemptOutcome, 5> kAttemptOutcomeNames = {{
   {AttemptOutcome::NotSent, "not-sent"},
   {AttemptOutcome::NotRun, "not-run"},
   {AttemptOutcome::Lost, "lost"},
   {AttemptOutcome::Spoilt, "spoilt"},
   {AttemptOutcome::Failed, "failed"},
-  {AttemptOutcome::Stalled, "stalled"},
 }};
 
 enum class NextAction : std::uint8_t {
@@ -80,9 +77,10 @@
   /// aAnswerBegun: part of an answer has gone to the caller.
   NextAction OnOutcome(AttemptOutcome aOutcome, bool aAnswerBegun, RetryWindow& aRetries,
                        const RetryWindowPlan& aRetryPlan, Time aNow);
-  /// Counts the run in hand and one more, of a larger model, if both are allowed. One run is kept
-  /// back for an answer that breaks off.
-  bool TryEscalate(RetryWindow& aRetries, const RetryWindowPlan& aRetryPlan, Time aNow);
+  /// Counts the run in hand as ended and one more as sent, if that is allowed with aSpare runs kept
+  /// back. The run in hand may then be given up.
+  bool TryReplaceRun(int aSpare, RetryWindow& aRetries, const RetryWindowPlan& aRetryPlan,
+                     Time aNow);
   /// No server can take it, or its time is over.
   NextAction OnGivenUp(bool aAnswerBegun) const;
   /// Whether one more run would be allowed now, without counting it.
--- a/Services/Edge/EdgeContext.h
+++ b/Services/Edge/EdgeContext.h
@@ -25,7 +25,8 @@
   std::string m_route;
   /// Requests that usually take as long as each other: a route and a model.
   std::string m_kind;
-  Duration m_firstByte{0};
+  /// The time of a plain answer, or between a stream's events; zero where it is not known.
+  Duration m_pace{0};
   bool m_isBad = false;
 };
 
--- a/Services/Edge/RelayAnswer.cpp
+++ b/Services/Edge/RelayAnswer.cpp
@@ -23,6 +23,9 @@
 /// With so many bytes on their way to a slow caller, the server is not read any further.
 constexpr std::size_t kMostUnsentBytes = 64UL * 1024;
 
+/// A larger model is asked only if a run is left for an answer that breaks off.
+constexpr int kRunsKeptForBreaks = 1;
+
 /// A stream that pauses for this part of the longest pause allowed goes on elsewhere.
 constexpr double kPausePartOfObjective = 0.9;
 
@@ -67,13 +70,17 @@
   if (m_answerBegun && !m_attempt->m_isStream) {
     // Another run cannot go on with the answer that the caller has part of.
     EndAttempt(AttemptOutcome::Failed);
-  } else if (IsDoubtful() && m_plan.TryEscalate(m_context.m_retries[m_service],
-                                                m_context.RetryPlan(), m_context.m_loop.Now())) {
+  } else if (IsDoubtful() && TryReplaceRun(kRunsKeptForBreaks)) {
     Escalate();
   }
   return HeadVerdict::Take;
 }
 
+bool RequestRelay::TryReplaceRun(int aSpare) {
+  return m_plan.TryReplaceRun(aSpare, m_context.m_retries[m_service], m_context.RetryPlan(),
+                              m_context.m_loop.Now());
+}
+
 bool RequestRelay::IsDoubtful() const {
   const ModelPlan plan;
   return m_attempt->m_isStream && !m_answerBegun && !m_wantsLargest &&
@@ -131,6 +138,8 @@
     m_caller->BeginAnswer({.m_status = m_attempt->m_head.m_status,
                            .m_headers = platform::EncodeAnswer(m_attempt->m_head.m_headers)});
   }
+  m_attempt->m_lastEvents = now;
+  m_attempt->m_events += 1;
   m_caller->SendPart(events);
   if (m_ended || !m_attempt) {
     return;
@@ -229,8 +238,7 @@
   m_context.m_loop.Cancel(std::exchange(m_stall, EventLoop::kNoTimer));
   const std::shared_ptr<BackendLink> backend = m_attempt->m_backend;
   const bool isFailure = aOutcome == AttemptOutcome::Lost || aOutcome == AttemptOutcome::Spoilt ||
-                         aOutcome == AttemptOutcome::Failed ||
-                         aOutcome == AttemptOutcome::Stalled;
+                         aOutcome == AttemptOutcome::Failed;
   if (isFailure) {
     backend->m_health.OnFailure(now);
     TellEvidence(true);
@@ -291,7 +299,31 @@
     // The server lives and has much to do. Sending the request again would add to that.
     return;
   }
-  EndAttempt(AttemptOutcome::Stalled);
+  if (!TryReplaceRun(0)) {
+    return;
+  }
+  const Time now = m_context.m_loop.Now();
+  LogLine line("stalled");
+  line.Text("id", m_traits.m_requestId).Text("backend", m_attempt->m_backend->m_record.m_id);
+  line.Ms("waited", now - m_attempt->m_sent).Count("events", m_framer.CountEvents());
+  m_context.Log(LogRank::Notable, line);
+  m_attempt->m_backend->m_health.OnFailure(now);
+  m_tried.push_back(m_attempt->m_backend->m_record.m_id);
+  m_framer.DropPartial();
+  ReleaseAttempt();
+  Dispatch();
+}
+
+Duration RequestRelay::Pace() const {
+  // A stream's first event waits for other prompts; its pace from then on is the server's own.
+  if (!m_attempt->m_isStream) {
+    return m_context.m_loop.Now() - m_attempt->m_sent;
+  }
+  // In a short stream, one long prompt that is read beside it would tell.
+  constexpr int kLeastEvents = 10;
+  return m_attempt->m_events < kLeastEvents
+           ? Duration(0)
+           : (m_attempt->m_lastEvents - m_attempt->m_firstByte) / (m_attempt->m_events - 1);
 }
 
 void RequestRelay::TellEvidence(bool aIsBad) {
@@ -300,7 +332,7 @@
                             .m_version = m_attempt->m_backend->m_record.m_version,
                             .m_route = m_route->m_name,
                             .m_kind = m_route->m_name + "/" + m_attempt->m_model,
-                            .m_firstByte = m_attempt->m_firstByte - m_attempt->m_sent,
+                            .m_pace = Pace(),
                             .m_isBad = aIsBad});
   }
 }
--- a/Services/Edge/RequestRelay.cpp
+++ b/Services/Edge/RequestRelay.cpp
@@ -50,8 +50,11 @@
   return XXH3_64bits_withSeed(aText.data(), aText.size(), aSeed);
 }
 
-/// Few servers of the new version get the trial's requests, so that each is as loaded as it will be
-/// with all of them: some versions are bad only under load.
+/// Beyond its share, so that the trial's requests have a choice.
+constexpr std::size_t kSpareTrialServers = 1;
+
+/// Few servers of the new version get the trial's requests, so that each is about as loaded as it
+/// will be with all of them: some versions are bad only under load.
 void KeepTrialServers(std::vector<std::shared_ptr<BackendLink>>& aServers, double aShare,
                       Time aNow) {
   const std::size_t count = static_cast<std::size_t>(
@@ -64,7 +67,7 @@
               return isOneShunned != isTwoShunned ? isTwoShunned
                                                   : aOne->m_identity < aTwo->m_identity;
             });
-  aServers.resize(std::min(aServers.size(), std::max<std::size_t>(1, count)));
+  aServers.resize(std::min(aServers.size(), count + kSpareTrialServers));
 }
 
 } // namespace
--- a/Services/Edge/RequestRelay.h
+++ b/Services/Edge/RequestRelay.h
@@ -31,6 +31,8 @@
     std::string m_model;
     Time m_sent{};
     Time m_firstByte{};
+    Time m_lastEvents{};
+    int m_events = 0;
     /// The answer's head, once it has come.
     MessageHead m_head;
     AnswerTraits m_traits;
@@ -66,7 +68,9 @@
   void OnTimeUp();
   void OnStall();
   bool IsDoubtful() const;
+  bool TryReplaceRun(int aSpare);
   void Escalate();
+  Duration Pace() const;
   void EndAttempt(AttemptOutcome aOutcome);
   void ReleaseAttempt();
   void Act(NextAction aAction);
--- a/Services/Edge/RolloutDriver.cpp
+++ b/Services/Edge/RolloutDriver.cpp
@@ -39,12 +39,13 @@
 }
 
 void RolloutDriver::OnAnswer(const VersionEvidenceEvent& aEvent) {
-  const bool isSlow = !aEvent.m_isBad && m_usual.IsSlow(aEvent.m_kind, aEvent.m_firstByte);
+  const bool hasPace = !aEvent.m_isBad && aEvent.m_pace > Duration(0);
+  const bool isSlow = hasPace && m_usual.IsSlow(aEvent.m_kind, aEvent.m_pace);
   const auto order = m_beliefs.Orders().find(aEvent.m_service);
   const bool isNew =
     order != m_beliefs.Orders().end() && order->second.m_version == aEvent.m_version;
-  if (!isNew && !aEvent.m_isBad) {
-    m_usual.Learn(aEvent.m_kind, aEvent.m_firstByte);
+  if (!isNew && hasPace) {
+    m_usual.Learn(aEvent.m_kind, aEvent.m_pace);
   }
   if (order == m_beliefs.Orders().end()) {
     return;
@@ -55,6 +56,12 @@
   }
   RouteEvidence& row = own.m_routes[aEvent.m_route];
   const bool isBad = aEvent.m_isBad || isSlow;
+  if (isBad) {
+    LogLine line("version-evidence");
+    line.Text("service", aEvent.m_service).Text("version", aEvent.m_version);
+    line.Text("kind", aEvent.m_kind).Flag("slow", isSlow).Ms("pace", aEvent.m_pace);
+    m_context.Log(LogRank::Notable, line);
+  }
   if (isNew) {
     ++(isBad ? row.m_newBad : row.m_newGood);
   } else {
