Tell an outage of the store by proof from peers; wait for a slow store

Change: news between entries carry how long ago anyone had an answer of the store; calls to it may take 2 s.

--- a/Libraries/LibRouting/MirrorSource.cpp
+++ b/Libraries/LibRouting/MirrorSource.cpp
@@ -11,9 +11,6 @@
 constexpr Duration kFirstStoreWait = Milliseconds(40);
 constexpr Duration kLongestStoreWait = Milliseconds(600);
 
-/// Leases of the platform's backend servers last some heartbeats.
-constexpr Duration kLeastOutage = Seconds(2);
-
 /// A peer that did not answer is passed over for so long.
 constexpr Duration kPeerWait = Seconds(1);
 
@@ -67,16 +64,11 @@
   }
 }
 
-bool MirrorSource::IsOutage(Time aNow) const {
-  return IsStoreFailing() && aNow - m_storeFailingSince >= kLeastOutage;
-}
-
 void MirrorSource::OnFailure(const Choice& aChoice, Time aNow) {
   if (!aChoice.m_isStore) {
     m_peerAgainAt[aChoice.m_peer] = aNow + kPeerWait;
     return;
   }
-  m_storeFailingSince = m_storeFailures == 0 ? aNow : m_storeFailingSince;
   constexpr int kMostDoublings = 4;
   const int doublings = std::min(m_storeFailures++, kMostDoublings);
   const Duration wait = std::min(kFirstStoreWait * (1 << doublings), kLongestStoreWait);
--- a/Libraries/LibRouting/MirrorSource.h
+++ b/Libraries/LibRouting/MirrorSource.h
@@ -33,9 +33,6 @@
   bool AsksStore() const { return m_asksStore; }
   /// The store has not answered this entry's last call.
   bool IsStoreFailing() const { return m_storeFailures > 0; }
-  /// Whether the store has failed for so long that leases may have run out unseen. A watch that is
-  /// cut once is no outage.
-  bool IsOutage(Time aNow) const;
 
 private:
   std::optional<std::string> FirstUsable(const std::vector<std::string>& aPeers, Time aNow) const;
@@ -46,7 +43,6 @@
   std::vector<std::string> m_others;
   Time m_storeAgainAt{};
   int m_storeFailures = 0;
-  Time m_storeFailingSince{};
   std::map<std::string, Time> m_peerAgainAt;
 };
 
--- a/Libraries/LibRouting/StoreMirror.cpp
+++ b/Libraries/LibRouting/StoreMirror.cpp
@@ -130,7 +130,7 @@
   }
   const json document = json::array(
     {aNews.m_isListing, aNews.m_asOf, InMilliseconds(aNews.m_age),
-     InMilliseconds(aNews.m_sinceOutage), std::move(keys)});
+     InMilliseconds(aNews.m_sinceOutage), InMilliseconds(aNews.m_sinceStoreProof), std::move(keys)});
   const std::vector<std::uint8_t> bytes = json::to_msgpack(document);
   return {bytes.begin(), bytes.end()};
 }
@@ -143,7 +143,8 @@
     news.m_asOf = document.at(1).get<Revision>();
     news.m_age = Milliseconds(document.at(2).get<std::int64_t>());
     news.m_sinceOutage = Milliseconds(document.at(3).get<std::int64_t>());
-    for (const json& row : document.at(4)) {
+    news.m_sinceStoreProof = Milliseconds(document.at(4).get<std::int64_t>());
+    for (const json& row : document.at(5)) {
       news.m_keys.push_back({.m_key = row.at(0).get<std::string>(),
                              .m_value = BytesOf(row.at(1)),
                              .m_revision = row.at(2).get<Revision>(),
--- a/Libraries/LibRouting/StoreMirror.h
+++ b/Libraries/LibRouting/StoreMirror.h
@@ -62,6 +62,8 @@
   Duration m_age{0};
   /// Time since the teller last saw the store come back from an outage.
   Duration m_sinceOutage{0};
+  /// Time since the teller, or one that it asked, had an answer of the store.
+  Duration m_sinceStoreProof{0};
   std::vector<KeyValue> m_keys;
 };
 
--- a/Services/Edge/StoreLink.cpp
+++ b/Services/Edge/StoreLink.cpp
@@ -10,13 +10,19 @@
 
 constexpr int kOk = 200;
 
-/// How long a watch waits at the store. Each one that returns is a call that is paid for; a channel
-/// that falls silent is found by TCP keep-alive sooner.
-constexpr Duration kStoreWatchWait = Seconds(4);
+/// How long a watch waits at the store. Each one that returns is a call that is paid for, but also
+/// the proof that the store is there, without which an outage could not be told.
+constexpr Duration kStoreWatchWait = Seconds(1);
+/// Beyond the wait, the store answers within milliseconds; on a slow day, within a second. A store
+/// that is gone is found sooner, by TCP.
+constexpr Duration kStoreAnswerTime = Seconds(2);
 /// The same at a peer, where calls cost little.
 constexpr Duration kPeerWatchWait = Milliseconds(1500);
-/// Beyond the wait, an answer takes some milliseconds; on a slow day, a few hundred.
-constexpr Duration kAnswerTime = Milliseconds(700);
+/// Beyond the wait, a peer answers within milliseconds unless it is overloaded.
+constexpr Duration kPeerAnswerTime = Milliseconds(700);
+
+/// Leases of backend servers last some heartbeats: a shorter absence of the store ends none.
+constexpr Duration kLeastOutage = Seconds(2);
 
 /// A peer that tells a newer revision is asked for it unless the change comes within this time by
 /// itself.
@@ -89,7 +95,7 @@
   const Time sent = m_context.m_loop.Now();
   Send(m_context.m_facts.m_storeAddress,
        platform::EncodeStoreCall(request, m_context.m_facts.m_storeAddress),
-       kAnswerTime + (lists ? Duration(0) : kStoreWatchWait),
+       kStoreAnswerTime + (lists ? Duration(0) : kStoreWatchWait),
        [this, aChoice, request, sent](int aStatus, const std::string& aBody) {
          OnStoreAnswer(aChoice, request, platform::DecodeStoreReply(request, aStatus, aBody), sent);
        });
@@ -120,8 +126,9 @@
   if (m_source.IsStoreFailing()) {
     LogSource("dependency-regained", aChoice);
     const Time now = m_context.m_loop.Now();
-    m_outageEnded = m_source.IsOutage(now) ? now : m_outageEnded;
+    m_outageEnded = now - m_storeProvedAt >= kLeastOutage ? now : m_outageEnded;
   }
+  m_storeProvedAt = m_context.m_loop.Now();
   m_source.OnAnswer(aChoice);
   if (std::holds_alternative<ListKeys>(aRequest)) {
     OnPage(aReply, aSent);
@@ -153,7 +160,7 @@
   const Time sent = m_context.m_loop.Now();
   // An entry that should ask the store tries it again soon.
   const Duration wait = m_source.AsksStore() ? kPeerWatchWait / 3 : kPeerWatchWait;
-  Send(aChoice.m_peer, PeerQuery(m_mirror.AsOf(), wait, aChoice.m_peer), wait + kAnswerTime,
+  Send(aChoice.m_peer, PeerQuery(m_mirror.AsOf(), wait, aChoice.m_peer), wait + kPeerAnswerTime,
        [this, aChoice, sent](int aStatus, const std::string& aBody) {
          OnPeerAnswer(aChoice, aStatus, aBody, sent);
        });
@@ -176,6 +183,8 @@
 
 void StoreLink::TakePeerNews(const MirrorNews& aNews, Time aSent) {
   const Time knownAt = std::max(aSent, m_context.m_loop.Now() - aNews.m_age);
+  // A store that serves others is not away, though it may turn this entry away.
+  m_storeProvedAt = std::max(m_storeProvedAt, aSent - aNews.m_sinceStoreProof);
   const bool isOlder = aNews.m_isListing && aNews.m_asOf < m_mirror.AsOf();
   if (isOlder) {
     return;
@@ -202,7 +211,7 @@
 
 void StoreLink::FetchFrom(const std::string& aPeer) {
   const Time sent = m_context.m_loop.Now();
-  Send(aPeer, PeerQuery(m_mirror.AsOf(), Duration(0), aPeer), kAnswerTime,
+  Send(aPeer, PeerQuery(m_mirror.AsOf(), Duration(0), aPeer), kPeerAnswerTime,
        [this, sent](int aStatus, const std::string& aBody) {
          m_fetching = false;
          const Result<MirrorNews> news = DecodeMirrorNews(aBody);
@@ -224,7 +233,8 @@
   const Time now = m_context.m_loop.Now();
   MirrorNews news{.m_asOf = m_mirror.AsOf(),
                   .m_age = now - m_mirror.KnownAt(),
-                  .m_sinceOutage = now - m_outageEnded};
+                  .m_sinceOutage = now - m_outageEnded,
+                  .m_sinceStoreProof = now - m_storeProvedAt};
   std::optional<std::vector<KeyValue>> changes = m_mirror.ChangesSince(aAfter);
   news.m_isListing = !changes;
   news.m_keys = changes ? std::move(*changes) : m_mirror.Listing();
@@ -261,7 +271,7 @@
 
 void StoreLink::Call(const PlatformRequest& aRequest, OnReply aOnReply) {
   Send(m_context.m_facts.m_storeAddress,
-       platform::EncodeStoreCall(aRequest, m_context.m_facts.m_storeAddress), kAnswerTime,
+       platform::EncodeStoreCall(aRequest, m_context.m_facts.m_storeAddress), kStoreAnswerTime,
        [this, aRequest, onReply = std::move(aOnReply)](int aStatus, const std::string& aBody) {
          const PlatformReply reply = platform::DecodeStoreReply(aRequest, aStatus, aBody);
          m_context.m_metrics.OnStoreCall(reply.m_status == PlatformStatus::Ok);
--- a/Services/Edge/StoreLink.h
+++ b/Services/Edge/StoreLink.h
@@ -87,6 +87,8 @@
   bool m_asking = false;
   EventLoop::TimerId m_nextAsk = EventLoop::kNoTimer;
   bool m_fetching = false;
+  /// When this entry, or one that it asked, last had an answer of the store.
+  Time m_storeProvedAt{};
   /// When the store last came back after it had failed.
   Time m_outageEnded{};
   std::string m_lastSource;
