Place by the prompts that are being read, told between entries at once

Change: entries learn how fast each model reads, predict the wait for each server and tell each other of prompts over 60 ms.

--- a/Libraries/LibRouting/Placement.cpp
+++ b/Libraries/LibRouting/Placement.cpp
@@ -9,9 +9,14 @@
 
 /// All costs are in milliseconds of delay.
 
-/// Reading a token of a prompt again: engines read some 60 a millisecond, and delay their other
-/// requests meanwhile.
-constexpr double kReadAgainMsPerToken = 0.05;
+/// Reading a token of a prompt again, beyond the time itself: the engine's other requests wait for
+/// it, and operators pay for it.
+constexpr double kReadAgainMsPerToken = 0.03;
+
+/// An answer that misses its objective is worth a third. The risk begins at this part of it, for a
+/// prediction knows nothing of what other entries have just sent.
+constexpr double kLateMs = 3000.0;
+constexpr double kRiskBeginsAt = 0.4;
 
 /// Crossing to another data centre: the way there and back, and the links' price for each byte,
 /// weighed like the delay of reading a prompt of that price again.
@@ -34,6 +39,14 @@
   return Random(aValue).Next();
 }
 
+double LateRisk(double aPredictedMs, double aObjectiveMs) {
+  if (aObjectiveMs <= 0.0) {
+    return 0.0;
+  }
+  const double part = aPredictedMs / aObjectiveMs;
+  return std::clamp((part - kRiskBeginsAt) / (1.0 - kRiskBeginsAt), 0.0, 1.0);
+}
+
 /// The server that every entry thinks of first for a prefix.
 std::size_t FindHome(std::uint64_t aPrefix, std::span<const PlacementCandidate> aCandidates) {
   std::size_t home = 0;
@@ -66,6 +79,9 @@
     double cost = aRandom.Uniform() * kNoiseMs;
     cost += candidate.m_load * aQuery.m_crowdingMs;
     cost += candidate.m_load >= candidate.m_slots ? kFullMs : 0.0;
+    const double ownMs = aQuery.m_promptMs - (isHeld ? aQuery.m_prefixMs : 0.0);
+    const double predictedMs = candidate.m_readingMs + ownMs;
+    cost += predictedMs + LateRisk(predictedMs, aQuery.m_objectiveMs) * kLateMs;
     cost += isHeld ? 0.0 : static_cast<double>(aQuery.m_prefixTokens) * kReadAgainMsPerToken;
     cost += candidate.m_isNear ? 0.0 : kFarMs + aQuery.m_bytes * kFarMsPerByte;
     cost += candidate.m_failureRate * kFailureMs;
--- a/Libraries/LibRouting/Placement.h
+++ b/Libraries/LibRouting/Placement.h
@@ -15,6 +15,8 @@
   std::uint64_t m_identity = 0;
   /// Requests there, of all entries as far as known.
   double m_load = 0.0;
+  /// Prompts that are being read there, or wait to be, in milliseconds of reading.
+  double m_readingMs = 0.0;
   double m_slots = 1.0;
   bool m_isNear = true;
   /// It is believed to hold the request's shared prefix.
@@ -29,6 +31,11 @@
   /// Names the shared prefix and the model; zero where there is none.
   std::uint64_t m_prefix = 0;
   std::int64_t m_prefixTokens = 0;
+  /// Time to read the whole prompt, and its shared prefix, in milliseconds; zero without a prompt.
+  double m_promptMs = 0.0;
+  double m_prefixMs = 0.0;
+  /// The latency objective in milliseconds; zero for none.
+  double m_objectiveMs = 0.0;
   /// Bytes of the request and its expected answer that would cross to another data centre.
   double m_bytes = 0.0;
   /// Time that one more request on a server adds to each other there, in milliseconds.
--- a/Services/Edge/BackendTable.cpp
+++ b/Services/Edge/BackendTable.cpp
@@ -40,6 +40,7 @@
   }
   std::shared_ptr<BackendLink> link = std::make_shared<BackendLink>(m_loop, aRecord);
   m_links[aRecord.m_id] = link;
+  m_identities[link->m_identity] = link;
   m_services[aRecord.m_service].push_back(std::move(link));
 }
 
@@ -48,6 +49,7 @@
   aLink->m_pool.CloseIdle();
   std::erase(m_services[aLink->m_record.m_service], aLink);
   m_links.erase(aLink->m_record.m_id);
+  m_identities.erase(aLink->m_identity);
 }
 
 void BackendTable::Remove(const std::string& aId) {
@@ -69,6 +71,11 @@
   return found == m_links.end() ? nullptr : found->second;
 }
 
+std::shared_ptr<BackendLink> BackendTable::FindIdentity(std::uint64_t aIdentity) const {
+  const auto found = m_identities.find(aIdentity);
+  return found == m_identities.end() ? nullptr : found->second.lock();
+}
+
 const std::vector<std::shared_ptr<BackendLink>>& BackendTable::OfService(
   const std::string& aService) const {
   static const std::vector<std::shared_ptr<BackendLink>> none;
--- a/Services/Edge/BackendTable.h
+++ b/Services/Edge/BackendTable.h
@@ -30,9 +30,14 @@
   ClientPool m_pool;
   /// Requests of this entry that run or wait there.
   int m_running = 0;
+  /// When it will have read the prompts that entries have sent it, as far as known.
+  Time m_readingUntil{};
   /// When any answer's bytes last came from it.
   Time m_heardAt{};
 
+  void AddReading(Duration aTime, Time aNow) {
+    m_readingUntil = std::max(m_readingUntil, aNow) + aTime;
+  }
   bool TakesRequests(Time aNow) const {
     return !m_isGone && m_record.m_state == ReplicaState::Ready && aNow < m_lapsesAt;
   }
@@ -52,6 +57,7 @@
   void Lapse(const std::string& aId, Time aUntil);
 
   std::shared_ptr<BackendLink> Find(const std::string& aId) const;
+  std::shared_ptr<BackendLink> FindIdentity(std::uint64_t aIdentity) const;
   const std::vector<std::shared_ptr<BackendLink>>& OfService(const std::string& aService) const;
   std::vector<std::shared_ptr<BackendLink>> All() const;
   /// Closes channels that are not used any more; called about once a second.
@@ -64,6 +70,7 @@
   EventLoop& m_loop;
   std::map<std::string, std::shared_ptr<BackendLink>> m_links;
   std::unordered_map<std::string, std::vector<std::shared_ptr<BackendLink>>> m_services;
+  std::unordered_map<std::uint64_t, std::weak_ptr<BackendLink>> m_identities;
 };
 
 } // namespace fennelline
--- a/Services/Edge/EdgeContext.h
+++ b/Services/Edge/EdgeContext.h
@@ -2,7 +2,9 @@
 
 #include "LibBase/Random.h"
 #include "LibHttp/EventLoop.h"
+#include "LibRouting/EngineSpeed.h"
 #include "LibRouting/EntryFacts.h"
+#include "LibRouting/LoadNotes.h"
 #include "LibRouting/RetryWindow.h"
 #include "LibRouting/RouteTable.h"
 #include "LibRouting/VersionRule.h"
@@ -48,7 +50,10 @@
   Time m_believedAt{};
   /// When the process was told to stop.
   std::optional<Time> m_stopSince;
+  EngineSpeed m_engineSpeed;
   std::function<void(const VersionEvidenceEvent&)> m_onEvidence;
+  /// A prompt was sent that other entries should know of.
+  std::function<void(const LoadNote&)> m_onLoad;
 
   RetryWindowPlan RetryPlan() const {
     return {.m_ratio = m_facts.m_retryRatio,
--- a/Services/Edge/EdgeProcess.cpp
+++ b/Services/Edge/EdgeProcess.cpp
@@ -32,6 +32,13 @@
 constexpr Duration kFirstStartDelay = Milliseconds(600);
 constexpr Duration kRestartDelay = Milliseconds(60);
 
+/// Begins notes of load; reports of roll-outs begin otherwise.
+constexpr char kLoadMark = 'L';
+/// Notes that come within this time go out together.
+constexpr Duration kLoadNoteInterval = Milliseconds(5);
+/// Beyond so many entries, the news of one of them matters little to each.
+constexpr std::size_t kMostLoadReceivers = 80;
+
 constexpr Duration kLogFlushInterval = Milliseconds(100);
 constexpr Duration kStopCheckInterval = Milliseconds(50);
 
@@ -89,6 +96,7 @@
   m_context.m_onEvidence = [this](const VersionEvidenceEvent& aEvent) {
     m_rollouts.OnAnswer(aEvent);
   };
+  m_context.m_onLoad = [this](const LoadNote& aNote) { OnLoad(aNote); };
 }
 
 Result<void> EdgeProcess::Start() {
@@ -228,6 +236,19 @@
 }
 
 void EdgeProcess::OnNote(const std::string& aNote) {
+  if (aNote.starts_with(kLoadMark)) {
+    const Result<std::vector<LoadNote>> notes = DecodeLoadNotes(aNote.substr(1));
+    if (!notes.IsError()) {
+      for (const LoadNote& note : notes.Get()) {
+        const std::shared_ptr<BackendLink> backend =
+          m_context.m_backends.FindIdentity(note.m_backend);
+        if (backend) {
+          backend->AddReading(note.m_readTime, m_loop.Now());
+        }
+      }
+      return;
+    }
+  }
   const Result<RolloutReport> report = DecodeRolloutReport(aNote);
   if (report.IsError()) {
     LogLine line("note-refused");
@@ -238,6 +259,26 @@
   m_rollouts.OnReport(report.Get());
 }
 
+void EdgeProcess::OnLoad(const LoadNote& aNote) {
+  if (m_loadNotes.empty()) {
+    m_loop.After(kLoadNoteInterval, [this] { SendLoadNotes(); });
+  }
+  m_loadNotes.push_back(aNote);
+}
+
+void EdgeProcess::SendLoadNotes() {
+  const std::string note = kLoadMark + EncodeLoadNotes(m_loadNotes);
+  m_loadNotes.clear();
+  std::size_t receivers = 0;
+  for (const MemberDigest& member : m_members.All()) {
+    const bool isOther = member.m_entry != m_members.Self().m_entry;
+    if (isOther && member.m_state == MemberState::Alive && receivers < kMostLoadReceivers) {
+      ++receivers;
+      m_members.SendNote(member.m_datagramAddress, note);
+    }
+  }
+}
+
 void EdgeProcess::AnswerLookup(const std::shared_ptr<ServerChannel>& aCaller,
                                const IncomingRequest& aRequest) {
   std::string zone;
--- a/Services/Edge/EdgeProcess.h
+++ b/Services/Edge/EdgeProcess.h
@@ -37,6 +37,8 @@
   void OnNews(const std::vector<KeyValue>& aNews, bool aAfterOutage);
   void OnMembersChanged();
   void OnNote(const std::string& aNote);
+  void OnLoad(const LoadNote& aNote);
+  void SendLoadNotes();
   void UpdateReadiness();
   bool IsReady() const;
   void AnswerLookup(const std::shared_ptr<ServerChannel>& aCaller, const IncomingRequest& aRequest);
@@ -59,6 +61,7 @@
   RolloutDriver m_rollouts;
   std::unique_ptr<HttpServer> m_callers;
   std::vector<std::unique_ptr<HttpServer>> m_servers;
+  std::vector<LoadNote> m_loadNotes;
   std::string m_settingsText;
   bool m_wasReady = false;
 };
--- a/Services/Edge/RelayAnswer.cpp
+++ b/Services/Edge/RelayAnswer.cpp
@@ -93,7 +93,9 @@
   line.Count("confidence", m_attempt->m_traits.m_confidence.value_or(0));
   line.Text("from", m_attempt->m_model).Text("to", m_route->m_models.back());
   m_context.Log(LogRank::Routine, line);
-  m_attempt->m_backend->m_health.OnSuccess(m_context.m_loop.Now());
+  const Time now = m_context.m_loop.Now();
+  m_attempt->m_backend->m_health.OnSuccess(now);
+  m_context.m_engineSpeed.Learn(m_attempt->m_model, m_tokensToRead, now - m_attempt->m_sent);
   TellEvidence(false);
   m_wantsLargest = true;
   ReleaseAttempt();
@@ -131,6 +133,9 @@
     return;
   }
   const Time now = m_context.m_loop.Now();
+  if (m_attempt->m_events == 0) {
+    m_context.m_engineSpeed.Learn(m_attempt->m_model, m_tokensToRead, now - m_attempt->m_sent);
+  }
   if (!m_answerBegun) {
     m_answerBegun = true;
     m_firstByte = now;
--- a/Services/Edge/RequestRelay.cpp
+++ b/Services/Edge/RequestRelay.cpp
@@ -1,6 +1,5 @@
 #include "Services/Edge/RequestRelay.h"
 
-#include "LibRouting/Placement.h"
 #include "LibRouting/StopPlan.h"
 #include "platform/RequestCodec.h"
 
@@ -42,6 +41,12 @@
 constexpr double kEngineCrowdingMs = 1.0;
 constexpr double kPlainCrowdingMs = 6.0;
 
+/// Prompts that take longer to read are told to the other entries; shorter ones delay nobody past
+/// an objective.
+constexpr Duration kNotableReading = Milliseconds(60);
+
+constexpr double kMillisecondsPerSecond = 1000.0;
+
 /// Bytes of a usual answer.
 constexpr double kUsualAnswerBytes = 2'000.0;
 constexpr double kBytesPerOutputToken = 12.0;
@@ -190,25 +195,52 @@
   return m_wantsLargest ? m_route->m_models.back() : m_route->m_models.front();
 }
 
-std::shared_ptr<BackendLink> RequestRelay::Place() {
-  const std::vector<std::shared_ptr<BackendLink>> eligible = Eligible();
-  const Time now = m_context.m_loop.Now();
-  const Service* service = m_routes->FindService(m_service);
-  const bool isEngine = service != nullptr && service->m_isEngine;
-  const auto entries = static_cast<double>(m_context.m_entries);
+PlacementQuery RequestRelay::MakeQuery(bool aIsEngine) const {
   PlacementQuery query;
-  query.m_crowdingMs = isEngine ? kEngineCrowdingMs : kPlainCrowdingMs;
+  query.m_crowdingMs = aIsEngine ? kEngineCrowdingMs : kPlainCrowdingMs;
   query.m_bytes = static_cast<double>(m_request.m_body.size()) + kUsualAnswerBytes +
                   static_cast<double>(m_traits.m_mostOutputTokens) * kBytesPerOutputToken;
+  query.m_objectiveMs = InSeconds(m_route->m_objective) * kMillisecondsPerSecond;
+  const std::string model = ChooseModel();
   if (m_traits.m_promptParts.size() > 1) {
     // All parts but the last, which is the request's own, may be in a cache.
     const PromptPart& lastShared = m_traits.m_promptParts[m_traits.m_promptParts.size() - 2];
-    query.m_prefix = lastShared.m_id ^ HashOf(ChooseModel());
+    query.m_prefix = lastShared.m_id ^ HashOf(model);
     for (const PromptPart& part : m_traits.m_promptParts) {
       query.m_prefixTokens += part.m_tokens;
     }
     query.m_prefixTokens -= m_traits.m_promptParts.back().m_tokens;
   }
+  if (aIsEngine) {
+    const EngineSpeed& speed = m_context.m_engineSpeed;
+    query.m_promptMs =
+      InSeconds(speed.ReadTime(model, m_traits.m_promptTokens)) * kMillisecondsPerSecond;
+    query.m_prefixMs =
+      InSeconds(speed.ReadTime(model, query.m_prefixTokens)) * kMillisecondsPerSecond;
+  }
+  return query;
+}
+
+void RequestRelay::CountReading(BackendLink& aBackend, const PlacementQuery& aQuery, bool aHeld) {
+  const Time now = m_context.m_loop.Now();
+  m_tokensToRead = m_traits.m_promptTokens - (aHeld ? aQuery.m_prefixTokens : 0);
+  const Duration time = m_context.m_engineSpeed.ReadTime(ChooseModel(), m_tokensToRead);
+  aBackend.AddReading(time, now);
+  if (time >= kNotableReading && m_context.m_onLoad) {
+    m_context.m_onLoad({.m_backend = aBackend.m_identity, .m_readTime = time});
+  }
+  if (aQuery.m_prefix != 0) {
+    aBackend.m_prefixes.OnSent(aQuery.m_prefix, now);
+  }
+}
+
+std::shared_ptr<BackendLink> RequestRelay::Place() {
+  const std::vector<std::shared_ptr<BackendLink>> eligible = Eligible();
+  const Time now = m_context.m_loop.Now();
+  const Service* service = m_routes->FindService(m_service);
+  const bool isEngine = service != nullptr && service->m_isEngine;
+  const auto entries = static_cast<double>(m_context.m_entries);
+  const PlacementQuery query = MakeQuery(isEngine);
   const double mostChannels =
     service == nullptr || service->m_mostChannels == 0
       ? static_cast<double>(m_context.m_facts.m_mostDescriptors)
@@ -218,8 +250,10 @@
   candidates.reserve(eligible.size());
   for (const std::shared_ptr<BackendLink>& backend : eligible) {
     const bool isFull = static_cast<double>(backend->m_pool.CountOnLoan()) >= mostChannels;
+    const Duration reading = std::max(Duration(0), backend->m_readingUntil - now);
     candidates.push_back({.m_identity = backend->m_identity,
                           .m_load = backend->m_running * (isEngine ? entries : 1.0),
+                          .m_readingMs = InSeconds(reading) * kMillisecondsPerSecond,
                           .m_slots = static_cast<double>(backend->m_record.m_slots),
                           .m_isNear = backend->m_record.m_zone == m_context.m_facts.m_zone,
                           .m_holdsPrefix = backend->m_prefixes.Holds(query.m_prefix, now),
@@ -231,8 +265,8 @@
   if (!chosen) {
     return nullptr;
   }
-  if (query.m_prefix != 0) {
-    eligible[*chosen]->m_prefixes.OnSent(query.m_prefix, now);
+  if (isEngine) {
+    CountReading(*eligible[*chosen], query, candidates[*chosen].m_holdsPrefix);
   }
   return eligible[*chosen];
 }
--- a/Services/Edge/RequestRelay.h
+++ b/Services/Edge/RequestRelay.h
@@ -2,6 +2,7 @@
 
 #include "LibHttp/ServerChannel.h"
 #include "LibRouting/EventFramer.h"
+#include "LibRouting/Placement.h"
 #include "LibRouting/RequestPlan.h"
 #include "LibRouting/RequestTraits.h"
 #include "Services/Edge/EdgeContext.h"
@@ -53,6 +54,8 @@
   void Reject(int aStatus, std::string_view aReason);
   void Dispatch();
   std::shared_ptr<BackendLink> Place();
+  PlacementQuery MakeQuery(bool aIsEngine) const;
+  void CountReading(BackendLink& aBackend, const PlacementQuery& aQuery, bool aHeld);
   std::vector<std::shared_ptr<BackendLink>> Eligible() const;
   VersionRule RuleForRequest() const;
   std::string ChooseModel() const;
@@ -98,6 +101,8 @@
   std::uint64_t m_hash = 0;
   /// Part of an answer has gone to the caller.
   bool m_answerBegun = false;
+  /// Tokens of the prompt that the server has to read.
+  std::int64_t m_tokensToRead = 0;
   bool m_ended = false;
   /// The smallest model doubts its answer.
   bool m_wantsLargest = false;
