--- a/Services/Edge/EdgeContext.h
+++ b/Services/Edge/EdgeContext.h
@@ -17,6 +17,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace fennelline {
 
@@ -52,6 +53,8 @@
   std::optional<Time> m_stopSince;
   EngineSpeed m_engineSpeed;
   std::function<void(const VersionEvidenceEvent&)> m_onEvidence;
+  /// Requests that came before any configuration was known; each is called once one is.
+  std::vector<std::function<void()>> m_waitingForConfiguration;
   /// A prompt was sent that other entries should know of.
   std::function<void(const LoadNote&)> m_onLoad;
 
--- a/Services/Edge/EdgeProcess.cpp
+++ b/Services/Edge/EdgeProcess.cpp
@@ -30,7 +30,7 @@
 
 /// At the first start of the whole system, entries find each other before they ask the store.
 constexpr Duration kFirstStartDelay = Milliseconds(600);
-constexpr Duration kRestartDelay = Milliseconds(60);
+constexpr Duration kRestartDelay = Milliseconds(5);
 
 /// Begins notes of load; reports of roll-outs begin otherwise.
 constexpr char kLoadMark = 'L';
@@ -180,6 +180,13 @@
   m_members.SetRevision(m_store.Mirror().LastChange());
   ApplyLimits();
   UpdateReadiness();
+  if (m_context.m_routes) {
+    const std::vector<std::function<void()>> waiting =
+      std::exchange(m_context.m_waitingForConfiguration, {});
+    for (const std::function<void()>& resume : waiting) {
+      resume();
+    }
+  }
 }
 
 void EdgeProcess::ApplyLimits() {
--- a/Services/Edge/RequestRelay.cpp
+++ b/Services/Edge/RequestRelay.cpp
@@ -18,6 +18,10 @@
 
 /// A starting entry knows the configuration within about this time.
 constexpr Duration kStartingRetryAfter = Milliseconds(300);
+/// A starting entry knows the configuration within some 50 ms, so that a short wait serves callers
+/// better than a refusal. Where the store is away, the wait ends here.
+constexpr Duration kLongestConfigurationWait = Milliseconds(400);
+constexpr std::size_t kMostWaitingForConfiguration = 200;
 /// While no backend server can be used: a crashed one is back within some seconds.
 constexpr Duration kLeastRetryAfter = Milliseconds(250);
 constexpr Duration kRetryAfterSpread = Milliseconds(750);
@@ -119,6 +123,24 @@
   return true;
 }
 
+void RequestRelay::WaitForConfiguration() {
+  if (m_context.m_waitingForConfiguration.size() >= kMostWaitingForConfiguration) {
+    Refuse("no configuration is known yet", kStartingRetryAfter);
+    return;
+  }
+  m_timeUp = m_context.m_loop.After(kLongestConfigurationWait, [self = shared_from_this()] {
+    self->m_timeUp = EventLoop::kNoTimer;
+    self->Refuse("no configuration is known yet", kStartingRetryAfter);
+  });
+  m_context.m_waitingForConfiguration.emplace_back([self = shared_from_this()] {
+    if (!self->m_ended) {
+      self->m_context.m_loop.Cancel(std::exchange(self->m_timeUp, EventLoop::kNoTimer));
+      self->m_routes = self->m_context.m_routes;
+      self->Admit();
+    }
+  });
+}
+
 void RequestRelay::Admit() {
   const Result<RequestTraits> traits = platform::DecodeRequest(m_request.m_head.m_headers);
   if (traits.IsError()) {
@@ -127,7 +149,7 @@
   }
   m_traits = traits.Get();
   if (!m_routes) {
-    Refuse("no configuration is known yet", kStartingRetryAfter);
+    WaitForConfiguration();
     return;
   }
   if (!FindRoute()) {
--- a/Services/Edge/RequestRelay.h
+++ b/Services/Edge/RequestRelay.h
@@ -50,6 +50,7 @@
   };
 
   void Admit();
+  void WaitForConfiguration();
   bool FindRoute();
   void Reject(int aStatus, std::string_view aReason);
   void Dispatch();
