Accept more doubt in small models' answers while servers are behind

Change: the confidence asked for falls by 0.06 for each ms that the servers are behind on average; a stalled stream is not moved before twice the time that its prompt is foreseen to take.

--- a/Libraries/LibRouting/ModelPlan.h
+++ b/Libraries/LibRouting/ModelPlan.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <optional>
 
 namespace fennelline {
@@ -7,13 +8,20 @@
 /// When a smaller model's answer is good enough. The smallest model answers first: its opinion of
 /// its answer comes with the first event and costs little, so a larger one is asked only where it
 /// doubts.
+///
+/// Answers the load of servers that are behind: each prompt that a larger model reads delays
+/// others, so the further they are behind, the more doubt is accepted.
 struct ModelPlan {
-  /// Percent. The largest model costs a fifth or less of what most answers are worth, so an answer
-  /// that is wrong one time in five is not good enough.
-  int m_leastConfidence = 60;
+  /// Percent. The largest model costs a fifth of what most answers are worth or less, and is in
+  /// time while servers have little to read.
+  double m_leastConfidence = 60.0;
+  /// Percent for each millisecond that the servers are behind on average: none is asked for any
+  /// more when they are behind by half of a usual objective of two seconds.
+  double m_acceptedPerMsBehind = 0.06;
 
-  bool IsDoubtful(std::optional<int> aConfidence) const {
-    return aConfidence && *aConfidence < m_leastConfidence;
+  bool IsDoubtful(std::optional<int> aConfidence, double aMsBehind) const {
+    const double least = std::max(0.0, m_leastConfidence - m_acceptedPerMsBehind * aMsBehind);
+    return aConfidence && *aConfidence < least;
   }
 };
 
--- a/Services/Edge/RelayAnswer.cpp
+++ b/Services/Edge/RelayAnswer.cpp
@@ -84,7 +84,19 @@
 bool RequestRelay::IsDoubtful() const {
   const ModelPlan plan;
   return m_attempt->m_isStream && !m_answerBegun && !m_wantsLargest &&
-         m_route->m_models.size() > 1 && plan.IsDoubtful(m_attempt->m_traits.m_confidence);
+         m_route->m_models.size() > 1 && plan.IsDoubtful(m_attempt->m_traits.m_confidence, MsBehind());
+}
+
+double RequestRelay::MsBehind() const {
+  const Time now = m_context.m_loop.Now();
+  double sum = 0.0;
+  const std::vector<std::shared_ptr<BackendLink>> eligible = Eligible();
+  for (const std::shared_ptr<BackendLink>& backend : eligible) {
+    sum += std::max(0.0, InSeconds(backend->m_readingUntil - now));
+  }
+  constexpr double kMillisecondsPerSecond = 1000.0;
+  return eligible.empty() ? 0.0
+                          : sum * kMillisecondsPerSecond / static_cast<double>(eligible.size());
 }
 
 void RequestRelay::Escalate() {
--- a/Services/Edge/RequestRelay.cpp
+++ b/Services/Edge/RequestRelay.cpp
@@ -32,6 +32,9 @@
 /// The same for a stream's first event, which long prompts ahead may delay.
 constexpr double kStreamStallPartOfObjective = 0.8;
 
+/// Nor is it given up before twice the time that its prompt, and those before it, take to read.
+constexpr std::int64_t kStallPerForeseenTime = 2;
+
 /// Priorities of routes start at 0; servers take 0 to 9, with 5 for those that say nothing.
 constexpr int kMostUrgentPriority = 4;
 constexpr int kLeastUrgentPriority = 9;
@@ -324,7 +327,8 @@
   line.Text("id", m_traits.m_requestId).Text("backend", backend->m_record.m_id);
   line.Text("service", m_service).Text("version", backend->m_record.m_version);
   line.Text("model", attempt.m_model).Count("number", m_plan.Sends() + 1);
-  line.Count("running", backend->m_running);
+  line.Count("running", backend->m_running).Count("tokens", m_tokensToRead);
+  line.Ms("reading", std::max(Duration(0), backend->m_readingUntil - attempt.m_sent));
   line.Real("failure-rate", backend->m_health.FailureRate(attempt.m_sent));
   line.Count("configuration", m_routes->Version());
   line.Ms("belief-age", attempt.m_sent - m_context.m_believedAt);
@@ -349,7 +353,9 @@
   if (m_plan.HasRunLeft() && m_route->m_objective > Duration(0)) {
     const double part = m_route->m_kind == RouteKind::Streaming ? kStreamStallPartOfObjective
                                                                  : kStallPartOfObjective;
-    ArmStall(std::chrono::duration_cast<Duration>(m_route->m_objective * part));
+    const Duration usual = std::chrono::duration_cast<Duration>(m_route->m_objective * part);
+    const Duration foreseen = backend->m_readingUntil - m_context.m_loop.Now();
+    ArmStall(std::max(usual, foreseen * kStallPerForeseenTime));
   }
 }
 
--- a/Services/Edge/RequestRelay.h
+++ b/Services/Edge/RequestRelay.h
@@ -72,6 +72,7 @@
   void OnTimeUp();
   void OnStall();
   bool IsDoubtful() const;
+  double MsBehind() const;
   bool TryReplaceRun(int aSpare);
   void Escalate();
   Duration Pace() const;
