Let servers in tests take a free port by themselves

Cause: tests looked for a free port with a datagram socket, so it could be taken for streams (TestServer failed in 5 of 5 runs in a row, each at Listen).

--- a/Tests/LibHttp/LoopbackServer.h
+++ b/Tests/LibHttp/LoopbackServer.h
@@ -11,10 +11,10 @@
 
 namespace fennelline {
 
-/// A port of the loopback address that nobody listens on.
-inline std::string FreeAddress() {
-  const FileDescriptor socket = BindDatagram("127.0.0.1", 0).Take();
-  return "127.0.0.1:" + std::to_string(LocalPort(socket));
+/// An address that nobody listens on any more.
+inline std::string DeadAddress() {
+  const FileDescriptor listener = ListenStream("127.0.0.1", 0).Take();
+  return "127.0.0.1:" + std::to_string(LocalPort(listener));
 }
 
 /// A blocking caller's connection, for tests that drive the loop themselves.
--- a/Tests/LibHttp/TestClientChannel.cpp
+++ b/Tests/LibHttp/TestClientChannel.cpp
@@ -12,9 +12,8 @@
 struct ScriptedServer {
   ScriptedServer() {
     REQUIRE(!m_loop.Open().IsError());
-    const std::size_t colon = m_address.rfind(':');
-    m_listener =
-      ListenStream(m_address.substr(0, colon), std::stoi(m_address.substr(colon + 1))).Take();
+    m_listener = ListenStream("127.0.0.1", 0).Take();
+    m_address = "127.0.0.1:" + std::to_string(LocalPort(m_listener));
   }
   void Accept() {
     m_accepted = FileDescriptor();
@@ -33,7 +32,7 @@
   }
 
   EventLoop m_loop;
-  std::string m_address = FreeAddress();
+  std::string m_address;
   FileDescriptor m_listener;
   FileDescriptor m_accepted;
 };
@@ -102,7 +101,7 @@
   SUBCASE("nobody listens") {
     EventLoop loop;
     REQUIRE(!loop.Open().IsError());
-    ClientPool pool(loop, {.m_address = FreeAddress()});
+    ClientPool pool(loop, {.m_address = DeadAddress()});
     CallRecord record;
     pool.Take(false).Take()->Send(kRequest, false, record.Listener("mine"));
     REQUIRE(RunUntil(loop, [&] { return record.IsOver(); }));
--- a/Tests/LibHttp/TestServer.cpp
+++ b/Tests/LibHttp/TestServer.cpp
@@ -23,7 +23,8 @@
       aChannel->Answer({.m_status = 200, .m_headers = {}}, aRequest.m_head.m_target);
     };
     m_server = std::make_unique<HttpServer>(m_loop, m_context, 3000);
-    REQUIRE(!m_server->Listen(m_address).IsError());
+    REQUIRE(!m_server->Listen("127.0.0.1:0").IsError());
+    m_address = "127.0.0.1:" + std::to_string(m_server->Port());
   }
 
   std::string Ask(std::string_view aRequest) {
@@ -38,7 +39,7 @@
   }
 
   EventLoop m_loop;
-  std::string m_address = FreeAddress();
+  std::string m_address;
   std::shared_ptr<ServerContext> m_context = std::make_shared<ServerContext>();
   std::unique_ptr<HttpServer> m_server;
   std::vector<std::string> m_targets;
