Keep running sessions on their version during a trial; test real entry processes

Change: such sessions are told between entries and stay; a trial takes sessions only once those of before the order have ended or were seen. Tests: Tests/Edge/edge_process.py drives real processes before stand-ins of the store and the servers; it found that a settings file mended after a bad one was not always taken (the first text was not kept).

--- /dev/null
+++ b/Libraries/LibRouting/SessionMemory.cpp
@@ -0,0 +1,46 @@
+#include "LibRouting/SessionMemory.h"
+
+#include <nlohmann/json.hpp>
+
+namespace fennelline {
+
+using nlohmann::json;
+
+namespace {
+
+/// Sessions remembered. Only those that a trial would take count, a tenth of all.
+constexpr std::size_t kMostSessions = 4096;
+/// Twice as long as the longest time between a session's requests that a deployment may state.
+constexpr Duration kForgetAfter = Seconds(20);
+
+} // namespace
+
+void SessionMemory::OnServed(std::uint64_t aSession, Time aNow) {
+  if (m_served.size() >= kMostSessions) {
+    std::erase_if(m_served, [aNow](const std::pair<const std::uint64_t, Time>& aItem) {
+      return aNow - aItem.second > kForgetAfter;
+    });
+  }
+  m_served[aSession] = aNow;
+}
+
+bool SessionMemory::IsRunning(std::uint64_t aSession, Duration aSessionTime, Time aNow) const {
+  const auto found = m_served.find(aSession);
+  return found != m_served.end() && aNow - found->second <= aSessionTime;
+}
+
+std::string EncodeSessionNotes(const std::vector<std::uint64_t>& aSessions) {
+  const std::vector<std::uint8_t> bytes = json::to_msgpack(json(aSessions));
+  return {bytes.begin(), bytes.end()};
+}
+
+Result<std::vector<std::uint64_t>> DecodeSessionNotes(const std::string& aBytes) {
+  const json rows = json::from_msgpack(aBytes, true, false);
+  try {
+    return rows.get<std::vector<std::uint64_t>>();
+  } catch (const json::exception& error) {
+    return MakeError(ErrorCode::InvalidMessage, error.what());
+  }
+}
+
+} // namespace fennelline
--- /dev/null
+++ b/Libraries/LibRouting/SessionMemory.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "LibBase/Error.h"
+#include "LibBase/Time.h"
+
+#include <cstdint>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace fennelline {
+
+/// Sessions that were lately served by the version that is being replaced. They stay on it while
+/// the new version is tried: whichever entry serves one of them tells the others.
+class SessionMemory {
+public:
+  void OnServed(std::uint64_t aSession, Time aNow);
+  /// Whether the session was served within the time that its requests follow each other in.
+  bool IsRunning(std::uint64_t aSession, Duration aSessionTime, Time aNow) const;
+
+private:
+  std::unordered_map<std::uint64_t, Time> m_served;
+};
+
+std::string EncodeSessionNotes(const std::vector<std::uint64_t>& aSessions);
+Result<std::vector<std::uint64_t>> DecodeSessionNotes(const std::string& aBytes);
+
+} // namespace fennelline
--- a/Libraries/LibRouting/VersionRule.h
+++ b/Libraries/LibRouting/VersionRule.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibBase/NameTable.h"
+#include "LibBase/Time.h"
 
 #include <cstdint>
 #include <string>
@@ -29,6 +30,8 @@
 struct VersionRule {
   VersionPreference m_preference = VersionPreference::Any;
   std::string m_version;
+  /// Sessions of before the order have ended by then, or were seen since.
+  Time m_trialFrom{};
 };
 
 /// Part of the exposure bound that a trial uses; retries and chance add to it.
--- a/Services/Edge/Beliefs.cpp
+++ b/Services/Edge/Beliefs.cpp
@@ -111,6 +111,11 @@
   line.Text("service", aService).Text("version", order.Get().m_version);
   line.Ms("within", order.Get().m_within).Count("revision", aKey.m_revision);
   m_context.Log(LogRank::Notable, line);
+  // A session goes on for as long as its requests follow each other, and its last one may be on
+  // its way for a moment.
+  constexpr Duration kOnTheWay = Milliseconds(500);
+  m_context.m_versions[aService].m_trialFrom =
+    m_context.m_loop.Now() + m_context.m_facts.m_sessionTime + kOnTheWay;
   m_orders[aService] = order.Take();
   UpdateRule(aService);
 }
--- a/Services/Edge/EdgeContext.h
+++ b/Services/Edge/EdgeContext.h
@@ -7,6 +7,7 @@
 #include "LibRouting/LoadNotes.h"
 #include "LibRouting/RetryWindow.h"
 #include "LibRouting/RouteTable.h"
+#include "LibRouting/SessionMemory.h"
 #include "LibRouting/VersionRule.h"
 #include "Services/Edge/BackendTable.h"
 #include "Services/Edge/EdgeLog.h"
@@ -55,6 +56,9 @@
   std::function<void(const VersionEvidenceEvent&)> m_onEvidence;
   /// Requests that came before any configuration was known; each is called once one is.
   std::vector<std::function<void()>> m_waitingForConfiguration;
+  SessionMemory m_oldSessions;
+  /// A session stays on the version that is being replaced; other entries should know.
+  std::function<void(std::uint64_t)> m_onOldSession;
   /// A prompt was sent that other entries should know of.
   std::function<void(const LoadNote&)> m_onLoad;
 
--- a/Services/Edge/EdgeProcess.cpp
+++ b/Services/Edge/EdgeProcess.cpp
@@ -32,12 +32,14 @@
 constexpr Duration kFirstStartDelay = Milliseconds(600);
 constexpr Duration kRestartDelay = Milliseconds(5);
 
-/// Begins notes of load; reports of roll-outs begin otherwise.
+/// What notes between entries begin with.
 constexpr char kLoadMark = 'L';
+constexpr char kSessionMark = 'S';
+constexpr char kRolloutMark = 'R';
 /// Notes that come within this time go out together.
-constexpr Duration kLoadNoteInterval = Milliseconds(5);
+constexpr Duration kNoteInterval = Milliseconds(5);
 /// Beyond so many entries, the news of one of them matters little to each.
-constexpr std::size_t kMostLoadReceivers = 80;
+constexpr std::size_t kMostNoteReceivers = 80;
 
 constexpr Duration kLogFlushInterval = Milliseconds(100);
 constexpr Duration kStopCheckInterval = Milliseconds(50);
@@ -93,10 +95,20 @@
     OnNews(aNews, aAfterOutage);
   })
   , m_rollouts(m_context, m_beliefs, m_members, m_store) {
+  m_rollouts.SetSend([this](const std::string& aAddress, const RolloutReport& aReport) {
+    m_members.SendNote(aAddress, kRolloutMark + EncodeRolloutReport(aReport));
+  });
   m_context.m_onEvidence = [this](const VersionEvidenceEvent& aEvent) {
     m_rollouts.OnAnswer(aEvent);
   };
-  m_context.m_onLoad = [this](const LoadNote& aNote) { OnLoad(aNote); };
+  m_context.m_onLoad = [this](const LoadNote& aNote) {
+    m_loadNotes.push_back(aNote);
+    ArmNotes();
+  };
+  m_context.m_onOldSession = [this](std::uint64_t aSession) {
+    m_sessionNotes.push_back(aSession);
+    ArmNotes();
+  };
 }
 
 Result<void> EdgeProcess::Start() {
@@ -243,45 +255,58 @@
 }
 
 void EdgeProcess::OnNote(const std::string& aNote) {
-  if (aNote.starts_with(kLoadMark)) {
-    const Result<std::vector<LoadNote>> notes = DecodeLoadNotes(aNote.substr(1));
-    if (!notes.IsError()) {
-      for (const LoadNote& note : notes.Get()) {
-        const std::shared_ptr<BackendLink> backend =
-          m_context.m_backends.FindIdentity(note.m_backend);
-        if (backend) {
-          backend->AddReading(note.m_readTime, m_loop.Now());
-        }
-      }
-      return;
-    }
-  }
-  const Result<RolloutReport> report = DecodeRolloutReport(aNote);
-  if (report.IsError()) {
+  const Time now = m_loop.Now();
+  const Result<std::vector<LoadNote>> loads =
+    aNote.starts_with(kLoadMark) ? DecodeLoadNotes(aNote.substr(1)) : std::vector<LoadNote>();
+  const Result<std::vector<std::uint64_t>> sessions = aNote.starts_with(kSessionMark)
+                                                        ? DecodeSessionNotes(aNote.substr(1))
+                                                        : std::vector<std::uint64_t>();
+  const Result<RolloutReport> report = aNote.starts_with(kRolloutMark)
+                                         ? DecodeRolloutReport(aNote.substr(1))
+                                         : RolloutReport();
+  if (loads.IsError() || sessions.IsError() || report.IsError()) {
     LogLine line("note-refused");
-    line.Text("reason", report.GetError().m_detail);
+    line.Text("mark", aNote.substr(0, 1)).Count("bytes", aNote.size());
     m_context.Log(LogRank::Notable, line);
     return;
   }
-  m_rollouts.OnReport(report.Get());
+  for (const LoadNote& note : loads.Get()) {
+    const std::shared_ptr<BackendLink> backend = m_context.m_backends.FindIdentity(note.m_backend);
+    if (backend) {
+      backend->AddReading(note.m_readTime, now);
+    }
+  }
+  for (const std::uint64_t session : sessions.Get()) {
+    m_context.m_oldSessions.OnServed(session, now);
+  }
+  if (!report.Get().m_entry.empty()) {
+    m_rollouts.OnReport(report.Get());
+  }
+}
+
+void EdgeProcess::ArmNotes() {
+  if (!std::exchange(m_notesArmed, true)) {
+    m_loop.After(kNoteInterval, [this] { SendNotes(); });
+  }
 }
 
-void EdgeProcess::OnLoad(const LoadNote& aNote) {
-  if (m_loadNotes.empty()) {
-    m_loop.After(kLoadNoteInterval, [this] { SendLoadNotes(); });
+void EdgeProcess::SendNotes() {
+  m_notesArmed = false;
+  if (!m_loadNotes.empty()) {
+    SendToPeers(kLoadMark + EncodeLoadNotes(std::exchange(m_loadNotes, {})));
+  }
+  if (!m_sessionNotes.empty()) {
+    SendToPeers(kSessionMark + EncodeSessionNotes(std::exchange(m_sessionNotes, {})));
   }
-  m_loadNotes.push_back(aNote);
 }
 
-void EdgeProcess::SendLoadNotes() {
-  const std::string note = kLoadMark + EncodeLoadNotes(m_loadNotes);
-  m_loadNotes.clear();
+void EdgeProcess::SendToPeers(const std::string& aNote) {
   std::size_t receivers = 0;
   for (const MemberDigest& member : m_members.All()) {
     const bool isOther = member.m_entry != m_members.Self().m_entry;
-    if (isOther && member.m_state == MemberState::Alive && receivers < kMostLoadReceivers) {
+    if (isOther && member.m_state == MemberState::Alive && receivers < kMostNoteReceivers) {
       ++receivers;
-      m_members.SendNote(member.m_datagramAddress, note);
+      m_members.SendNote(member.m_datagramAddress, aNote);
     }
   }
 }
@@ -339,10 +364,8 @@
 void EdgeProcess::EverySecond() {
   m_context.m_backends.Sweep();
   std::string text;
-  const Result<EntryFacts> facts = ReadEntryFacts(m_options.m_settingsPath, text);
-  const bool hasChanged = !text.empty() && text != m_settingsText && !m_settingsText.empty();
-  m_settingsText = text.empty() ? m_settingsText : text;
-  if (hasChanged) {
+  static_cast<void>(ReadEntryFacts(m_options.m_settingsPath, text));
+  if (!text.empty() && text != m_options.m_settingsText) {
     Reload();
   }
 }
@@ -350,6 +373,7 @@
 void EdgeProcess::Reload() {
   std::string text;
   const Result<EntryFacts> facts = ReadEntryFacts(m_options.m_settingsPath, text);
+  m_options.m_settingsText = text;
   LogLine line("reload");
   if (facts.IsError()) {
     line.Flag("accepted", false).Text("reason", facts.GetError().m_detail);
--- a/Services/Edge/EdgeProcess.h
+++ b/Services/Edge/EdgeProcess.h
@@ -14,6 +14,8 @@
 
 struct EdgeOptions {
   std::string m_settingsPath;
+  /// What stood there at the start.
+  std::string m_settingsText;
   /// Where metrics are served, beside the peers' address.
   int m_metricsPort = 0;
 };
@@ -37,8 +39,10 @@
   void OnNews(const std::vector<KeyValue>& aNews, bool aAfterOutage);
   void OnMembersChanged();
   void OnNote(const std::string& aNote);
-  void OnLoad(const LoadNote& aNote);
-  void SendLoadNotes();
+  /// Sends the collected notes to the other entries soon.
+  void ArmNotes();
+  void SendNotes();
+  void SendToPeers(const std::string& aNote);
   void UpdateReadiness();
   bool IsReady() const;
   void AnswerLookup(const std::shared_ptr<ServerChannel>& aCaller, const IncomingRequest& aRequest);
@@ -62,7 +66,8 @@
   std::unique_ptr<HttpServer> m_callers;
   std::vector<std::unique_ptr<HttpServer>> m_servers;
   std::vector<LoadNote> m_loadNotes;
-  std::string m_settingsText;
+  std::vector<std::uint64_t> m_sessionNotes;
+  bool m_notesArmed = false;
   bool m_wasReady = false;
 };
 
--- a/Services/Edge/RequestRelay.cpp
+++ b/Services/Edge/RequestRelay.cpp
@@ -168,6 +168,7 @@
   m_hash = HashOf(m_traits.m_session.empty() ? m_traits.m_requestId : m_traits.m_session);
   m_service = RouteTable::ChooseService(*m_route, m_hash);
   m_context.m_retries[m_service].OnRequest(m_context.m_loop.Now());
+  KeepRunningSession();
   const StopPlan stop{.m_grace = m_context.m_facts.m_grace};
   if (m_context.m_stopSince &&
       !stop.TakesRequest(m_route->m_kind, m_context.m_loop.Now() - *m_context.m_stopSince)) {
@@ -190,6 +191,21 @@
   return rule;
 }
 
+void RequestRelay::KeepRunningSession() {
+  const VersionRule rule = RuleForRequest();
+  if (rule.m_preference != VersionPreference::Trial || m_traits.m_session.empty()) {
+    return;
+  }
+  const Time now = m_context.m_loop.Now();
+  const Duration sessionTime = m_context.m_facts.m_sessionTime;
+  m_leftTrial =
+    now < rule.m_trialFrom || m_context.m_oldSessions.IsRunning(m_hash, sessionTime, now);
+  if (m_leftTrial) {
+    m_context.m_oldSessions.OnServed(m_hash, now);
+    m_context.m_onOldSession(m_hash);
+  }
+}
+
 std::vector<std::shared_ptr<BackendLink>> RequestRelay::Eligible() const {
   const Time now = m_context.m_loop.Now();
   const VersionRule rule = RuleForRequest();
--- a/Services/Edge/RequestRelay.h
+++ b/Services/Edge/RequestRelay.h
@@ -59,6 +59,7 @@
   void CountReading(BackendLink& aBackend, const PlacementQuery& aQuery, bool aHeld);
   std::vector<std::shared_ptr<BackendLink>> Eligible() const;
   VersionRule RuleForRequest() const;
+  void KeepRunningSession();
   std::string ChooseModel() const;
   std::string EncodeForBackend(const BackendLink& aBackend, const std::string& aModel);
   CallListener MakeListener();
@@ -108,7 +109,7 @@
   bool m_ended = false;
   /// The smallest model doubts its answer.
   bool m_wantsLargest = false;
-  /// The trial version has failed this request.
+  /// Its session runs on the version that is being replaced, or the new version has failed it.
   bool m_leftTrial = false;
   EventLoop::TimerId m_timeUp = EventLoop::kNoTimer;
   EventLoop::TimerId m_stall = EventLoop::kNoTimer;
--- a/Services/Edge/RolloutDriver.cpp
+++ b/Services/Edge/RolloutDriver.cpp
@@ -128,7 +128,7 @@
     }
     ++receivers;
     if (member.m_entry != report.m_entry) {
-      m_members.SendNote(member.m_datagramAddress, EncodeRolloutReport(report));
+      m_send(member.m_datagramAddress, report);
     }
   }
 }
--- a/Services/Edge/RolloutDriver.h
+++ b/Services/Edge/RolloutDriver.h
@@ -6,6 +6,7 @@
 #include "Services/Edge/Members.h"
 #include "Services/Edge/StoreLink.h"
 
+#include <functional>
 #include <map>
 #include <string>
 
@@ -18,6 +19,9 @@
 public:
   RolloutDriver(EdgeContext& aContext, Beliefs& aBeliefs, Members& aMembers, StoreLink& aStore);
 
+  using SendReport = std::function<void(const std::string&, const RolloutReport&)>;
+  /// How reports go to an entry's address for datagrams.
+  void SetSend(SendReport aSend) { m_send = std::move(aSend); }
   void Start();
   void OnAnswer(const VersionEvidenceEvent& aEvent);
   void OnReport(const RolloutReport& aReport);
@@ -45,6 +49,7 @@
   StoreLink& m_store;
   std::map<std::string, Own> m_own;
   std::map<std::string, RolloutJudge> m_judges;
+  SendReport m_send;
   UsualTimes m_usual;
   /// A write is under way.
   bool m_writing = false;
--- /dev/null
+++ b/Tests/Edge/edge_process.py
@@ -0,0 +1,356 @@
+"""Real fennelline-edge processes before stand-ins of the platform. Run: edge_process.py BIN [CASE...]"""
+
+import asyncio
+import json
+import os
+import signal
+import sys
+import tempfile
+import time
+import unittest
+
+sys.path.insert(0, os.path.dirname(__file__))
+from standin import (Entry, Replica, Store, call, configuration, free_port, wait_until)
+
+BINARY = ""
+EVENTS = "text/event-stream"
+
+
+class Fleet:
+    """A store, backend servers and entries, all ready."""
+
+    def __init__(self, entries=1, pool=2, app=2):
+        self.folder = tempfile.mkdtemp(prefix="fennelline-edge-")
+        self.counts = (entries, pool, app)
+        self.store = Store()
+        self.replicas = []
+        self.entries = []
+
+    async def __aenter__(self):
+        entries, pool, app = self.counts
+        await self.store.start()
+        self.store.put("op/config", configuration(1))
+        for number in range(pool):
+            await self.add_replica(f"i-pool-{number}", "pool")
+        for number in range(app):
+            await self.add_replica(f"i-app-{number}", "app")
+        port = free_port()
+        for number in range(entries):
+            seeds = [entry.address("control") for entry in self.entries[:3]]
+            self.entries.append(Entry(BINARY, self.folder, number, self.store.address, port, seeds,
+                                      first=False))
+        for entry in self.entries:
+            await entry.start()
+        for entry in self.entries:
+            await self.until_ready(entry)
+        return self
+
+    async def __aexit__(self, *_):
+        for entry in self.entries:
+            await entry.end()
+        for replica in self.replicas:
+            await replica.stop()
+        await self.store.stop()
+
+    async def add_replica(self, name, service, **more):
+        replica = await Replica(self.store, name, service, **more).start()
+        self.replicas.append(replica)
+        replica.register()
+        return replica
+
+    async def until_ready(self, entry):
+        await wait_until(lambda: os.path.exists(entry.log_path) and entry.lines("ready"), 10,
+                         f"{entry.name} is ready")
+
+    def of(self, service):
+        return [replica for replica in self.replicas if replica.service == service]
+
+    def runs(self, request):
+        return [run for replica in self.replicas for run in replica.runs if run["id"] == request]
+
+    @property
+    def front(self):
+        return self.entries[0].address("front")
+
+    async def until_version(self, version):
+        await wait_until(lambda: all(any(line["version"] == version
+                                         for line in entry.lines("configuration"))
+                                     for entry in self.entries), 10, f"version {version} is known")
+
+
+class EdgeProcess(unittest.IsolatedAsyncioTestCase):
+    async def test_answers_pass_unchanged_and_the_key_stays_here(self):
+        async with Fleet() as fleet:
+            answer = await call(fleet.front, "/plain/a?b=%20c", "r1",
+                                headers=[("Fennelline-Tenant", "forged")])
+            self.assertEqual((answer.status, answer.body), (200, Replica.body_of("r1")))
+            self.assertTrue(answer.headers["fennelline-response-seal"].startswith("seal-"))
+            run = fleet.runs("r1")[0]
+            self.assertEqual((run["target"], run["body"]), ("/plain/a?b=%20c", b"question"))
+            self.assertEqual(run["headers"]["fennelline-tenant"], "tenant-1")
+            self.assertNotIn("authorization", run["headers"])
+            self.assertLessEqual(int(run["headers"]["fennelline-deadline-ms"]), 3000)
+
+    async def test_what_is_not_allowed_is_refused_by_its_own_status(self):
+        async with Fleet() as fleet:
+            self.assertEqual((await call(fleet.front, "/none/", "r1")).status, 404)
+            self.assertEqual((await call(fleet.front, "/plain/", "r2", key="wrong")).status, 401)
+            self.assertEqual((await call(fleet.front, "/plain/", "r3", body=b"x" * 200000)).status,
+                             413)
+            long = [("X-Long", "y" * 5000)]
+            self.assertEqual((await call(fleet.front, "/plain/", "r4", headers=long)).status, 431)
+            self.assertEqual(sum(len(fleet.runs(f"r{n}")) for n in range(1, 5)), 0)
+
+    async def test_an_entry_without_a_configuration_is_not_ready_and_says_503(self):
+        folder = tempfile.mkdtemp(prefix="fennelline-edge-")
+        store = await Store().start()
+        store.mode = "busy"
+        entry = await Entry(BINARY, folder, 0, store.address, free_port(), [], first=False).start()
+        try:
+            await wait_until(lambda: os.path.exists(entry.log_path) and entry.lines("start"))
+            answer = await call(entry.address("front"), "/plain/", "r1")
+            self.assertEqual(answer.status, 503)
+            self.assertIn("retry-after", answer.headers)
+            ready = await call(entry.address("ready"), "/fennelline/readyz", "r2", method="GET")
+            self.assertEqual(ready.status, 503)
+            store.put("op/config", configuration(1))
+            store.mode = "up"
+            await wait_until(lambda: entry.lines("ready"))
+            self.assertTrue(entry.lines("dependency-lost"))
+            self.assertTrue(entry.lines("dependency-regained"))
+        finally:
+            await entry.end()
+            await store.stop()
+
+    async def test_a_lost_answer_of_what_cannot_be_repeated_is_502_after_one_run(self):
+        async with Fleet() as fleet:
+            for fault in ("lost", "half", "garbage"):
+                for replica in fleet.of("app"):
+                    replica.fault = fault
+                answer = await call(fleet.front, "/once/", f"once-{fault}")
+                self.assertEqual(answer.status, 502, fault)
+                self.assertEqual(len(fleet.runs(f"once-{fault}")), 1, fault)
+
+    async def test_turned_away_everywhere_is_refused_as_not_run(self):
+        async with Fleet() as fleet:
+            for replica in fleet.of("app"):
+                replica.fault = "shed"
+            answer = await call(fleet.front, "/once/", "r1")
+            self.assertEqual(answer.status, 503)
+            self.assertIn("retry-after", answer.headers)
+            self.assertEqual(fleet.runs("r1"), [])
+
+    async def test_what_may_be_repeated_is_answered_by_another_server(self):
+        async with Fleet() as fleet:
+            bad, good = fleet.of("app")
+            for fault in ("lost", "error", "half", "garbage", "shed"):
+                bad.fault = fault
+                for number in range(4):
+                    request = f"{fault}-{number}"
+                    answer = await call(fleet.front, "/plain/", request)
+                    self.assertEqual((answer.status, answer.body), (200, Replica.body_of(request)))
+
+    async def test_another_requests_answer_never_reaches_a_caller(self):
+        async with Fleet() as fleet:
+            for replica in fleet.of("app"):
+                replica.fault = "stray"
+            for number in range(6):
+                answer = await call(fleet.front, "/plain/", f"r{number}")
+                self.assertEqual((answer.status, answer.body),
+                                 (200, Replica.body_of(f"r{number}")))
+
+    async def test_a_stream_that_breaks_in_an_event_goes_on_elsewhere(self):
+        async with Fleet() as fleet:
+            fleet.of("pool")[0].fault = "break"
+            for number in range(6):
+                request = f"s{number}"
+                answer = await call(fleet.front, "/stream/", request, accept=EVENTS)
+                whole = b"".join(Replica.event_of(request, event) for event in range(1, 6))
+                self.assertEqual((answer.status, answer.body, answer.whole), (200, whole, True))
+                self.assertLessEqual(len(fleet.runs(request)), 2)
+
+    async def test_a_stream_that_breaks_everywhere_looks_cut(self):
+        async with Fleet() as fleet:
+            for replica in fleet.of("pool"):
+                replica.fault = "break"
+            answer = await call(fleet.front, "/stream/", "s1", accept=EVENTS)
+            self.assertEqual(answer.status, 200)
+            self.assertFalse(answer.whole)
+            self.assertTrue(answer.body.endswith(b"\n\n"))
+
+    async def test_a_doubtful_answer_is_asked_of_the_largest_model(self):
+        async with Fleet() as fleet:
+            for replica in fleet.of("pool"):
+                replica.confidence = 10
+            answer = await call(fleet.front, "/sized/", "s1", accept=EVENTS,
+                                headers=[("Fennelline-Model", "*")])
+            self.assertTrue(answer.whole)
+            models = [run["headers"]["fennelline-model"] for run in fleet.runs("s1")]
+            self.assertEqual(models, ["small", "large"])
+
+    async def test_a_caller_that_leaves_ends_the_servers_work(self):
+        async with Fleet() as fleet:
+            for replica in fleet.of("pool"):
+                replica.events, replica.work_s = 1000, 0.02
+            answer = await call(fleet.front, "/stream/", "s1", accept=EVENTS, stop_after=10)
+            self.assertFalse(answer.whole)
+            await wait_until(lambda: fleet.entries[0].lines("request"), 1.0, "its end is logged")
+            self.assertEqual(fleet.entries[0].lines("request")[0]["end"], "caller-left")
+            busy = [replica for replica in fleet.of("pool") if replica.runs][0]
+            await wait_until(lambda: not busy.writers, 0.5, "the server's channel is closed")
+
+    async def test_a_leaving_server_gets_nothing_new(self):
+        async with Fleet() as fleet:
+            leaving, other = fleet.of("app")
+            leaving.register("draining")
+            await wait_until(lambda: any(line["state"] == "draining"
+                                         for line in fleet.entries[0].lines("backend")), 2.0)
+            for number in range(8):
+                self.assertEqual((await call(fleet.front, "/plain/", f"r{number}")).status, 200)
+            self.assertEqual(leaving.runs, [])
+            self.assertEqual(len(other.runs), 8)
+
+    async def test_an_unreadable_entry_or_configuration_changes_nothing_else(self):
+        async with Fleet() as fleet:
+            fleet.store.put("servers/i-odd", b"\xff\xfe")
+            fleet.store.put("servers/i-odd-2", {"backend": "app", "state": "sleeping"})
+            fleet.store.put("op/config", {"version": 2, "routes": [{"hostname": 5}]})
+            await wait_until(lambda: len(fleet.entries[0].lines("unreadable")) == 3)
+            reasons = " ".join(line["reason"] for line in fleet.entries[0].lines("unreadable"))
+            self.assertIn("routes[0].hostname", reasons)
+            self.assertEqual((await call(fleet.front, "/plain/", "r1")).status, 200)
+
+    async def test_a_server_that_starts_again_under_its_id_is_a_new_one(self):
+        async with Fleet(app=1) as fleet:
+            replica = fleet.of("app")[0]
+            await call(fleet.front, "/plain/", "r1")
+            await replica.stop(reset=True)
+            replica.port = 0
+            await replica.start()
+            replica.born += 5000
+            replica.register()
+            await wait_until(lambda: any(line.get("address") == replica.address
+                                         for line in fleet.entries[0].lines("backend")))
+            self.assertEqual((await call(fleet.front, "/once/", "r2")).status, 200)
+
+    async def test_changes_reach_entries_that_the_store_turns_away(self):
+        async with Fleet(entries=3) as fleet:
+            await wait_until(lambda: all(len({line["member"] for line in entry.lines("member")}) >= 3
+                                         for entry in fleet.entries))
+            # Whoever asks the store loses it; the version reaches it through its peers.
+            cut = fleet.entries[0]
+            fleet.store.mode = "busy"
+            await asyncio.sleep(0.5)
+            fleet.store.mode = "up"
+            fleet.store.put("op/config", configuration(2, keys=("key-2",)))
+            await fleet.until_version(2)
+            for entry in fleet.entries:
+                revoked = await call(entry.address("front"), "/plain/", "r1", key="key-1")
+                self.assertEqual(revoked.status, 401)
+            self.assertIsNotNone(cut)
+
+    async def test_a_lower_version_is_never_taken(self):
+        async with Fleet() as fleet:
+            fleet.store.put("op/config", configuration(5, extra_routes=["new"]))
+            await fleet.until_version(5)
+            fleet.store.put("op/config", configuration(3))
+            await wait_until(lambda: fleet.entries[0].lines("configuration-ignored"))
+            self.assertEqual((await call(fleet.front, "/new/", "r1")).status, 200)
+
+    async def test_history_that_is_gone_is_read_anew(self):
+        async with Fleet() as fleet:
+            fleet.store.mode = "reset"
+            await wait_until(lambda: fleet.entries[0].lines("dependency-lost"))
+            fleet.replicas[-1].leave()
+            fleet.store.put("op/config", configuration(2))
+            fleet.store.compact()
+            fleet.store.mode = "up"
+            await fleet.until_version(2)
+            await wait_until(lambda: fleet.entries[0].lines("history-gone"))
+
+    async def test_a_stop_cuts_nothing_and_moves_callers_away(self):
+        async with Fleet(entries=2) as fleet:
+            stopping, staying = fleet.entries
+            for replica in fleet.of("pool"):
+                replica.events, replica.work_s = 40, 0.02
+            stream = asyncio.create_task(call(stopping.address("front"), "/stream/", "s1",
+                                              accept=EVENTS))
+            await wait_until(lambda: fleet.runs("s1"))
+            stopping.signal(signal.SIGTERM)
+            await wait_until(lambda: stopping.lines("stop"))
+            ready = await call(stopping.address("ready"), "/fennelline/readyz", "x", method="GET")
+            self.assertEqual(ready.status, 503)
+            plain = await call(stopping.address("front"), "/plain/", "r1")
+            self.assertEqual((plain.status, plain.headers.get("connection")), (200, "close"))
+
+            async def listed():
+                answer = await call(staying.address("directory"),
+                                    "/fennelline/lookup?name=a.example&region=r&zone=zone-a", "x",
+                                    method="GET")
+                return json.loads(answer.body)["addresses"]
+
+            end = time.monotonic() + 2
+            while stopping.address("front") in await listed():
+                self.assertLess(time.monotonic(), end, "the stopping entry is still listed")
+            answer = await stream
+            self.assertTrue(answer.whole)
+            await asyncio.wait_for(stopping.process.wait(), 5)
+            self.assertEqual(stopping.process.returncode, 0)
+
+    async def test_settings_are_reloaded_and_bad_ones_refused_by_name(self):
+        async with Fleet() as fleet:
+            entry = fleet.entries[0]
+            with open(entry.settings_path, "w", encoding="utf-8") as file:
+                file.write('{"node-name": 5}')
+            entry.signal(signal.SIGHUP)
+            await wait_until(lambda: entry.lines("reload"))
+            self.assertIn("node-name", entry.lines("reload")[0]["reason"])
+            entry.write_settings()
+            await wait_until(lambda: any(line["accepted"] for line in entry.lines("reload")), 5)
+            self.assertEqual((await call(fleet.front, "/plain/", "r1")).status, 200)
+
+    async def test_a_good_version_succeeds_and_a_bad_one_is_rolled_back(self):
+        for is_good in (True, False):
+            async with Fleet() as fleet:
+                fleet.store.put("op/rollout/pool", {"backend": "pool", "target": "v2",
+                                                    "duration-s": 8})
+                new = [await fleet.add_replica(f"i-new-{n}", "pool", version="v2") for n in (0, 1)]
+                for replica in new:
+                    replica.fault = None if is_good else "error"
+                number = 0
+                end = time.monotonic() + 12
+                wanted = "succeeded" if is_good else "rolled_back"
+                while (fleet.store.read("status/rollout/pool") or {}).get("state") != wanted:
+                    self.assertLess(time.monotonic(), end, wanted)
+                    number += 1
+                    await asyncio.gather(*(call(fleet.front, "/stream/", f"s{number}-{n}",
+                                                accept=EVENTS,
+                                                headers=[("Session", f"{number}-{n}")])
+                                           for n in range(10)))
+                exposed = sum(len(replica.runs) for replica in new)
+                if not is_good:
+                    self.assertLess(exposed, 30 + 0.15 * number * 10)
+
+    async def test_each_failures_story_is_found_by_its_request_id(self):
+        causes = {"lost": "lost", "garbage": "spoilt", "half": "lost", "error": "failed",
+                  "shed": "not-run"}
+        async with Fleet() as fleet:
+            for fault in causes:
+                for replica in fleet.of("app"):
+                    replica.fault = fault
+                await call(fleet.front, "/once/", f"id-{fault}")
+            await wait_until(lambda: len(fleet.entries[0].lines("request")) == len(causes))
+            for fault, cause in causes.items():
+                story = [line for line in fleet.entries[0].lines() if line.get("id") == f"id-{fault}"]
+                events = [line["event"] for line in story]
+                self.assertEqual(events[0], "attempt", fault)
+                self.assertEqual(events[-1], "request", fault)
+                ends = [line["outcome"] for line in story if line["event"] == "attempt-end"]
+                self.assertEqual(ends[0], cause, fault)
+                self.assertTrue(all("configuration" in line and "belief-age" in line
+                                    for line in story if line["event"] == "attempt"))
+
+
+if __name__ == "__main__":
+    BINARY = os.path.join(sys.argv.pop(1), "fennelline-edge")
+    unittest.main(verbosity=1)
--- /dev/null
+++ b/Tests/Edge/standin.py
@@ -0,0 +1,444 @@
+"""Stand-ins for the platform: its store and its backend servers, a caller, and a way to start entries.
+
+They speak the published protocol on loopback, in one asyncio loop with the test that uses them.
+"""
+
+import asyncio
+import base64
+import json
+import os
+import signal
+import socket
+import time
+import urllib.parse
+
+HOST = "127.0.0.1"
+READ_LIMIT = 1 << 20
+
+
+async def read_message(reader):
+    """Reads one HTTP message with a length; returns its first line, headers and body."""
+    head = await reader.readuntil(b"\r\n\r\n")
+    lines = head.decode("latin-1").split("\r\n")
+    headers = {}
+    for line in lines[1:]:
+        if line:
+            name, _, value = line.partition(":")
+            headers[name.strip().lower()] = value.strip()
+    body = b""
+    if "content-length" in headers:
+        body = await reader.readexactly(int(headers["content-length"]))
+    return lines[0], headers, body
+
+
+def answer_bytes(status, body=b"", headers=()):
+    text = f"HTTP/1.1 {status} Status\r\nContent-Length: {len(body)}\r\n"
+    text += "".join(f"{name}: {value}\r\n" for name, value in headers)
+    return text.encode() + b"\r\n" + body
+
+
+class Server:
+    """An HTTP server whose subclass answers each message on its writer."""
+
+    def __init__(self):
+        self.server = None
+        self.port = 0
+        self.writers = set()
+
+    @property
+    def address(self):
+        return f"{HOST}:{self.port}"
+
+    async def start(self, port=0):
+        self.server = await asyncio.start_server(self._serve, HOST, port or self.port,
+                                                 limit=READ_LIMIT)
+        self.port = self.server.sockets[0].getsockname()[1]
+        return self
+
+    async def stop(self, reset=False):
+        self.server.close()
+        for writer in list(self.writers):
+            if reset:
+                writer.transport.abort()
+            else:
+                writer.close()
+
+    async def _serve(self, reader, writer):
+        self.writers.add(writer)
+        try:
+            while True:
+                await self.handle(*await read_message(reader), reader, writer)
+                await writer.drain()
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+            pass
+        finally:
+            self.writers.discard(writer)
+            writer.close()
+
+    async def handle(self, line, headers, body, reader, writer):
+        raise NotImplementedError
+
+
+class Store(Server):
+    """The platform's store: keys with revisions, ranges, watches and conditional writes."""
+
+    def __init__(self):
+        super().__init__()
+        self.items = {}
+        self.events = []
+        self.revision = 10
+        self.kept_from = 0
+        self.changed = asyncio.Event()
+        self.calls = 0
+        self.mode = "up"
+
+    def put(self, key, value):
+        self.revision += 1
+        data = value if isinstance(value, bytes) else json.dumps(value).encode()
+        created = self.items.get(key, {}).get("created", self.revision)
+        item = {"key": key, "value": base64.b64encode(data).decode(), "mod-revision": self.revision,
+                "created": created, "lease": 0}
+        self.items[key] = item
+        self._tell(item)
+        return self.revision
+
+    def delete(self, key):
+        if self.items.pop(key, None):
+            self.revision += 1
+            self._tell({"key": key, "mod-revision": self.revision, "deleted": True})
+
+    def read(self, key):
+        item = self.items.get(key)
+        return json.loads(base64.b64decode(item["value"])) if item else None
+
+    def compact(self):
+        self.events.clear()
+        self.kept_from = self.revision
+
+    def _tell(self, event):
+        self.events.append(event)
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    async def handle(self, line, headers, body, reader, writer):
+        self.calls += 1
+        if self.mode == "silent":
+            await asyncio.sleep(30)
+            return
+        if self.mode == "reset":
+            writer.transport.abort()
+            return
+        if self.mode == "busy":
+            writer.write(answer_bytes(503))
+            return
+        method, target, _ = line.split(" ")
+        path, _, query = target.partition("?")
+        parameters = dict(urllib.parse.parse_qsl(query))
+        status, answer = await self.answer(method, path, parameters, body)
+        writer.write(answer_bytes(status, json.dumps(answer).encode(),
+                                  [("Content-Type", "application/json")]))
+
+    async def answer(self, method, path, parameters, body):
+        prefix = parameters.get("path-prefix", "")
+        if path == "/fennelline/kv-range":
+            keys = sorted(k for k in self.items
+                          if k.startswith(prefix) and k > parameters.get("after", ""))
+            return 200, {"items": [self.items[k] for k in keys[:50]], "more-pages": len(keys) > 50,
+                         "as-of": self.revision}
+        if path == "/fennelline/kv-watch":
+            return await self.watch(prefix, int(parameters["after"]), int(parameters["wait-ms"]))
+        if path == "/fennelline/kv-txn":
+            return self.transact(json.loads(body))
+        return 404, {}
+
+    async def watch(self, prefix, after, wait_ms):
+        end = time.monotonic() + wait_ms / 1000
+        while True:
+            if after < self.kept_from:
+                return 410, {}
+            found = [e for e in self.events
+                     if e["mod-revision"] > after and e["key"].startswith(prefix)]
+            left = end - time.monotonic()
+            if found or left <= 0:
+                return 200, {"events": found, "as-of": self.revision}
+            try:
+                await asyncio.wait_for(self.changed.wait(), left)
+            except asyncio.TimeoutError:
+                pass
+
+    def transact(self, request):
+        for row in request["expect"]:
+            item = self.items.get(row["key"])
+            if (item["mod-revision"] if item else 0) != row["mod-revision"]:
+                return 412, {"items": [item] if item else []}
+        for put in request["puts"]:
+            self.put(put["key"], base64.b64decode(put["value"]))
+        for key in request["deletes"]:
+            self.delete(key)
+        return 200, {"mod-revision": self.revision}
+
+
+class Replica(Server):
+    """A backend server. It records each run, and misbehaves as its faults say."""
+
+    def __init__(self, store, name, service, version="v1", events=5, work_s=0.005):
+        super().__init__()
+        self.store = store
+        self.name = name
+        self.service = service
+        self.version = version
+        self.events = events
+        self.work_s = work_s
+        self.born = int(time.time() * 1000)
+        self.runs = []
+        self.refused = []
+        self.leaving_since = None
+        self.fault = None
+        self.fault_share = 1.0
+        self.random = None
+        self.public_address = None
+        self.confidence = 100
+
+    def entry(self, state="ready"):
+        return {"backend": self.service, "address": self.public_address or self.address,
+                "zone": "zone-a", "version": self.version, "slots": 8, "state": state,
+                "cold-left-ms": 0, "sequence": 1, "born": self.born}
+
+    def register(self, state="ready"):
+        self.leaving_since = None if state == "ready" else time.monotonic()
+        self.store.put(f"servers/{self.name}", self.entry(state))
+
+    def leave(self):
+        self.leaving_since = time.monotonic()
+        self.store.delete(f"servers/{self.name}")
+
+    def has_fault(self):
+        return self.fault and (self.random is None or self.random.random() < self.fault_share)
+
+    async def handle(self, line, headers, body, reader, writer):
+        method, target, _ = line.split(" ")
+        request = headers.get("fennelline-request-id", "")
+        if headers.get("fennelline-expect-replica") != self.name:
+            writer.write(answer_bytes(421, headers=[("Fennelline-Replica-Id", self.name)]))
+            return
+        fault = self.fault if self.has_fault() else None
+        if fault == "shed":
+            self.refused.append(request)
+            writer.write(answer_bytes(503, headers=[("Fennelline-Not-Executed", "1")]))
+            return
+        run = {"id": request, "at": time.monotonic(), "method": method, "target": target,
+               "body": body, "headers": headers, "first": int(headers.get("last-event-id", 0)) + 1,
+               "leaving": self.leaving_since}
+        self.runs.append(run)
+        if fault == "lost":
+            writer.transport.abort()
+            return
+        if fault == "hang":
+            await asyncio.sleep(30)
+            return
+        await asyncio.sleep(self.work_s)
+        seal = [("Fennelline-Request-Id", request), ("Fennelline-Response-Seal", f"seal-{self.name}")]
+        if fault == "error":
+            writer.write(answer_bytes(500, b"failed", seal))
+        elif fault == "garbage":
+            writer.write(b"no answer at all\r\n\r\n")
+        elif fault == "stray":
+            other = [("Fennelline-Request-Id", "other"), ("Fennelline-Response-Seal", "other")]
+            writer.write(answer_bytes(200, b"another's answer", other))
+            writer.write(answer_bytes(200, self.body_of(request), seal))
+        elif fault == "half":
+            writer.write(answer_bytes(200, self.body_of(request), seal)[:-3])
+            await writer.drain()
+            writer.transport.abort()
+        elif "text/event-stream" in headers.get("accept", ""):
+            await self.stream(run, seal, fault, writer)
+        else:
+            writer.write(answer_bytes(200, self.body_of(request), seal))
+
+    @staticmethod
+    def body_of(request):
+        return f"the answer to {request}".encode()
+
+    @staticmethod
+    def event_of(request, number):
+        return f"id: {number}\ndata: {request} piece {number}\n\n".encode()
+
+    async def stream(self, run, seal, fault, writer):
+        head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
+        head += f"Fennelline-Confidence: {self.confidence}\r\n"
+        head += "".join(f"{name}: {value}\r\n" for name, value in seal)
+        writer.write(head.encode() + b"\r\n")
+        for number in range(run["first"], self.events + 1):
+            event = self.event_of(run["id"], number)
+            if fault == "break" and number == self.events // 2 + 1:
+                writer.write(b"%x\r\n%s" % (len(event), event[:7]))
+                await writer.drain()
+                writer.transport.abort()
+                return
+            writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+            await writer.drain()
+            await asyncio.sleep(self.work_s)
+        writer.write(b"0\r\n\r\n")
+
+
+def free_port(ip=HOST):
+    with socket.socket() as probe:
+        probe.bind((ip, 0))
+        return probe.getsockname()[1]
+
+
+class Entry:
+    """One fennelline-edge process on a loopback address of its own."""
+
+    def __init__(self, binary, folder, number, store_address, datagram_port, seeds, first=True,
+                 grace_s=4):
+        self.binary = binary
+        self.ip = f"127.0.0.{10 + number}"
+        self.name = f"edge-{number}"
+        self.ports = {role: free_port(self.ip) for role in ("front", "ready", "control", "directory")}
+        self.log_path = os.path.join(folder, f"{self.name}.log")
+        self.settings_path = os.path.join(folder, f"{self.name}.json")
+        self.store_address = store_address
+        self.datagram_port = datagram_port
+        self.seeds = seeds
+        self.first = first
+        self.grace_s = grace_s
+        self.process = None
+
+    def address(self, role):
+        return f"{self.ip}:{self.ports[role]}"
+
+    def write_settings(self):
+        settings = {
+            "node-name": self.name, "zone": "zone-a", "region": "region-a", "ip": self.ip,
+            "internal-ports": [self.datagram_port, self.datagram_port + 5], "seeds": self.seeds,
+            "bootstrap": self.first, "heartbeat-ms": 1200, "zones": {"zone-a": "region-a"},
+            "listen": {role: self.address(role) for role in self.ports},
+            "limits": {"memory-mb": 110, "max-fds": 4100},
+            "bounds": {"grace-s": self.grace_s, "config-apply-ms": 2000, "drain-ms": 2000,
+                       "session-s": 0.5, "expose-share": 0.15, "expose-slack": 30,
+                       "retry-budget-ratio": 0.9, "budget-window-s": 10, "budget-slack": 50},
+            "provider": {"address": self.store_address},
+        }
+        with open(self.settings_path, "w", encoding="utf-8") as file:
+            json.dump(settings, file)
+
+    async def start(self):
+        self.write_settings()
+        with open(self.log_path, "ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                self.binary, f"--settings={self.settings_path}", stdout=log, stderr=log)
+        return self
+
+    def signal(self, number):
+        if self.process and self.process.returncode is None:
+            self.process.send_signal(number)
+
+    async def end(self):
+        self.signal(signal.SIGCONT)
+        self.signal(signal.SIGKILL)
+        if self.process:
+            await self.process.wait()
+
+    def lines(self, event=None):
+        found = []
+        with open(self.log_path, encoding="utf-8") as log:
+            for text in log:
+                if text.startswith("{") and text.endswith("\n"):
+                    line = json.loads(text)
+                    if event in (None, line["event"]):
+                        found.append(line)
+        return found
+
+
+async def wait_until(condition, bound_s=10.0, what="the condition"):
+    """Polls until the condition holds; fails after the bound."""
+    end = time.monotonic() + bound_s
+    while not condition():
+        if time.monotonic() > end:
+            raise AssertionError(f"{what} does not hold after {bound_s} s")
+        await asyncio.sleep(0.01)
+
+
+class Answer:
+    """What a caller got: status 0 for none. whole tells whether the answer ended as it should."""
+
+    def __init__(self):
+        self.status = 0
+        self.headers = {}
+        self.body = b""
+        self.whole = False
+        self.sent_all = False
+        self.took_s = 0.0
+
+
+async def call(address, target, request, key="key-1", method="POST", accept="", deadline_ms=3000,
+               headers=(), body=b"question", stop_after=None, bind=None):
+    """Sends one request on a connection of its own and reads the answer."""
+    answer = Answer()
+    started = time.monotonic()
+    ip, port = address.split(":")
+    writer = None
+    try:
+        reader, writer = await asyncio.wait_for(
+            asyncio.open_connection(ip, int(port), limit=READ_LIMIT), 1.0)
+        text = f"{method} {target} HTTP/1.1\r\nHost: a.example\r\nFennelline-Request-Id: {request}\r\n"
+        text += f"Fennelline-Deadline-Ms: {deadline_ms}\r\nContent-Length: {len(body)}\r\n"
+        text += f"Accept: {accept}\r\n" if accept else ""
+        text += f"Authorization: Bearer {key}\r\n" if key else ""
+        text += "".join(f"{name}: {value}\r\n" for name, value in headers)
+        writer.write(text.encode() + b"\r\n" + body)
+        await writer.drain()
+        answer.sent_all = True
+        await asyncio.wait_for(_read_answer(reader, answer, stop_after), deadline_ms / 1000 + 1)
+    except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, ValueError,
+            asyncio.LimitOverrunError):
+        pass
+    finally:
+        if writer:
+            writer.close()
+        answer.took_s = time.monotonic() - started
+    return answer
+
+
+async def _read_answer(reader, answer, stop_after):
+    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
+    answer.status = int(head[0].split(" ")[1])
+    for line in head[1:]:
+        name, _, value = line.partition(":")
+        answer.headers[name.lower()] = value.strip()
+    if "content-length" in answer.headers:
+        answer.body = await reader.readexactly(int(answer.headers["content-length"]))
+        answer.whole = True
+        return
+    while True:
+        size = int((await reader.readuntil(b"\r\n")).strip(), 16)
+        if size == 0:
+            answer.whole = True
+            return
+        answer.body += await reader.readexactly(size)
+        await reader.readexactly(2)
+        if stop_after and len(answer.body) >= stop_after:
+            return
+
+
+def configuration(version, keys=("key-1", "key-2"), extra_routes=()):
+    """Routes of each kind: /plain/ may be repeated, /once/ may not, /stream/ may be resumed."""
+    def route(name, kind, service, **more):
+        row = {"name": name, "hostname": "a.example", "path-prefix": f"/{name}/",
+               "route-type": kind, "timeout-ms": 3000, "goal-ms": 1000, "priority": 1,
+               "backend": service, "attempts": 3, "public": False}
+        row.update(more)
+        return row
+
+    routes = [route("plain", "idempotent", "app"), route("once", "non_idempotent", "app", attempts=1),
+              route("stream", "streaming", "pool", resumable=True, **{"gap-target-ms": 1000}),
+              route("sized", "streaming", "pool", resumable=True, sizes=["small", "large"])]
+    routes += [route(name, "idempotent", "app") for name in extra_routes]
+    return {"version": version, "routes": routes,
+            "backends": [{"name": "app", "health-path": "/healthz", "max-connections": 200},
+                         {"name": "pool", "health-path": "/healthz", "max-connections": 200,
+                          "engine": {"kv-capacity": 100000, "models": []}}],
+            "limits": {"max-header-bytes": 4096, "max-body-bytes": 100000,
+                       "header-timeout-ms": 1000, "idle-timeout-ms": 10000},
+            "tenants": [{"name": "tenant-1", "api-keys": list(keys)}]}
--- a/Tests/LibRouting/TestSmallParts.cpp
+++ b/Tests/LibRouting/TestSmallParts.cpp
@@ -4,6 +4,7 @@
 #include "LibRouting/ModelPlan.h"
 #include "LibRouting/PrefixMemory.h"
 #include "LibRouting/ReplicaHealth.h"
+#include "LibRouting/SessionMemory.h"
 #include "LibRouting/StopPlan.h"
 #include "LibRouting/UsualTimes.h"
 #include "LibRouting/VersionRule.h"
@@ -121,3 +122,15 @@
   CHECK(chosen < 0.15 * 20'000 * 0.7);
   CHECK(chosen > 0.15 * 20'000 * 0.5);
 }
+
+TEST_CASE("a session that runs on the old version is known until its requests cease") {
+  SessionMemory memory;
+  memory.OnServed(7, kNow);
+  CHECK(memory.IsRunning(7, Seconds(5), kNow + Seconds(4)));
+  memory.OnServed(7, kNow + Seconds(4));
+  CHECK(memory.IsRunning(7, Seconds(5), kNow + Seconds(8)));
+  CHECK(!memory.IsRunning(7, Seconds(5), kNow + Seconds(10)));
+  CHECK(!memory.IsRunning(8, Seconds(5), kNow));
+  CHECK(DecodeSessionNotes(EncodeSessionNotes({1, ~0ULL})).Get().back() == ~0ULL);
+  CHECK(DecodeSessionNotes("x").IsError());
+}
