Let other entries ask the store where its watchers have lost it

Change: news carries the age of the last proof of the store; entries that hear no fresh proof try the store, spread by their number, and tell all others at once what is new. Two entries ask the store in calm times instead of one a zone.

--- a/Libraries/LibRouting/MirrorSource.cpp
+++ b/Libraries/LibRouting/MirrorSource.cpp
@@ -14,6 +14,13 @@
 /// A peer that did not answer is passed over for so long.
 constexpr Duration kPeerWait = Seconds(1);
 
+/// Entries that stand in try the store one after the other, so far apart for each of them: the
+/// store's rates grow more slowly than the fleet.
+constexpr Duration kFirstStandInSpacing = Milliseconds(3);
+constexpr Duration kStandInSpacing = Milliseconds(20);
+/// An entry that has reached the store goes on with it, until those that should have come back.
+constexpr Duration kStandInTime = Seconds(3);
+
 } // namespace
 
 void MirrorSource::SetPeers(bool aAsksStore, std::vector<std::string> aNear,
@@ -40,23 +47,47 @@
   return usable == aPeers.end() ? std::nullopt : std::optional<std::string>(*usable);
 }
 
-std::optional<MirrorSource::Choice> MirrorSource::Choose(Time aNow) {
+Duration MirrorSource::Spread(Duration aTime) {
+  return std::chrono::duration_cast<Duration>(aTime * m_random.Uniform());
+}
+
+bool MirrorSource::StandsIn(bool aIsUnproved, std::size_t aEntries, Time aNow) {
+  if (!aIsUnproved) {
+    m_standInAt.reset();
+    return false;
+  }
+  const std::int64_t entries = static_cast<std::int64_t>(aEntries);
+  if (!m_standInAt) {
+    m_standInAt = aNow + Spread(kFirstStandInSpacing * entries);
+  }
+  if (aNow < *m_standInAt) {
+    return false;
+  }
+  m_standInAt = aNow + kLongestStoreWait + Spread(kStandInSpacing * entries);
+  return true;
+}
+
+std::optional<MirrorSource::Choice> MirrorSource::Choose(bool aIsUnproved, std::size_t aEntries,
+                                                         Time aNow) {
   const bool mayAskStore = aNow >= m_storeAgainAt;
-  if (m_asksStore && mayAskStore) {
-    return Choice{.m_isStore = true, .m_peer = {}};
+  if (mayAskStore && (m_asksStore || aNow < m_standInUntil)) {
+    return Choice{.m_isStore = true};
+  }
+  if (mayAskStore && StandsIn(aIsUnproved, aEntries, aNow)) {
+    return Choice{.m_isStore = true, .m_isStandIn = true};
   }
   for (const std::vector<std::string>* peers : {&m_near, &m_others}) {
     const std::optional<std::string> peer = FirstUsable(*peers, aNow);
     if (peer) {
-      return Choice{.m_isStore = false, .m_peer = *peer};
+      return Choice{.m_peer = *peer};
     }
   }
-  return mayAskStore ? std::optional<Choice>(Choice{.m_isStore = true, .m_peer = {}})
-                     : std::nullopt;
+  return mayAskStore ? std::optional<Choice>(Choice{.m_isStore = true}) : std::nullopt;
 }
 
-void MirrorSource::OnAnswer(const Choice& aChoice) {
+void MirrorSource::OnAnswer(const Choice& aChoice, Time aNow) {
   if (aChoice.m_isStore) {
+    m_standInUntil = aChoice.m_isStandIn ? aNow + kStandInTime : m_standInUntil;
     m_storeFailures = 0;
     m_storeAgainAt = Time{};
   } else {
--- a/Libraries/LibRouting/MirrorSource.h
+++ b/Libraries/LibRouting/MirrorSource.h
@@ -23,18 +23,24 @@
 
   struct Choice {
     bool m_isStore = false;
+    /// The store is tried in place of those that should ask it.
+    bool m_isStandIn = false;
     /// A peer's address; empty for the store.
     std::string m_peer;
   };
-  /// None while nobody may be asked.
-  std::optional<Choice> Choose(Time aNow);
-  void OnAnswer(const Choice& aChoice);
+  /// None while nobody may be asked. aIsUnproved: nobody whom this entry hears has had an answer
+  /// of the store for too long. Then entries that do not ask the store otherwise try it as well,
+  /// spread over time by their number: the few that should may be cut off from it.
+  std::optional<Choice> Choose(bool aIsUnproved, std::size_t aEntries, Time aNow);
+  void OnAnswer(const Choice& aChoice, Time aNow);
   void OnFailure(const Choice& aChoice, Time aNow);
   bool AsksStore() const { return m_asksStore; }
   /// The store has not answered this entry's last call.
   bool IsStoreFailing() const { return m_storeFailures > 0; }
 
 private:
+  bool StandsIn(bool aIsUnproved, std::size_t aEntries, Time aNow);
+  Duration Spread(Duration aTime);
   std::optional<std::string> FirstUsable(const std::vector<std::string>& aPeers, Time aNow) const;
 
   Random m_random;
@@ -43,6 +49,9 @@
   std::vector<std::string> m_others;
   Time m_storeAgainAt{};
   int m_storeFailures = 0;
+  /// When this entry may try the store in place of others, and how long it goes on.
+  std::optional<Time> m_standInAt;
+  Time m_standInUntil{};
   std::map<std::string, Time> m_peerAgainAt;
 };
 
--- a/Services/Edge/EdgeProcess.cpp
+++ b/Services/Edge/EdgeProcess.cpp
@@ -6,6 +6,7 @@
 #include "platform/DirectoryCodec.h"
 #include "platform/SettingsCodec.h"
 
+#include <algorithm>
 #include <charconv>
 #include <fstream>
 #include <sstream>
@@ -25,8 +26,9 @@
 /// What callers can take of a lookup.
 constexpr std::size_t kMostAddresses = 64;
 
-/// Entries of each data centre that ask the store itself.
-constexpr std::size_t kStoreWatchersPerZone = 1;
+/// Entries that ask the store itself, each in a data centre of its own: the loss of one costs
+/// nothing, and where all are cut off others stand in for them.
+constexpr std::size_t kStoreWatchers = 2;
 
 /// At the first start of the whole system, entries find each other before they ask the store.
 constexpr Duration kFirstStartDelay = Milliseconds(600);
@@ -36,6 +38,8 @@
 constexpr char kLoadMark = 'L';
 constexpr char kSessionMark = 'S';
 constexpr char kRolloutMark = 'R';
+/// "ADDRESS REVISION": the sender's address for calls, and up to where it knows the store.
+constexpr char kRevisionMark = 'V';
 /// Notes that come within this time go out together.
 constexpr Duration kNoteInterval = Milliseconds(5);
 /// Beyond so many entries, the news of one of them matters little to each.
@@ -59,6 +63,21 @@
   return number;
 }
 
+/// Every entry chooses the same from the same members, which are sorted by name.
+std::vector<std::string> ChooseWatchers(const std::vector<MemberDigest>& aMembers) {
+  std::vector<std::string> zones;
+  std::vector<std::string> watchers;
+  for (const MemberDigest& member : aMembers) {
+    const bool isNewZone =
+      std::find(zones.begin(), zones.end(), member.m_dataCentre) == zones.end();
+    if (isNewZone && watchers.size() < kStoreWatchers) {
+      zones.push_back(member.m_dataCentre);
+      watchers.push_back(member.m_entry);
+    }
+  }
+  return watchers;
+}
+
 } // namespace
 
 Result<EntryFacts> ReadEntryFacts(const std::string& aPath, std::string& aText) {
@@ -91,9 +110,15 @@
                               m_store.OnPeerRevision(aPeer, aRevision);
                             },
                           .m_onNote = [this](const std::string& aNote) { OnNote(aNote); }})
-  , m_store(m_context, [this](const std::vector<KeyValue>& aNews, bool aAfterOutage) {
-    OnNews(aNews, aAfterOutage);
-  })
+  , m_store(
+      m_context,
+      [this](const std::vector<KeyValue>& aNews, bool aAfterOutage) {
+        OnNews(aNews, aAfterOutage);
+      },
+      [this] {
+        SendToPeers(kRevisionMark + m_context.m_facts.m_peerAddress + " " +
+                    std::to_string(m_store.Mirror().LastChange()));
+      })
   , m_rollouts(m_context, m_beliefs, m_members, m_store) {
   m_rollouts.SetSend([this](const std::string& aAddress, const RolloutReport& aReport) {
     m_members.SendNote(aAddress, kRolloutMark + EncodeRolloutReport(aReport));
@@ -230,27 +255,27 @@
 }
 
 void EdgeProcess::OnMembersChanged() {
+  std::vector<MemberDigest> alive = m_members.All();
+  std::erase_if(alive, [](const MemberDigest& aMember) {
+    return aMember.m_state != MemberState::Alive;
+  });
+  m_context.m_entries = std::max<std::size_t>(1, alive.size());
+  const std::vector<std::string> watchers = ChooseWatchers(alive);
+  const std::string& self = m_members.Self().m_entry;
   std::vector<std::string> near;
   std::vector<std::string> others;
-  std::size_t watchers = 0;
   bool asksStore = false;
-  std::size_t entries = 0;
-  for (const MemberDigest& member : m_members.All()) {
-    if (member.m_state != MemberState::Alive) {
-      continue;
-    }
-    ++entries;
-    const bool isSelf = member.m_entry == m_members.Self().m_entry;
-    const bool isWatcher = member.m_dataCentre == m_context.m_facts.m_zone &&
-                           watchers < kStoreWatchersPerZone;
-    watchers += isWatcher ? 1 : 0;
-    if (isSelf) {
+  for (const MemberDigest& member : alive) {
+    const bool isWatcher =
+      std::find(watchers.begin(), watchers.end(), member.m_entry) != watchers.end();
+    if (member.m_entry == self) {
       asksStore = isWatcher;
+    } else if (isWatcher && member.m_dataCentre == m_context.m_facts.m_zone) {
+      near.insert(near.begin(), member.m_streamAddress);
     } else {
       (isWatcher ? near : others).push_back(member.m_streamAddress);
     }
   }
-  m_context.m_entries = std::max<std::size_t>(1, entries);
   m_store.SetPeers(asksStore, std::move(near), std::move(others));
 }
 
@@ -282,6 +307,11 @@
   if (!report.Get().m_entry.empty()) {
     m_rollouts.OnReport(report.Get());
   }
+  const std::size_t space = aNote.find(' ');
+  if (aNote.starts_with(kRevisionMark) && space != std::string::npos) {
+    m_store.OnPeerRevision(aNote.substr(1, space - 1),
+                           std::strtoull(aNote.c_str() + space + 1, nullptr, 10));
+  }
 }
 
 void EdgeProcess::ArmNotes() {
--- a/Services/Edge/RequestRelay.cpp
+++ b/Services/Edge/RequestRelay.cpp
@@ -49,8 +49,8 @@
 constexpr double kPlainCrowdingMs = 6.0;
 
 /// Prompts that take longer to read are told to the other entries; shorter ones delay nobody past
-/// an objective.
-constexpr Duration kNotableReading = Milliseconds(60);
+/// an objective of two seconds.
+constexpr Duration kNotableReading = Milliseconds(150);
 
 constexpr double kMillisecondsPerSecond = 1000.0;
 
--- a/Services/Edge/StoreLink.cpp
+++ b/Services/Edge/StoreLink.cpp
@@ -16,8 +16,11 @@
 /// Beyond the wait, the store answers within milliseconds; on a slow day, within a second. A store
 /// that is gone is found sooner, by TCP.
 constexpr Duration kStoreAnswerTime = Seconds(2);
-/// The same at a peer, where calls cost little.
-constexpr Duration kPeerWatchWait = Milliseconds(1500);
+/// The same at a peer, where calls cost little. What the peer tells of the store is so old at most.
+constexpr Duration kPeerWatchWait = Milliseconds(400);
+/// A watcher's proof of the store is as old as its watch waits. One that is older means that the
+/// watcher has lost the store.
+constexpr Duration kLongestProofAge = kStoreWatchWait + Milliseconds(150);
 /// Beyond the wait, a peer answers within milliseconds unless it is overloaded.
 constexpr Duration kPeerAnswerTime = Milliseconds(700);
 
@@ -45,9 +48,10 @@
 
 } // namespace
 
-StoreLink::StoreLink(EdgeContext& aContext, OnNews aOnNews)
+StoreLink::StoreLink(EdgeContext& aContext, OnNews aOnNews, std::function<void()> aOnStoreNews)
   : m_context(aContext)
   , m_onNews(std::move(aOnNews))
+  , m_onStoreNews(std::move(aOnStoreNews))
   , m_source(aContext.m_random.Next()) {}
 
 void StoreLink::Start(Duration aDelay) {
@@ -67,11 +71,15 @@
   });
 }
 
+bool StoreLink::IsUnproved() const {
+  return m_mirror.HasListing() && m_context.m_loop.Now() - m_storeProvedAt > kLongestProofAge;
+}
+
 void StoreLink::Ask() {
   if (m_asking) {
     return;
   }
-  const std::optional<MirrorSource::Choice> choice = m_source.Choose(m_context.m_loop.Now());
+  const std::optional<MirrorSource::Choice> choice = m_source.Choose(IsUnproved(), m_context.m_entries, m_context.m_loop.Now());
   if (!choice) {
     AskSoon(kIdleRetry);
     return;
@@ -129,13 +137,17 @@
     m_outageEnded = now - m_storeProvedAt >= kLeastOutage ? now : m_outageEnded;
   }
   m_storeProvedAt = m_context.m_loop.Now();
-  m_source.OnAnswer(aChoice);
+  m_source.OnAnswer(aChoice, m_context.m_loop.Now());
   if (std::holds_alternative<ListKeys>(aRequest)) {
     OnPage(aReply, aSent);
   } else {
     // The watch has just returned, so what it told is of now.
     const Time now = m_context.m_loop.Now();
-    Tell(m_mirror.Apply(aReply.m_keys, aReply.m_revision, now), now - m_outageEnded);
+    const std::vector<KeyValue> news = m_mirror.Apply(aReply.m_keys, aReply.m_revision, now);
+    Tell(news, now - m_outageEnded);
+    if (!news.empty()) {
+      m_onStoreNews();
+    }
   }
   AskSoon(Duration(0));
 }
@@ -158,9 +170,8 @@
 
 void StoreLink::AskPeer(const MirrorSource::Choice& aChoice) {
   const Time sent = m_context.m_loop.Now();
-  // An entry that should ask the store tries it again soon.
-  const Duration wait = m_source.AsksStore() ? kPeerWatchWait / 3 : kPeerWatchWait;
-  Send(aChoice.m_peer, PeerQuery(m_mirror.AsOf(), wait, aChoice.m_peer), wait + kPeerAnswerTime,
+  Send(aChoice.m_peer, PeerQuery(m_mirror.AsOf(), kPeerWatchWait, aChoice.m_peer),
+       kPeerWatchWait + kPeerAnswerTime,
        [this, aChoice, sent](int aStatus, const std::string& aBody) {
          OnPeerAnswer(aChoice, aStatus, aBody, sent);
        });
@@ -176,7 +187,7 @@
     AskSoon(Duration(0));
     return;
   }
-  m_source.OnAnswer(aChoice);
+  m_source.OnAnswer(aChoice, m_context.m_loop.Now());
   TakePeerNews(news.Get(), aSent);
   AskSoon(Duration(0));
 }
@@ -184,7 +195,8 @@
 void StoreLink::TakePeerNews(const MirrorNews& aNews, Time aSent) {
   const Time knownAt = std::max(aSent, m_context.m_loop.Now() - aNews.m_age);
   // A store that serves others is not away, though it may turn this entry away.
-  m_storeProvedAt = std::max(m_storeProvedAt, aSent - aNews.m_sinceStoreProof);
+  m_storeProvedAt =
+    std::max(m_storeProvedAt, m_context.m_loop.Now() - aNews.m_sinceStoreProof);
   const bool isOlder = aNews.m_isListing && aNews.m_asOf < m_mirror.AsOf();
   if (isOlder) {
     return;
@@ -200,7 +212,8 @@
     return;
   }
   m_fetching = true;
-  m_context.m_loop.After(kNewsOnTheWay, [this, aPeer, aRevision] {
+  const Duration wait = IsUnproved() ? Duration(0) : kNewsOnTheWay;
+  m_context.m_loop.After(wait, [this, aPeer, aRevision] {
     if (aRevision <= m_mirror.LastChange()) {
       m_fetching = false;
       return;
--- a/Services/Edge/StoreLink.h
+++ b/Services/Edge/StoreLink.h
@@ -23,7 +23,8 @@
   using OnNews = std::function<void(const std::vector<KeyValue>&, bool aAfterOutage)>;
   using OnReply = std::function<void(const PlatformReply&)>;
 
-  StoreLink(EdgeContext& aContext, OnNews aOnNews);
+  /// aOnStoreNews: the store itself has told of changes, which peers may not know yet.
+  StoreLink(EdgeContext& aContext, OnNews aOnNews, std::function<void()> aOnStoreNews);
 
   void Start(Duration aDelay);
   /// aAsksStore: this entry is one of those that ask the store. aNear and aOthers: peers' addresses.
@@ -54,6 +55,7 @@
 
   void AskSoon(Duration aDelay);
   void Ask();
+  bool IsUnproved() const;
   void AskStore(const MirrorSource::Choice& aChoice);
   void AskPeer(const MirrorSource::Choice& aChoice);
   void OnStoreAnswer(const MirrorSource::Choice& aChoice, const PlatformRequest& aRequest,
@@ -75,6 +77,7 @@
 
   EdgeContext& m_context;
   OnNews m_onNews;
+  std::function<void()> m_onStoreNews;
   StoreMirror m_mirror;
   MirrorSource m_source;
   std::map<std::string, std::unique_ptr<ClientPool>> m_pools;
