--- a/Libraries/LibHttp/ClientPool.cpp
+++ b/Libraries/LibHttp/ClientPool.cpp
@@ -54,9 +54,8 @@
     return;
   }
   aChannel->SetOnClosed([this, raw = aChannel.get()] {
-    std::erase_if(m_idle, [raw](const std::shared_ptr<ClientChannel>& aKept) {
-      return aKept.get() == raw;
-    });
+    std::erase_if(
+      m_idle, [raw](const std::shared_ptr<ClientChannel>& aKept) { return aKept.get() == raw; });
   });
   m_idle.push_back(aChannel);
 }
--- a/Libraries/LibHttp/HttpServer.cpp
+++ b/Libraries/LibHttp/HttpServer.cpp
@@ -65,9 +65,8 @@
   for (const std::shared_ptr<ServerChannel>& channel : m_channels) {
     channel->CheckTime(m_loop.Now());
   }
-  std::erase_if(m_channels, [](const std::shared_ptr<ServerChannel>& aChannel) {
-    return !aChannel->IsOpen();
-  });
+  std::erase_if(m_channels,
+                [](const std::shared_ptr<ServerChannel>& aChannel) { return !aChannel->IsOpen(); });
 }
 
 void HttpServer::CloseIdle(Duration aIdleFor) {
--- a/Libraries/LibHttp/MessageParser.cpp
+++ b/Libraries/LibHttp/MessageParser.cpp
@@ -128,8 +128,8 @@
   }
   m_head.m_status = static_cast<int>(m_parser.status_code);
   const bool isInterim = m_head.m_status < kFirstFinalStatus;
-  const bool hasBody = !m_noBody && !isInterim && m_head.m_status != kNoContent &&
-                       m_head.m_status != kNotModified;
+  const bool hasBody =
+    !m_noBody && !isInterim && m_head.m_status != kNoContent && m_head.m_status != kNotModified;
   const bool hasLength = (m_parser.flags & (F_CHUNKED | F_CONTENTLENGTH)) != 0;
   m_head.m_endsWithConnection = hasBody && !hasLength;
   return m_noBody && !isInterim ? kSkipBody : 0;
--- a/Libraries/LibHttp/ServerChannel.cpp
+++ b/Libraries/LibHttp/ServerChannel.cpp
@@ -30,9 +30,9 @@
     return "there is not exactly one Host header";
   }
   const std::string* coding = aHead.m_headers.Find("transfer-encoding");
-  if (coding != nullptr && (!EqualIgnoringCase(*coding, "chunked") ||
-                            aHead.m_headers.Count("transfer-encoding") != 1 ||
-                            aHead.m_headers.Count("content-length") != 0)) {
+  if (coding != nullptr &&
+      (!EqualIgnoringCase(*coding, "chunked") || aHead.m_headers.Count("transfer-encoding") != 1 ||
+       aHead.m_headers.Count("content-length") != 0)) {
     return "the body's length is ambiguous";
   }
   if (aHead.m_headers.Count("content-length") > 1) {
--- a/Libraries/LibHttp/StreamSocket.cpp
+++ b/Libraries/LibHttp/StreamSocket.cpp
@@ -58,9 +58,10 @@
 }
 
 void StreamSocket::Start() {
-  m_watch = m_loop.Watch(
-    m_descriptor.Number(),
-    [self = shared_from_this()](const Readiness& aReadiness) { self->OnReady(aReadiness); });
+  m_watch =
+    m_loop.Watch(m_descriptor.Number(), [self = shared_from_this()](const Readiness& aReadiness) {
+      self->OnReady(aReadiness);
+    });
   if (m_wantsWriting) {
     UpdateInterest();
   }
--- a/Libraries/LibRouting/Placement.cpp
+++ b/Libraries/LibRouting/Placement.cpp
@@ -69,8 +69,8 @@
   if (aCandidates.empty()) {
     return std::nullopt;
   }
-  const std::size_t home = aQuery.m_prefix == 0 ? aCandidates.size()
-                                                : FindHome(aQuery.m_prefix, aCandidates);
+  const std::size_t home =
+    aQuery.m_prefix == 0 ? aCandidates.size() : FindHome(aQuery.m_prefix, aCandidates);
   std::size_t best = 0;
   double leastCost = 0.0;
   for (std::size_t index = 0; index < aCandidates.size(); ++index) {
--- a/Libraries/LibRouting/RequestPlan.cpp
+++ b/Libraries/LibRouting/RequestPlan.cpp
@@ -39,9 +39,8 @@
   return true;
 }
 
-NextAction RequestPlan::OnOutcome(AttemptOutcome aOutcome, bool aAnswerBegun,
-                                  RetryWindow& aRetries, const RetryWindowPlan& aRetryPlan,
-                                  Time aNow) {
+NextAction RequestPlan::OnOutcome(AttemptOutcome aOutcome, bool aAnswerBegun, RetryWindow& aRetries,
+                                  const RetryWindowPlan& aRetryPlan, Time aNow) {
   const bool hasTime = aNow + kLeastTime < m_promise.m_answerBy;
   if (aOutcome == AttemptOutcome::NotSent) {
     ++m_unsent;
--- a/Libraries/LibRouting/RetryWindow.cpp
+++ b/Libraries/LibRouting/RetryWindow.cpp
@@ -32,14 +32,13 @@
   std::int64_t requests = 0;
   std::int64_t repeats = 0;
   for (const Cell& cell : m_cells) {
-    const bool isInWindow = cell.m_number <= number &&
-                            cell.m_number > number - static_cast<std::int64_t>(m_cells.size());
+    const bool isInWindow =
+      cell.m_number <= number && cell.m_number > number - static_cast<std::int64_t>(m_cells.size());
     requests += isInWindow ? cell.m_requests : 0;
     repeats += isInWindow ? cell.m_repeats : 0;
   }
-  const double allowed =
-    kUsedPart * (aPlan.m_ratio * static_cast<double>(requests) +
-                 aPlan.m_slack / static_cast<double>(aPlan.m_entries));
+  const double allowed = kUsedPart * (aPlan.m_ratio * static_cast<double>(requests) +
+                                      aPlan.m_slack / static_cast<double>(aPlan.m_entries));
   if (static_cast<double>(repeats + 1) > allowed) {
     return false;
   }
--- a/Libraries/LibRouting/RolloutEvidence.cpp
+++ b/Libraries/LibRouting/RolloutEvidence.cpp
@@ -11,13 +11,11 @@
   for (const auto& [name, row] : aReport.m_routes) {
     routes.push_back({name, row.m_newGood, row.m_newBad, row.m_oldGood, row.m_oldBad});
   }
-  const json document = {{"entry", aReport.m_entry},
-                         {"service", aReport.m_service},
-                         {"order", aReport.m_orderRevision},
-                         {"ageMs", InMilliseconds(aReport.m_orderAge)},
-                         {"routes", std::move(routes)},
-                         {"runningOld", aReport.m_runningOld},
-                         {"record", aReport.m_recordRevision}};
+  const json document = {
+    {"entry", aReport.m_entry},          {"service", aReport.m_service},
+    {"order", aReport.m_orderRevision},  {"ageMs", InMilliseconds(aReport.m_orderAge)},
+    {"routes", std::move(routes)},       {"runningOld", aReport.m_runningOld},
+    {"record", aReport.m_recordRevision}};
   const std::vector<std::uint8_t> bytes = json::to_msgpack(document);
   return {bytes.begin(), bytes.end()};
 }
--- a/Libraries/LibRouting/RolloutJudge.cpp
+++ b/Libraries/LibRouting/RolloutJudge.cpp
@@ -110,9 +110,8 @@
   std::map<std::string, RouteEvidence> pool = Pool();
   for (const auto& [route, evidence] : pool) {
     if (IsBad(evidence)) {
-      m_reason = (route.empty() ? "all routes" : route) + ": " +
-                 std::to_string(evidence.m_newBad) + " bad of " +
-                 std::to_string(evidence.m_newGood + evidence.m_newBad) + ", before " +
+      m_reason = (route.empty() ? "all routes" : route) + ": " + std::to_string(evidence.m_newBad) +
+                 " bad of " + std::to_string(evidence.m_newGood + evidence.m_newBad) + ", before " +
                  std::to_string(evidence.m_oldBad) + " of " +
                  std::to_string(evidence.m_oldGood + evidence.m_oldBad);
       return RolloutPhase::RolledBack;
--- a/Libraries/LibRouting/RolloutJudge.h
+++ b/Libraries/LibRouting/RolloutJudge.h
@@ -14,8 +14,8 @@
 public:
   void OnReport(const RolloutReport& aReport, Time aNow);
   /// The phase that the roll-out should be in now. aEntries: live entries that should report.
-  RolloutPhase Judge(const RolloutOrder& aOrder, const RolloutRecord& aRecord,
-                     std::size_t aEntries, Time aNow);
+  RolloutPhase Judge(const RolloutOrder& aOrder, const RolloutRecord& aRecord, std::size_t aEntries,
+                     Time aNow);
   /// How long ago the order was given, by the entry that has known it longest.
   Duration OrderAge(Time aNow) const;
   /// Why the last judgement came out as it did, for the log.
--- a/Libraries/LibRouting/RolloutRecordJson.cpp
+++ b/Libraries/LibRouting/RolloutRecordJson.cpp
@@ -7,10 +7,11 @@
 namespace fennelline {
 
 std::string WriteRolloutRecord(const RolloutRecord& aRecord) {
-  const nlohmann::json document = {{"service", aRecord.m_service},
-                                   {"version", aRecord.m_version},
-                                   {"orderRevision", aRecord.m_orderRevision},
-                                   {"phase", std::string(NameOf(kRolloutPhaseNames, aRecord.m_phase))}};
+  const nlohmann::json document = {
+    {"service", aRecord.m_service},
+    {"version", aRecord.m_version},
+    {"orderRevision", aRecord.m_orderRevision},
+    {"phase", std::string(NameOf(kRolloutPhaseNames, aRecord.m_phase))}};
   return document.dump();
 }
 
--- a/Libraries/LibRouting/RouteTable.cpp
+++ b/Libraries/LibRouting/RouteTable.cpp
@@ -64,9 +64,9 @@
 }
 
 const std::string& RouteTable::ChooseService(const Route& aRoute, std::uint64_t aNumber) {
-  const double sum = std::accumulate(
-    aRoute.m_services.begin(), aRoute.m_services.end(), 0.0,
-    [](double aSum, const ServiceShare& aShare) { return aSum + aShare.m_weight; });
+  const double sum =
+    std::accumulate(aRoute.m_services.begin(), aRoute.m_services.end(), 0.0,
+                    [](double aSum, const ServiceShare& aShare) { return aSum + aShare.m_weight; });
   double place =
     sum * static_cast<double>(aNumber % kWeightSteps) / static_cast<double>(kWeightSteps);
   for (const ServiceShare& share : aRoute.m_services) {
--- a/Libraries/LibRouting/StoreMirror.cpp
+++ b/Libraries/LibRouting/StoreMirror.cpp
@@ -128,9 +128,9 @@
     // Values are any bytes, so they travel as such.
     keys.push_back(json::array({key.m_key, ToBinary(key.m_value), key.m_revision, key.m_removed}));
   }
-  const json document = json::array(
-    {aNews.m_isListing, aNews.m_asOf, InMilliseconds(aNews.m_age),
-     InMilliseconds(aNews.m_sinceOutage), InMilliseconds(aNews.m_sinceStoreProof), std::move(keys)});
+  const json document = json::array({aNews.m_isListing, aNews.m_asOf, InMilliseconds(aNews.m_age),
+                                     InMilliseconds(aNews.m_sinceOutage),
+                                     InMilliseconds(aNews.m_sinceStoreProof), std::move(keys)});
   const std::vector<std::uint8_t> bytes = json::to_msgpack(document);
   return {bytes.begin(), bytes.end()};
 }
--- a/Libraries/LibRouting/StoreMirror.h
+++ b/Libraries/LibRouting/StoreMirror.h
@@ -19,7 +19,8 @@
 class StoreMirror {
 public:
   /// Takes changes after which the mirror is as of aAsOf. Returns those that were news.
-  std::vector<KeyValue> Apply(const std::vector<KeyValue>& aChanges, Revision aAsOf, Time aAsKnownAt);
+  std::vector<KeyValue> Apply(const std::vector<KeyValue>& aChanges, Revision aAsOf,
+                              Time aAsKnownAt);
   /// Takes all keys there are as of aAsOf: those missing are gone. Returns what was news.
   std::vector<KeyValue> ApplyListing(const std::vector<KeyValue>& aKeys, Revision aAsOf,
                                      Time aAsKnownAt);
--- a/Libraries/LibWire/Poller.cpp
+++ b/Libraries/LibWire/Poller.cpp
@@ -37,8 +37,7 @@
   epoll_ctl(m_epoll.Number(), EPOLL_CTL_DEL, aDescriptor, nullptr);
 }
 
-void Poller::Control(int aOperation, int aDescriptor, std::uint64_t aToken,
-                     std::uint32_t aEvents) {
+void Poller::Control(int aOperation, int aDescriptor, std::uint64_t aToken, std::uint32_t aEvents) {
   epoll_event event{};
   event.events = aEvents;
   event.data.u64 = aToken;
--- a/Services/Edge/EdgeLog.cpp
+++ b/Services/Edge/EdgeLog.cpp
@@ -113,8 +113,7 @@
   const std::size_t most =
     aRank == LogRank::Routine ? kRoutineBytesPerSecond : kNotableBytesPerSecond;
   // Half of the buffer is kept for what is notable.
-  const std::size_t mostBuffered =
-    aRank == LogRank::Routine ? kMostBuffered / 2 : kMostBuffered;
+  const std::size_t mostBuffered = aRank == LogRank::Routine ? kMostBuffered / 2 : kMostBuffered;
   const std::size_t size = aLine.Fields().size();
   if (budget.m_bytes + size > most || m_buffer.size() + size > mostBuffered) {
     ++budget.m_dropped;
--- a/Services/Edge/EdgeLog.h
+++ b/Services/Edge/EdgeLog.h
@@ -23,8 +23,7 @@
     return Real(aName, InSeconds(aValue) * kMillisecondsPerSecond);
   }
   template<typename Number>
-    requires std::is_integral_v<Number>
-  LogLine& Count(std::string_view aName, Number aValue) {
+  requires std::is_integral_v<Number> LogLine& Count(std::string_view aName, Number aValue) {
     return Raw(aName, std::to_string(aValue));
   }
   const std::string& Fields() const { return m_fields; }
--- a/Services/Edge/EdgeMetrics.cpp
+++ b/Services/Edge/EdgeMetrics.cpp
@@ -6,9 +6,8 @@
 
 namespace {
 
-const prometheus::Histogram::BucketBoundaries kSeconds = {0.005, 0.01, 0.02, 0.05, 0.1, 0.2,
-                                                          0.4,   0.8,  1.5,  3.0,  6.0, 12.0,
-                                                          25.0};
+const prometheus::Histogram::BucketBoundaries kSeconds = {0.005, 0.01, 0.02, 0.05, 0.1,  0.2, 0.4,
+                                                          0.8,   1.5,  3.0,  6.0,  12.0, 25.0};
 
 std::string TextOf(std::string_view aName) {
   return std::string(aName);
@@ -49,11 +48,10 @@
     m_attempts[outcome] =
       &attempts.Add({{"outcome", TextOf(kAttemptOutcomeNames[outcome].second)}});
   }
-  prometheus::Family<prometheus::Counter>& storeCalls =
-    prometheus::BuildCounter()
-      .Name("fennelline_store_calls_total")
-      .Help("Calls to the platform's store.")
-      .Register(*m_registry);
+  prometheus::Family<prometheus::Counter>& storeCalls = prometheus::BuildCounter()
+                                                          .Name("fennelline_store_calls_total")
+                                                          .Help("Calls to the platform's store.")
+                                                          .Register(*m_registry);
   m_storeCalls = {&storeCalls.Add({{"outcome", "failed"}}), &storeCalls.Add({{"outcome", "ok"}})};
   const auto gauge = [this](const char* aName, const char* aHelp) {
     return &prometheus::BuildGauge().Name(aName).Help(aHelp).Register(*m_registry).Add({});
--- a/Services/Edge/EdgeProcess.cpp
+++ b/Services/Edge/EdgeProcess.cpp
@@ -143,8 +143,9 @@
   TRY(Serve(facts.m_readyAddress, [this](const std::shared_ptr<ServerChannel>& aCaller,
                                          const IncomingRequest&) { AnswerReadiness(aCaller); }));
   TRY(Serve(facts.m_directoryAddress,
-            [this](const std::shared_ptr<ServerChannel>& aCaller,
-                   const IncomingRequest& aRequest) { AnswerLookup(aCaller, aRequest); }));
+            [this](const std::shared_ptr<ServerChannel>& aCaller, const IncomingRequest& aRequest) {
+              AnswerLookup(aCaller, aRequest);
+            }));
   TRY(Serve(facts.m_peerAddress,
             [this](const std::shared_ptr<ServerChannel>& aPeer, const IncomingRequest& aRequest) {
               AnswerPeer(aPeer, aRequest);
@@ -256,9 +257,8 @@
 
 void EdgeProcess::OnMembersChanged() {
   std::vector<MemberDigest> alive = m_members.All();
-  std::erase_if(alive, [](const MemberDigest& aMember) {
-    return aMember.m_state != MemberState::Alive;
-  });
+  std::erase_if(alive,
+                [](const MemberDigest& aMember) { return aMember.m_state != MemberState::Alive; });
   m_context.m_entries = std::max<std::size_t>(1, alive.size());
   const std::vector<std::string> watchers = ChooseWatchers(alive);
   const std::string& self = m_members.Self().m_entry;
@@ -286,9 +286,8 @@
   const Result<std::vector<std::uint64_t>> sessions = aNote.starts_with(kSessionMark)
                                                         ? DecodeSessionNotes(aNote.substr(1))
                                                         : std::vector<std::uint64_t>();
-  const Result<RolloutReport> report = aNote.starts_with(kRolloutMark)
-                                         ? DecodeRolloutReport(aNote.substr(1))
-                                         : RolloutReport();
+  const Result<RolloutReport> report =
+    aNote.starts_with(kRolloutMark) ? DecodeRolloutReport(aNote.substr(1)) : RolloutReport();
   if (loads.IsError() || sessions.IsError() || report.IsError()) {
     LogLine line("note-refused");
     line.Text("mark", aNote.substr(0, 1)).Count("bytes", aNote.size());
@@ -383,8 +382,7 @@
 
 void EdgeProcess::AnswerMetrics(const std::shared_ptr<ServerChannel>& aCaller) {
   m_metrics.SetGauges(m_callers->CountChannels(), m_context.m_backends.CountChannels(),
-                      m_context.m_entries,
-                      m_context.m_routes ? m_context.m_routes->Version() : 0,
+                      m_context.m_entries, m_context.m_routes ? m_context.m_routes->Version() : 0,
                       m_loop.Now() - m_context.m_believedAt);
   AnswerHead head{.m_status = kOk, .m_headers = {}};
   head.m_headers.Add("Content-Type", "text/plain; version=0.0.4");
--- a/Services/Edge/EdgeProcess.h
+++ b/Services/Edge/EdgeProcess.h
@@ -32,7 +32,8 @@
   void Reload();
 
 private:
-  using Handler = std::function<void(const std::shared_ptr<ServerChannel>&, const IncomingRequest&)>;
+  using Handler =
+    std::function<void(const std::shared_ptr<ServerChannel>&, const IncomingRequest&)>;
 
   Result<void> Serve(const std::string& aAddress, Handler aHandler);
   Result<void> ServeCallers();
--- a/Services/Edge/Main.cpp
+++ b/Services/Edge/Main.cpp
@@ -64,7 +64,8 @@
   const fennelline::FileDescriptor wakeup = fennelline::MakeWakeup();
   CatchSignals(wakeup.Number());
   fennelline::EdgeProcess process(
-    loop, {.m_settingsPath = path, .m_settingsText = text, .m_metricsPort = FLAGS_metrics_port}, facts.Take());
+    loop, {.m_settingsPath = path, .m_settingsText = text, .m_metricsPort = FLAGS_metrics_port},
+    facts.Take());
   loop.Watch(wakeup.Number(), [&process, &wakeup](const fennelline::Readiness&) {
     fennelline::DrainWakeup(wakeup);
     if (gReloadAsked != 0) {
--- a/Services/Edge/RelayAnswer.cpp
+++ b/Services/Edge/RelayAnswer.cpp
@@ -29,7 +29,6 @@
 /// A stream that pauses for this part of the longest pause allowed goes on elsewhere.
 constexpr double kPausePartOfObjective = 0.9;
 
-
 bool SaysNotRun(int aStatus) {
   return aStatus == kRequestTimeout || aStatus == kMisdirected || aStatus == kTooMany ||
          aStatus == kUnavailable;
@@ -84,7 +83,8 @@
 bool RequestRelay::IsDoubtful() const {
   const ModelPlan plan;
   return m_attempt->m_isStream && !m_answerBegun && !m_wantsLargest &&
-         m_route->m_models.size() > 1 && plan.IsDoubtful(m_attempt->m_traits.m_confidence, MsBehind());
+         m_route->m_models.size() > 1 &&
+         plan.IsDoubtful(m_attempt->m_traits.m_confidence, MsBehind());
 }
 
 double RequestRelay::MsBehind() const {
@@ -188,10 +188,9 @@
     EndAttempt(AttemptOutcome::Spoilt);
     return;
   }
-  if (!m_attempt->m_isStream && m_attempt->m_head.m_status >= kFirstServerError &&
-      !m_answerBegun) {
-    m_failure = FailureAnswer{.m_head = std::move(m_attempt->m_head),
-                              .m_body = std::move(m_attempt->m_body)};
+  if (!m_attempt->m_isStream && m_attempt->m_head.m_status >= kFirstServerError && !m_answerBegun) {
+    m_failure =
+      FailureAnswer{.m_head = std::move(m_attempt->m_head), .m_body = std::move(m_attempt->m_body)};
     EndAttempt(AttemptOutcome::Failed);
     return;
   }
@@ -267,9 +266,8 @@
   const Duration took = now - m_attempt->m_sent;
   ReleaseAttempt();
   m_context.m_metrics.OnAttemptEnded(aOutcome);
-  const NextAction action = m_plan.OnOutcome(aOutcome, m_answerBegun,
-                                             m_context.m_retries[m_service],
-                                             m_context.RetryPlan(), now);
+  const NextAction action = m_plan.OnOutcome(
+    aOutcome, m_answerBegun, m_context.m_retries[m_service], m_context.RetryPlan(), now);
   LogLine line("attempt-end");
   line.Text("id", m_traits.m_requestId).Text("backend", backend->m_record.m_id);
   line.Text("outcome", NameOf(kAttemptOutcomeNames, aOutcome));
@@ -310,8 +308,8 @@
   if (m_ended || !m_attempt) {
     return;
   }
-  const bool isBusyElsewhere = m_route->m_kind == RouteKind::Streaming &&
-                               m_attempt->m_backend->m_heardAt > m_attempt->m_sent;
+  const bool isBusyElsewhere =
+    m_route->m_kind == RouteKind::Streaming && m_attempt->m_backend->m_heardAt > m_attempt->m_sent;
   if (isBusyElsewhere) {
     // The server lives and has much to do. Sending the request again would add to that.
     return;
--- a/Services/Edge/RequestRelay.cpp
+++ b/Services/Edge/RequestRelay.cpp
@@ -50,7 +50,7 @@
 
 /// Prompts that take longer to read are told to the other entries; shorter ones delay nobody past
 /// an objective of two seconds.
-constexpr Duration kNotableReading = Milliseconds(150);
+constexpr Duration kNotableReading = Milliseconds(100);
 
 constexpr double kMillisecondsPerSecond = 1000.0;
 
@@ -69,16 +69,15 @@
 /// will be with all of them: some versions are bad only under load.
 void KeepTrialServers(std::vector<std::shared_ptr<BackendLink>>& aServers, double aShare,
                       Time aNow) {
-  const std::size_t count = static_cast<std::size_t>(
-    std::ceil(static_cast<double>(aServers.size()) * aShare));
-  std::sort(aServers.begin(), aServers.end(),
-            [aNow](const std::shared_ptr<BackendLink>& aOne,
-                   const std::shared_ptr<BackendLink>& aTwo) {
-              const bool isOneShunned = aOne->m_health.IsShunned(aNow);
-              const bool isTwoShunned = aTwo->m_health.IsShunned(aNow);
-              return isOneShunned != isTwoShunned ? isTwoShunned
-                                                  : aOne->m_identity < aTwo->m_identity;
-            });
+  const std::size_t count =
+    static_cast<std::size_t>(std::ceil(static_cast<double>(aServers.size()) * aShare));
+  std::sort(
+    aServers.begin(), aServers.end(),
+    [aNow](const std::shared_ptr<BackendLink>& aOne, const std::shared_ptr<BackendLink>& aTwo) {
+      const bool isOneShunned = aOne->m_health.IsShunned(aNow);
+      const bool isTwoShunned = aTwo->m_health.IsShunned(aNow);
+      return isOneShunned != isTwoShunned ? isTwoShunned : aOne->m_identity < aTwo->m_identity;
+    });
   aServers.resize(std::min(aServers.size(), count + kSpareTrialServers));
 }
 
@@ -159,11 +158,11 @@
     return;
   }
   const Duration patience = m_traits.m_patience.value_or(m_route->m_timeout);
-  m_plan = RequestPlan({.m_kind = m_route->m_kind,
-                        .m_resumable = m_route->m_resumable,
-                        .m_attempts = m_route->m_attempts,
-                        .m_answerBy =
-                          m_request.m_arrived + std::min(patience, m_route->m_timeout)});
+  m_plan =
+    RequestPlan({.m_kind = m_route->m_kind,
+                 .m_resumable = m_route->m_resumable,
+                 .m_attempts = m_route->m_attempts,
+                 .m_answerBy = m_request.m_arrived + std::min(patience, m_route->m_timeout)});
   m_framer = EventFramer(m_traits.m_lastEvent);
   m_hash = HashOf(m_traits.m_session.empty() ? m_traits.m_requestId : m_traits.m_session);
   m_service = RouteTable::ChooseService(*m_route, m_hash);
@@ -212,8 +211,8 @@
   std::vector<std::shared_ptr<BackendLink>> ofVersion;
   std::vector<std::shared_ptr<BackendLink>> others;
   for (const std::shared_ptr<BackendLink>& backend : m_context.m_backends.OfService(m_service)) {
-    const bool wasTried = std::find(m_tried.begin(), m_tried.end(), backend->m_record.m_id) !=
-                          m_tried.end();
+    const bool wasTried =
+      std::find(m_tried.begin(), m_tried.end(), backend->m_record.m_id) != m_tried.end();
     if (!wasTried && backend->TakesRequests(now)) {
       const bool isOfVersion = rule.m_preference != VersionPreference::Any &&
                                backend->m_record.m_version == rule.m_version;
@@ -285,8 +284,8 @@
   const double mostChannels =
     service == nullptr || service->m_mostChannels == 0
       ? static_cast<double>(m_context.m_facts.m_mostDescriptors)
-      : std::max(kLeastChannels, static_cast<double>(service->m_mostChannels) *
-                                   kUsedPartOfChannels / entries);
+      : std::max(kLeastChannels,
+                 static_cast<double>(service->m_mostChannels) * kUsedPartOfChannels / entries);
   std::vector<PlacementCandidate> candidates;
   candidates.reserve(eligible.size());
   for (const std::shared_ptr<BackendLink>& backend : eligible) {
@@ -301,8 +300,7 @@
                           .m_failureRate = backend->m_health.FailureRate(now),
                           .m_isShunned = isFull || backend->m_health.IsShunned(now)});
   }
-  const std::optional<std::size_t> chosen =
-    ChoosePlacement(query, candidates, m_context.m_random);
+  const std::optional<std::size_t> chosen = ChoosePlacement(query, candidates, m_context.m_random);
   if (!chosen) {
     return nullptr;
   }
@@ -320,13 +318,12 @@
   order.m_model = aModel;
   order.m_lastEvent = m_framer.LastEvent();
   if (m_route->m_kind == RouteKind::Streaming) {
-    const int rank = m_account != nullptr && m_account->m_priority ? *m_account->m_priority
-                                                                   : m_route->m_priority;
+    const int rank =
+      m_account != nullptr && m_account->m_priority ? *m_account->m_priority : m_route->m_priority;
     order.m_priority = std::min(kMostUrgentPriority + rank, kLeastUrgentPriority);
   }
   return WriteRequest(m_request.m_head.m_method, m_request.m_head.m_target,
-                      platform::EncodeForward(m_request.m_head.m_headers, order),
-                      m_request.m_body);
+                      platform::EncodeForward(m_request.m_head.m_headers, order), m_request.m_body);
 }
 
 void RequestRelay::Dispatch() {
@@ -367,8 +364,8 @@
   m_attempt = std::move(attempt);
   m_attempt->m_channel->Send(bytes, isHead, MakeListener());
   if (m_plan.HasRunLeft() && m_route->m_objective > Duration(0)) {
-    const double part = m_route->m_kind == RouteKind::Streaming ? kStreamStallPartOfObjective
-                                                                 : kStallPartOfObjective;
+    const double part =
+      m_route->m_kind == RouteKind::Streaming ? kStreamStallPartOfObjective : kStallPartOfObjective;
     const Duration usual = std::chrono::duration_cast<Duration>(m_route->m_objective * part);
     const Duration foreseen = backend->m_readingUntil - m_context.m_loop.Now();
     ArmStall(std::max(usual, foreseen * kStallPerForeseenTime));
--- a/Services/Edge/RolloutDriver.cpp
+++ b/Services/Edge/RolloutDriver.cpp
@@ -75,9 +75,9 @@
 
 bool RolloutDriver::IsUnderWay(const RolloutOrder& aOrder) const {
   const RolloutRecord record = RecordOf(aOrder);
-  const bool isOver = record.m_orderRevision == aOrder.m_revision &&
-                      (record.m_phase == RolloutPhase::Succeeded ||
-                       record.m_phase == RolloutPhase::RolledBack);
+  const bool isOver =
+    record.m_orderRevision == aOrder.m_revision &&
+    (record.m_phase == RolloutPhase::Succeeded || record.m_phase == RolloutPhase::RolledBack);
   return !isOver;
 }
 
@@ -117,8 +117,7 @@
   report.m_recordRevision = RecordOf(aOrder).m_revision;
   for (const std::shared_ptr<BackendLink>& backend :
        m_context.m_backends.OfService(aOrder.m_service)) {
-    report.m_runningOld +=
-      backend->m_record.m_version == aOrder.m_version ? 0 : backend->m_running;
+    report.m_runningOld += backend->m_record.m_version == aOrder.m_version ? 0 : backend->m_running;
   }
   OnReport(report);
   std::size_t receivers = 0;
@@ -145,8 +144,7 @@
                         .m_orderRevision = aOrder.m_revision,
                         .m_phase = RolloutPhase::Canary};
   if (isBegun) {
-    next.m_phase =
-      m_judges[aOrder.m_service].Judge(aOrder, record, m_context.m_entries, now);
+    next.m_phase = m_judges[aOrder.m_service].Judge(aOrder, record, m_context.m_entries, now);
   }
   const bool isDue = !isBegun || next.m_phase != record.m_phase;
   const bool hasStatus = isBegun && !isDue;
@@ -170,10 +168,10 @@
 
 void RolloutDriver::Write(const RolloutRecord& aRecord, Revision aExpected) {
   m_writing = true;
-  const PutKey put = {
-    .m_key = platform::MakeKey(platform::KeyKind::RolloutRecord, aRecord.m_service),
-    .m_value = WriteRolloutRecord(aRecord),
-    .m_expected = aExpected};
+  const PutKey put = {.m_key =
+                        platform::MakeKey(platform::KeyKind::RolloutRecord, aRecord.m_service),
+                      .m_value = WriteRolloutRecord(aRecord),
+                      .m_expected = aExpected};
   m_store.Call(put, [this, service = aRecord.m_service](const PlatformReply& aReply) {
     m_writing = false;
     if (aReply.m_status != PlatformStatus::Ok) {
@@ -186,8 +184,7 @@
 }
 
 void RolloutDriver::WriteStatus(const RolloutRecord& aRecord) {
-  const std::string key =
-    platform::MakeKey(platform::KeyKind::RolloutStatus, aRecord.m_service);
+  const std::string key = platform::MakeKey(platform::KeyKind::RolloutStatus, aRecord.m_service);
   const std::string status = platform::EncodeRolloutStatus(aRecord);
   const KeyValue* held = m_store.Mirror().Find(key);
   if (held != nullptr && held->m_value == status) {
--- a/Services/Edge/StoreLink.cpp
+++ b/Services/Edge/StoreLink.cpp
@@ -79,7 +79,8 @@
   if (m_asking) {
     return;
   }
-  const std::optional<MirrorSource::Choice> choice = m_source.Choose(IsUnproved(), m_context.m_entries, m_context.m_loop.Now());
+  const std::optional<MirrorSource::Choice> choice =
+    m_source.Choose(IsUnproved(), m_context.m_entries, m_context.m_loop.Now());
   if (!choice) {
     AskSoon(kIdleRetry);
     return;
@@ -154,9 +155,8 @@
 
 void StoreLink::OnPage(const PlatformReply& aReply, Time aSent) {
   // Pages are not of one moment: the watch goes on from the oldest.
-  m_pagesAsOf = m_pages.empty() && m_pageAfter.empty()
-                  ? aReply.m_revision
-                  : std::min(m_pagesAsOf, aReply.m_revision);
+  m_pagesAsOf = m_pages.empty() && m_pageAfter.empty() ? aReply.m_revision
+                                                       : std::min(m_pagesAsOf, aReply.m_revision);
   m_pages.insert(m_pages.end(), aReply.m_keys.begin(), aReply.m_keys.end());
   if (aReply.m_hasMore && !aReply.m_keys.empty()) {
     m_pageAfter = aReply.m_keys.back().m_key;
@@ -195,8 +195,7 @@
 void StoreLink::TakePeerNews(const MirrorNews& aNews, Time aSent) {
   const Time knownAt = std::max(aSent, m_context.m_loop.Now() - aNews.m_age);
   // A store that serves others is not away, though it may turn this entry away.
-  m_storeProvedAt =
-    std::max(m_storeProvedAt, m_context.m_loop.Now() - aNews.m_sinceStoreProof);
+  m_storeProvedAt = std::max(m_storeProvedAt, m_context.m_loop.Now() - aNews.m_sinceStoreProof);
   const bool isOlder = aNews.m_isListing && aNews.m_asOf < m_mirror.AsOf();
   if (isOlder) {
     return;
@@ -295,7 +294,8 @@
 ClientPool& StoreLink::PoolOf(const std::string& aAddress) {
   std::unique_ptr<ClientPool>& pool = m_pools[aAddress];
   if (!pool) {
-    pool = std::make_unique<ClientPool>(m_context.m_loop, ClientPoolSettings{.m_address = aAddress});
+    pool =
+      std::make_unique<ClientPool>(m_context.m_loop, ClientPoolSettings{.m_address = aAddress});
   }
   return *pool;
 }
--- a/Services/Edge/StoreLink.h
+++ b/Services/Edge/StoreLink.h
@@ -27,7 +27,8 @@
   StoreLink(EdgeContext& aContext, OnNews aOnNews, std::function<void()> aOnStoreNews);
 
   void Start(Duration aDelay);
-  /// aAsksStore: this entry is one of those that ask the store. aNear and aOthers: peers' addresses.
+  /// aAsksStore: this entry is one of those that ask the store. aNear and aOthers: peers'
+  /// addresses.
   void SetPeers(bool aAsksStore, std::vector<std::string> aNear, std::vector<std::string> aOthers);
   /// A peer knows of a newer change.
   void OnPeerRevision(const std::string& aPeer, Revision aRevision);
--- a/Tests/LibHttp/TestMessageParser.cpp
+++ b/Tests/LibHttp/TestMessageParser.cpp
@@ -35,8 +35,8 @@
 
 TEST_CASE("a message ends where its length says, however its bytes arrive") {
   const std::string one = "POST /a?b HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nhello";
-  const std::string chunked =
-    "POST /c HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nhel\r\n2\r\nlo\r\n0\r\n\r\n";
+  const std::string chunked = "POST /c HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: "
+                              "chunked\r\n\r\n3\r\nhel\r\n2\r\nlo\r\n0\r\n\r\n";
   for (std::size_t step = 1; step < 80; ++step) {
     for (const std::string& message : {one, chunked}) {
       MessageParser parser(MessageKind::Request);
@@ -54,8 +54,8 @@
         "Content-Length: 5\r\nContent-Length: 6\r\n", "Content-Length: +5\r\n",
         "Content-Length: 5x\r\n", "Content-Length : 5\r\n"}) {
     MessageParser parser(MessageKind::Request);
-    const std::string text =
-      "POST /a HTTP/1.1\r\nHost: x\r\n" + std::string(headers) + "\r\n0\r\n\r\nGET /smuggled HTTP/1.1\r\n\r\n";
+    const std::string text = "POST /a HTTP/1.1\r\nHost: x\r\n" + std::string(headers) +
+                             "\r\n0\r\n\r\nGET /smuggled HTTP/1.1\r\n\r\n";
     CHECK_MESSAGE(FeedWhole(parser, text, 1000).m_isError, headers);
   }
 }
--- a/Tests/LibHttp/TestServer.cpp
+++ b/Tests/LibHttp/TestServer.cpp
@@ -53,11 +53,11 @@
   for (const char* request :
        {"GET /a HTTP/1.1\r\n\r\n", "GET /a HTTP/1.1\r\nHost: x\r\nHost: y\r\n\r\n",
         "GET http://x/a HTTP/1.1\r\nHost: x\r\n\r\n",
-        "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\nTransfer-Encoding: "
+        "chunked\r\n\r\n0\r\n\r\n",
         "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
         "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n\r\n",
-        "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length : 4\r\n\r\nbody",
-        "nonsense\r\n\r\n"}) {
+        "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length : 4\r\n\r\nbody", "nonsense\r\n\r\n"}) {
     EchoServer server;
     const std::string answer = server.Ask(request);
     CHECK_MESSAGE(answer.starts_with("HTTP/1.1 400"), request);
@@ -75,8 +75,9 @@
           .starts_with("HTTP/1.1 431"));
   CHECK(server.Ask("POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 101\r\n\r\n")
           .starts_with("HTTP/1.1 413"));
-  CHECK(server.Ask("POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\nff\r\n" +
-                   filler.substr(0, 255))
+  CHECK(server
+          .Ask("POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\nff\r\n" +
+               filler.substr(0, 255))
           .starts_with("HTTP/1.1 413"));
   CHECK(server.m_targets.empty());
 }
@@ -98,7 +99,8 @@
   EchoServer server;
   std::deque<RawCaller> slow;
   for (int caller = 0; caller < 520; ++caller) {
-    slow.emplace_back(server.m_address).Send("POST /slow HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\nhalf");
+    slow.emplace_back(server.m_address)
+      .Send("POST /slow HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\nhalf");
     if (caller % 50 == 0) {
       server.m_loop.RunOnce(Milliseconds(1));
     }
@@ -120,7 +122,8 @@
   bool isGone = false;
   server.m_held->SetOnGone([&isGone] { isGone = true; });
   caller.Close();
-  CHECK(RunUntil(server.m_loop, [&] { return isGone; }, Milliseconds(500)));
+  CHECK(RunUntil(
+    server.m_loop, [&] { return isGone; }, Milliseconds(500)));
 }
 
 TEST_CASE("an answer that is broken off looks broken off to the caller") {
--- a/Tests/LibRouting/TestEventFramer.cpp
+++ b/Tests/LibRouting/TestEventFramer.cpp
@@ -35,7 +35,8 @@
   }
 }
 
-TEST_CASE("an event that breaks off is dropped, and the next run goes on after the last whole one") {
+TEST_CASE(
+  "an event that breaks off is dropped, and the next run goes on after the last whole one") {
   EventFramer framer;
   CHECK(framer.Feed(Event(1) + Event(2) + "id: 3\nda") == Event(1) + Event(2));
   CHECK(framer.HasPartial());
--- a/Tests/LibRouting/TestRequestPlan.cpp
+++ b/Tests/LibRouting/TestRequestPlan.cpp
@@ -30,7 +30,8 @@
         NextAction::Fail);
 }
 
-TEST_CASE("whatever happens to a request that cannot be repeated, it runs once and no refusal lies") {
+TEST_CASE(
+  "whatever happens to a request that cannot be repeated, it runs once and no refusal lies") {
   for (std::uint64_t seed = 1; seed <= 500; ++seed) {
     Random random(seed);
     RetryWindow retries;
@@ -77,8 +78,7 @@
   CHECK(resumable.OnOutcome(AttemptOutcome::Lost, true, retries, kGenerous, kStart) ==
         NextAction::Cut);
   RequestPlan plain = PlanOf(RouteKind::Streaming, 2, false);
-  CHECK(plain.OnOutcome(AttemptOutcome::Lost, true, retries, kGenerous, kStart) ==
-        NextAction::Cut);
+  CHECK(plain.OnOutcome(AttemptOutcome::Lost, true, retries, kGenerous, kStart) == NextAction::Cut);
 }
 
 TEST_CASE("after its time a request is not sent again") {
@@ -106,8 +106,7 @@
   RetryWindow retries;
   const RetryWindowPlan none = {.m_ratio = 0.0, .m_slack = 0.0};
   RequestPlan plan = PlanOf(RouteKind::Idempotent, 3);
-  CHECK(plan.OnOutcome(AttemptOutcome::NotRun, false, retries, none, kStart) ==
-        NextAction::Refuse);
+  CHECK(plan.OnOutcome(AttemptOutcome::NotRun, false, retries, none, kStart) == NextAction::Refuse);
   RequestPlan lost = PlanOf(RouteKind::Idempotent, 3);
   CHECK(lost.OnOutcome(AttemptOutcome::Lost, false, retries, none, kStart) == NextAction::Fail);
 }
--- a/Tests/LibRouting/TestRetryWindow.cpp
+++ b/Tests/LibRouting/TestRetryWindow.cpp
@@ -35,10 +35,8 @@
 
 TEST_CASE("all entries together keep the fleet's bound in every window, in a storm of failures") {
   constexpr std::size_t kEntries = 9;
-  const RetryWindowPlan plan = {.m_ratio = 0.9,
-                                .m_slack = 58.0,
-                                .m_window = Seconds(10),
-                                .m_entries = kEntries};
+  const RetryWindowPlan plan = {
+    .m_ratio = 0.9, .m_slack = 58.0, .m_window = Seconds(10), .m_entries = kEntries};
   for (std::uint64_t seed = 1; seed <= 5; ++seed) {
     Random random(seed);
     std::vector<RetryWindow> entries(kEntries);
--- a/Tests/LibRouting/TestRolloutJudge.cpp
+++ b/Tests/LibRouting/TestRolloutJudge.cpp
@@ -8,8 +8,10 @@
 
 namespace {
 
-const RolloutOrder kOrder = {
-  .m_service = "pool", .m_version = "v2", .m_within = Seconds(24), .m_revision = 5};
+const RolloutOrder kOrder = {.m_service = "pool",
+                             .m_version = "v2",
+                             .m_within = Seconds(24),
+                             .m_revision = 5};
 
 RolloutRecord RecordIn(RolloutPhase aPhase, std::uint64_t aRevision) {
   return {.m_service = "pool",
@@ -79,8 +81,7 @@
       for (; answers < kMostAnswers && phase == RolloutPhase::Canary; ++answers) {
         ++(random.Chance(badShare) ? evidence.m_newBad : evidence.m_newGood);
         judge.OnReport(ReportOf("a", evidence, Seconds(3)), Time{Seconds(100)});
-        phase =
-          judge.Judge(kOrder, RecordIn(RolloutPhase::Canary, 6), 1, Time{Seconds(100)});
+        phase = judge.Judge(kOrder, RecordIn(RolloutPhase::Canary, 6), 1, Time{Seconds(100)});
       }
       if (badShare < 0.1) {
         falseAlarms += phase == RolloutPhase::RolledBack ? 1 : 0;
@@ -96,7 +97,8 @@
 
 TEST_CASE("a version that is bad on one route only is found by that route") {
   RolloutJudge judge;
-  RolloutReport report = ReportOf("a", {.m_newGood = 4, .m_newBad = 8, .m_oldGood = 100}, Seconds(5));
+  RolloutReport report =
+    ReportOf("a", {.m_newGood = 4, .m_newBad = 8, .m_oldGood = 100}, Seconds(5));
   report.m_routes["fine"] = {.m_newGood = 400, .m_oldGood = 4000};
   judge.OnReport(report, Time{Seconds(100)});
   CHECK(judge.Judge(kOrder, RecordIn(RolloutPhase::Canary, 6), 1, Time{Seconds(100)}) ==
@@ -105,10 +107,9 @@
 
 TEST_CASE("failures that the old version has as well speak against neither") {
   RolloutJudge judge;
-  judge.OnReport(ReportOf("a",
-                          {.m_newGood = 25, .m_newBad = 5, .m_oldGood = 250, .m_oldBad = 50},
-                          Seconds(5)),
-                 Time{Seconds(100)});
+  judge.OnReport(
+    ReportOf("a", {.m_newGood = 25, .m_newBad = 5, .m_oldGood = 250, .m_oldBad = 50}, Seconds(5)),
+    Time{Seconds(100)});
   CHECK(judge.Judge(kOrder, RecordIn(RolloutPhase::Canary, 6), 1, Time{Seconds(100)}) ==
         RolloutPhase::Canary);
 }
--- a/Tests/Platform/TestCodecs.cpp
+++ b/Tests/Platform/TestCodecs.cpp
@@ -56,9 +56,9 @@
 
 TEST_CASE("what a caller forges does not reach a backend server, nor does its key") {
   HeaderList headers = CallerHeaders();
-  for (const char* name : {"Fennelline-Tenant", "Fennelline-Hold", "Fennelline-Pin-Ms",
-                           "Fennelline-Kv-Backup", "Kv-From", "Kv-Fetch",
-                           "Fennelline-Expect-Replica", "Fennelline-Request-Priority"}) {
+  for (const char* name :
+       {"Fennelline-Tenant", "Fennelline-Hold", "Fennelline-Pin-Ms", "Fennelline-Kv-Backup",
+        "Kv-From", "Kv-Fetch", "Fennelline-Expect-Replica", "Fennelline-Request-Priority"}) {
     headers.Add(name, "forged");
   }
   headers.Add("Connection", "close, X-Hop, Fennelline-Request-Id");
