--- a/Libraries/LibCoordination/Configuration/ApplyOperation.cpp
+++ b/Libraries/LibCoordination/Configuration/ApplyOperation.cpp
@@ -73,6 +73,7 @@
       return RetryLater(aNow);
     case PlatformStatus::NotFound:
     case PlatformStatus::Unavailable:
+    case PlatformStatus::HistoryGone:
       break;
   }
   return RetryLater(aNow);
--- a/Libraries/LibCoordination/Spend/SliceAccount.cpp
+++ b/Libraries/LibCoordination/Spend/SliceAccount.cpp
@@ -100,6 +100,7 @@
       m_isKnown = false;
       return;
     case PlatformStatus::Unavailable:
+    case PlatformStatus::HistoryGone:
       m_isKnown = false;
       m_backOffUntil = aNow + kBackOff;
       return;
--- a/Libraries/LibHttp/ClientChannel.cpp
+++ b/Libraries/LibHttp/ClientChannel.cpp
@@ -55,7 +55,7 @@
   });
 }
 
-void ClientChannel::Send(std::string aRequest, bool aIsHead, CallListener aListener) {
+void ClientChannel::Send(std::string_view aRequest, bool aIsHead, CallListener aListener) {
   m_listener = std::make_shared<const CallListener>(std::move(aListener));
   m_busy = true;
   m_isHead = aIsHead;
--- a/Libraries/LibHttp/ClientChannel.h
+++ b/Libraries/LibHttp/ClientChannel.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace fennelline {
 
@@ -37,7 +38,7 @@
 struct CallListener {
   std::function<HeadVerdict(const MessageHead&)> m_onHead;
   /// Body bytes as they arrive; may be empty-handed between head and end.
-  std::function<void(std::string)> m_onBody;
+  std::function<void(const std::string&)> m_onBody;
   std::function<void()> m_onComplete;
   std::function<void(CallFailure)> m_onFailed;
 };
@@ -52,7 +53,7 @@
   ClientChannel(EventLoop& aLoop, std::shared_ptr<StreamSocket> aSocket);
 
   /// Sends a whole request. aIsHead: its answer has no body.
-  void Send(std::string aRequest, bool aIsHead, CallListener aListener);
+  void Send(std::string_view aRequest, bool aIsHead, CallListener aListener);
   /// Closes the channel. The listener hears no more.
   void Abandon();
   void SetReading(bool aReading) { m_socket->SetReading(aReading); }
--- a/Libraries/LibHttp/ServerChannel.cpp
+++ b/Libraries/LibHttp/ServerChannel.cpp
@@ -190,7 +190,7 @@
   return text;
 }
 
-void ServerChannel::Answer(AnswerHead aHead, std::string_view aBody) {
+void ServerChannel::Answer(const AnswerHead& aHead, std::string_view aBody) {
   if (!m_busy || !m_socket->IsOpen()) {
     return;
   }
@@ -202,7 +202,7 @@
   FinishAnswer();
 }
 
-void ServerChannel::BeginAnswer(AnswerHead aHead) {
+void ServerChannel::BeginAnswer(const AnswerHead& aHead) {
   if (!m_busy || !m_socket->IsOpen()) {
     return;
   }
--- a/Libraries/LibHttp/ServerChannel.h
+++ b/Libraries/LibHttp/ServerChannel.h
@@ -57,9 +57,9 @@
   void Start();
 
   /// Answers the request in hand, whole.
-  void Answer(AnswerHead aHead, std::string_view aBody);
+  void Answer(const AnswerHead& aHead, std::string_view aBody);
   /// Answers in parts. Parts of an answer that is not ended look cut off to the caller.
-  void BeginAnswer(AnswerHead aHead);
+  void BeginAnswer(const AnswerHead& aHead);
   void SendPart(std::string_view aPart);
   void EndAnswer();
   /// Breaks the answer off.
--- a/Services/Edge/EdgeProcess.cpp
+++ b/Services/Edge/EdgeProcess.cpp
@@ -357,7 +357,7 @@
   AnswerHead head{.m_status = chosen.empty() ? kUnavailable : kOk, .m_headers = {}};
   head.m_headers.Add("Content-Type", "application/json");
   const Duration keepFor = std::min(kListTime, m_context.m_facts.m_longestListTime);
-  aCaller->Answer(std::move(head),
+  aCaller->Answer(head,
                   chosen.empty() ? std::string() : platform::EncodeLookup(chosen, keepFor));
 }
 
@@ -386,7 +386,7 @@
                       m_loop.Now() - m_context.m_believedAt);
   AnswerHead head{.m_status = kOk, .m_headers = {}};
   head.m_headers.Add("Content-Type", "text/plain; version=0.0.4");
-  aCaller->Answer(std::move(head), m_metrics.Text());
+  aCaller->Answer(head, m_metrics.Text());
 }
 
 void EdgeProcess::EverySecond() {
--- a/Services/Edge/RelayAnswer.cpp
+++ b/Services/Edge/RelayAnswer.cpp
@@ -114,7 +114,7 @@
   Dispatch();
 }
 
-void RequestRelay::OnBody(std::string aPart) {
+void RequestRelay::OnBody(std::string_view aPart) {
   if (m_ended || !m_attempt) {
     return;
   }
--- a/Services/Edge/RequestRelay.cpp
+++ b/Services/Edge/RequestRelay.cpp
@@ -106,7 +106,7 @@
   m_context.Log(LogRank::Notable, line);
   AnswerHead head{.m_status = aStatus, .m_headers = {}};
   platform::AddRequestId(head.m_headers, m_traits.m_requestId);
-  m_caller->Answer(std::move(head), {});
+  m_caller->Answer(head, {});
   End(RequestEnd::Rejected, aStatus);
 }
 
@@ -377,8 +377,8 @@
   listener.m_onHead = [self = shared_from_this()](const MessageHead& aHead) {
     return self->OnHead(aHead);
   };
-  listener.m_onBody = [self = shared_from_this()](std::string aPart) {
-    self->OnBody(std::move(aPart));
+  listener.m_onBody = [self = shared_from_this()](const std::string& aPart) {
+    self->OnBody(aPart);
   };
   listener.m_onComplete = [self = shared_from_this()] { self->OnComplete(); };
   listener.m_onFailed = [self = shared_from_this()](CallFailure aFailure) {
@@ -419,7 +419,7 @@
   const int status = isLate ? kGatewayTimeout : kBadGateway;
   AnswerHead head{.m_status = status, .m_headers = {}};
   platform::AddRequestId(head.m_headers, m_traits.m_requestId);
-  m_caller->Answer(std::move(head), {});
+  m_caller->Answer(head, {});
   End(RequestEnd::Failed, status);
 }
 
@@ -438,7 +438,7 @@
   AnswerHead head{.m_status = kUnavailable, .m_headers = {}};
   platform::AddRequestId(head.m_headers, m_traits.m_requestId);
   platform::AddRetryAfter(head.m_headers, aRetryAfter);
-  m_caller->Answer(std::move(head), {});
+  m_caller->Answer(head, {});
   End(RequestEnd::Refused, kUnavailable);
 }
 
--- a/Services/Edge/RequestRelay.h
+++ b/Services/Edge/RequestRelay.h
@@ -65,7 +65,7 @@
   CallListener MakeListener();
 
   HeadVerdict OnHead(const MessageHead& aHead);
-  void OnBody(std::string aPart);
+  void OnBody(std::string_view aPart);
   void OnComplete();
   void OnStreamPart(std::string_view aPart);
   void OnFailed(CallFailure aFailure);
--- a/Services/Edge/StoreLink.cpp
+++ b/Services/Edge/StoreLink.cpp
@@ -116,6 +116,8 @@
   m_context.m_metrics.OnStoreCall(aReply.m_status == PlatformStatus::Ok);
   if (aReply.m_status == PlatformStatus::HistoryGone) {
     LogSource("history-gone", aChoice);
+    m_storeProvedAt = m_context.m_loop.Now();
+    m_source.OnAnswer(aChoice, m_storeProvedAt);
     m_needsListing = true;
     m_pages.clear();
     m_pageAfter.clear();
@@ -200,7 +202,6 @@
   if (isOlder) {
     return;
   }
-  m_needsListing = m_needsListing && !aNews.m_isListing && !m_mirror.HasListing();
   Tell(aNews.m_isListing ? m_mirror.ApplyListing(aNews.m_keys, aNews.m_asOf, knownAt)
                          : m_mirror.Apply(aNews.m_keys, aNews.m_asOf, knownAt),
        aNews.m_sinceOutage);
@@ -300,7 +301,7 @@
   return *pool;
 }
 
-void StoreLink::Send(const std::string& aAddress, std::string aBytes, Duration aTimeout,
+void StoreLink::Send(const std::string& aAddress, const std::string& aBytes, Duration aTimeout,
                      std::function<void(int, const std::string&)> aOnDone) {
   ClientPool& pool = PoolOf(aAddress);
   const std::shared_ptr<Exchange> exchange = std::make_shared<Exchange>();
@@ -322,7 +323,7 @@
   listener.m_onBody = [exchange](const std::string& aPart) { exchange->m_body += aPart; };
   listener.m_onComplete = [this, exchange] { Finish(exchange, true); };
   listener.m_onFailed = [this, exchange](CallFailure) { Finish(exchange, false); };
-  exchange->m_channel->Send(std::move(aBytes), false, std::move(listener));
+  exchange->m_channel->Send(aBytes, false, std::move(listener));
 }
 
 void StoreLink::Finish(const std::shared_ptr<Exchange>& aExchange, bool aIsWhole) {
--- a/Services/Edge/StoreLink.h
+++ b/Services/Edge/StoreLink.h
@@ -71,7 +71,7 @@
   std::string NewsSince(Revision aAfter) const;
   ClientPool& PoolOf(const std::string& aAddress);
   /// aOnDone gets status 0 where no whole answer came in time.
-  void Send(const std::string& aAddress, std::string aBytes, Duration aTimeout,
+  void Send(const std::string& aAddress, const std::string& aBytes, Duration aTimeout,
             std::function<void(int, const std::string&)> aOnDone);
   void Finish(const std::shared_ptr<Exchange>& aExchange, bool aIsWhole);
   void LogSource(std::string_view aEvent, const MirrorSource::Choice& aChoice) const;
--- a/Tests/Edge/edge_process.py
+++ b/Tests/Edge/edge_process.py
@@ -10,7 +10,7 @@
 import unittest
 
 sys.path.insert(0, os.path.dirname(__file__))
-from standin import (Entry, Replica, Store, call, configuration, free_port, wait_until)
+from standin import (Entry, Proxy, Replica, Store, call, configuration, free_port, wait_until)
 
 BINARY = ""
 EVENTS = "text/event-stream"
@@ -249,6 +249,26 @@
                 self.assertEqual(revoked.status, 401)
             self.assertIsNotNone(cut)
 
+    async def test_others_stand_in_for_the_watcher_also_when_history_is_gone(self):
+        async with Fleet(entries=3) as fleet:
+            # The first entry by name asks the store for all of its data centre.
+            watcher = fleet.entries[0]
+            await wait_until(lambda: all(len({line["member"] for line in entry.lines("member")}) >= 3
+                                         for entry in fleet.entries))
+            proxy = await Proxy(fleet.store.address).start()
+            await watcher.end()
+            watcher.store_address = proxy.address
+            await watcher.start()
+            await wait_until(lambda: len(watcher.lines("ready")) == 2)
+            await asyncio.sleep(1.5)
+            proxy.mode = "refuse"
+            proxy.reset_all()
+            for version in (2, 3):
+                fleet.store.put("op/config", configuration(version))
+                fleet.store.compact()
+                await fleet.until_version(version)
+            await proxy.stop()
+
     async def test_a_lower_version_is_never_taken(self):
         async with Fleet() as fleet:
             fleet.store.put("op/config", configuration(5, extra_routes=["new"]))
--- a/Tests/Edge/standin.py
+++ b/Tests/Edge/standin.py
@@ -178,6 +178,65 @@
         return 200, {"mod-revision": self.revision}
 
 
+class Proxy:
+    """A TCP proxy on loopback whose connections can be delayed, reset, silenced or cut one way."""
+
+    def __init__(self, target):
+        self.target = target
+        self.mode = "pass"
+        self.delay_s = 0.0
+        self.server = None
+        self.writers = set()
+        self.address = ""
+
+    async def start(self):
+        self.server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
+        self.address = "127.0.0.1:%d" % self.server.sockets[0].getsockname()[1]
+        return self
+
+    def reset_all(self):
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    async def stop(self):
+        self.server.close()
+        self.reset_all()
+
+    async def _accept(self, reader, writer):
+        self.writers.add(writer)
+        if self.mode == "refuse":
+            writer.transport.abort()
+            return
+        try:
+            ip, port = self.target.split(":")
+            far_reader, far_writer = await asyncio.open_connection(ip, int(port))
+        except OSError:
+            writer.transport.abort()
+            return
+        self.writers.add(far_writer)
+        try:
+            await asyncio.gather(self._pump(reader, far_writer, "in"),
+                                 self._pump(far_reader, writer, "out"))
+        except asyncio.CancelledError:
+            pass
+        self.writers -= {writer, far_writer}
+
+    async def _pump(self, reader, writer, way):
+        try:
+            while data := await reader.read(65536):
+                while self.mode == "silent" or self.mode == f"cut-{way}":
+                    await asyncio.sleep(0.05)
+                    if writer.transport.is_closing():
+                        return
+                if self.delay_s:
+                    await asyncio.sleep(self.delay_s)
+                writer.write(data)
+                await writer.drain()
+            writer.close()
+        except (ConnectionError, asyncio.CancelledError):
+            writer.transport.abort()
+
+
 class Replica(Server):
     """A backend server. It records each run, and misbehaves as its faults say."""
 
