Tell a session that stays on the old version at the end of its requests too

Test: a_session_whose_request_outlasts_the_order_stays_on_its_version; fails with the program before, passes after.

--- a/Services/Edge/RequestRelay.cpp
+++ b/Services/Edge/RequestRelay.cpp
@@ -200,11 +200,15 @@
   m_leftTrial =
     now < rule.m_trialFrom || m_context.m_oldSessions.IsRunning(m_hash, sessionTime, now);
   if (m_leftTrial) {
-    m_context.m_oldSessions.OnServed(m_hash, now);
-    m_context.m_onOldSession(m_hash);
+    TellRunningSession();
   }
 }
 
+void RequestRelay::TellRunningSession() {
+  m_context.m_oldSessions.OnServed(m_hash, m_context.m_loop.Now());
+  m_context.m_onOldSession(m_hash);
+}
+
 std::vector<std::shared_ptr<BackendLink>> RequestRelay::Eligible() const {
   const Time now = m_context.m_loop.Now();
   const VersionRule rule = RuleForRequest();
@@ -359,6 +363,7 @@
   }
   attempt.m_channel = channel.Take();
   ++backend->m_running;
+  m_version = backend->m_record.m_version;
   const std::string bytes = EncodeForBackend(*backend, attempt.m_model);
   const bool isHead = m_request.m_head.m_method == "HEAD";
   m_attempt = std::move(attempt);
@@ -450,6 +455,15 @@
   m_context.m_loop.Cancel(m_timeUp);
   m_context.m_loop.Cancel(m_stall);
   ReleaseAttempt();
+  const auto found = m_context.m_versions.find(m_service);
+  const bool isTrial =
+    found != m_context.m_versions.end() && found->second.m_preference == VersionPreference::Trial;
+  const bool isOld = !m_version.empty() && isTrial && m_version != found->second.m_version;
+  if (isOld && !m_traits.m_session.empty() &&
+      IsInTrial(m_hash, TrialShare(m_context.m_facts.m_exposedShare))) {
+    // A session goes on for some time after the end of a request, however long that took.
+    TellRunningSession();
+  }
   const RouteKind kind = m_route == nullptr ? RouteKind::NonIdempotent : m_route->m_kind;
   m_context.m_metrics.OnRequestEnded(kind, aEnd);
   m_context.m_metrics.OnAnswered(kind, now - m_request.m_arrived);
--- a/Services/Edge/RequestRelay.h
+++ b/Services/Edge/RequestRelay.h
@@ -60,6 +60,7 @@
   std::vector<std::shared_ptr<BackendLink>> Eligible() const;
   VersionRule RuleForRequest() const;
   void KeepRunningSession();
+  void TellRunningSession();
   std::string ChooseModel() const;
   std::string EncodeForBackend(const BackendLink& aBackend, const std::string& aModel);
   CallListener MakeListener();
@@ -95,6 +96,8 @@
   const Route* m_route = nullptr;
   const ClientAccount* m_account = nullptr;
   std::string m_service;
+  /// Of the backend server that it was last sent to.
+  std::string m_version;
   RequestPlan m_plan{{}};
   EventFramer m_framer;
   std::optional<Attempt> m_attempt;
--- a/Tests/Edge/edge_process.py
+++ b/Tests/Edge/edge_process.py
@@ -351,6 +351,27 @@
                 if not is_good:
                     self.assertLess(exposed, 30 + 0.15 * number * 10)
 
+    async def test_a_session_whose_request_outlasts_the_order_stays_on_its_version(self):
+        async with Fleet() as fleet:
+            for replica in fleet.of("pool"):
+                replica.events, replica.work_s = 10, 0.15
+            sessions = [f"session-{number}" for number in range(60)]
+
+            async def ask_twice(session):
+                for number in (1, 2):
+                    await call(fleet.front, "/stream/", f"{session}-{number}", accept=EVENTS,
+                               headers=[("Session", session)])
+
+            asked = [asyncio.create_task(ask_twice(session)) for session in sessions]
+            await wait_until(lambda: all(fleet.runs(f"{session}-1") for session in sessions))
+            fleet.store.put("op/rollout/pool", {"backend": "pool", "target": "v2",
+                                                "duration-s": 20})
+            new = await fleet.add_replica("i-new", "pool", version="v2")
+            await wait_until(lambda: any(line["phase"] == "canary"
+                                         for line in fleet.entries[0].lines("rollout")))
+            await asyncio.gather(*asked)
+            self.assertEqual([run["id"] for run in new.runs], [])
+
     async def test_each_failures_story_is_found_by_its_request_id(self):
         causes = {"lost": "lost", "garbage": "spoilt", "half": "lost", "error": "failed",
                   "shed": "not-run"}
