Keep a request that has begun on its version in a trial, whatever moves it

Change: a second attempt stays with the version of the first; sessions are told from the order on. The test's times now leave room for a busy machine (3 s between requests instead of 0.5 s), and it asks the same; the order of two runs in another test goes by their time, not by server.

--- a/Libraries/LibRouting/VersionRule.h
+++ b/Libraries/LibRouting/VersionRule.h
@@ -30,6 +30,8 @@
 struct VersionRule {
   VersionPreference m_preference = VersionPreference::Any;
   std::string m_version;
+  /// The order is known and its trial has not begun.
+  bool m_isPending = false;
   /// Sessions of before the order have ended by then, or were seen since.
   Time m_trialFrom{};
 };
--- a/Services/Edge/Beliefs.cpp
+++ b/Services/Edge/Beliefs.cpp
@@ -152,6 +152,7 @@
   rule.m_version = order->second.m_version;
   const bool isBegun =
     record != m_records.end() && record->second.m_orderRevision == order->second.m_revision;
+  rule.m_isPending = !isBegun;
   if (!isBegun) {
     rule.m_preference = VersionPreference::Never;
     return;
--- a/Services/Edge/RequestRelay.cpp
+++ b/Services/Edge/RequestRelay.cpp
@@ -183,8 +183,10 @@
   const auto found = m_context.m_versions.find(m_service);
   VersionRule rule = found == m_context.m_versions.end() ? VersionRule{} : found->second;
   if (rule.m_preference == VersionPreference::Trial) {
-    const bool isChosen =
-      !m_leftTrial && IsInTrial(m_hash, TrialShare(m_context.m_facts.m_exposedShare));
+    // A request that has begun on another version is not moved by a second attempt either.
+    const bool runsElsewhere = !m_version.empty() && m_version != rule.m_version;
+    const bool isChosen = !m_leftTrial && !runsElsewhere &&
+                          IsInTrial(m_hash, TrialShare(m_context.m_facts.m_exposedShare));
     rule.m_preference = isChosen ? VersionPreference::Trial : VersionPreference::Never;
   }
   return rule;
@@ -457,7 +459,8 @@
   ReleaseAttempt();
   const auto found = m_context.m_versions.find(m_service);
   const bool isTrial =
-    found != m_context.m_versions.end() && found->second.m_preference == VersionPreference::Trial;
+    found != m_context.m_versions.end() &&
+    (found->second.m_preference == VersionPreference::Trial || found->second.m_isPending);
   const bool isOld = !m_version.empty() && isTrial && m_version != found->second.m_version;
   if (isOld && !m_traits.m_session.empty() &&
       IsInTrial(m_hash, TrialShare(m_context.m_facts.m_exposedShare))) {
--- a/Tests/Edge/edge_process.py
+++ b/Tests/Edge/edge_process.py
@@ -19,9 +19,10 @@
 class Fleet:
     """A store, backend servers and entries, all ready."""
 
-    def __init__(self, entries=1, pool=2, app=2):
+    def __init__(self, entries=1, pool=2, app=2, session_s=0.5):
         self.folder = tempfile.mkdtemp(prefix="fennelline-edge-")
         self.counts = (entries, pool, app)
+        self.session_s = session_s
         self.store = Store()
         self.replicas = []
         self.entries = []
@@ -38,7 +39,7 @@
         for number in range(entries):
             seeds = [entry.address("control") for entry in self.entries[:3]]
             self.entries.append(Entry(BINARY, self.folder, number, self.store.address, port, seeds,
-                                      first=False))
+                                      first=False, session_s=self.session_s))
         for entry in self.entries:
             await entry.start()
         for entry in self.entries:
@@ -185,7 +186,8 @@
             answer = await call(fleet.front, "/sized/", "s1", accept=EVENTS,
                                 headers=[("Fennelline-Model", "*")])
             self.assertTrue(answer.whole)
-            models = [run["headers"]["fennelline-model"] for run in fleet.runs("s1")]
+            runs = sorted(fleet.runs("s1"), key=lambda run: run["at"])
+            models = [run["headers"]["fennelline-model"] for run in runs]
             self.assertEqual(models, ["small", "large"])
 
     async def test_a_caller_that_leaves_ends_the_servers_work(self):
@@ -352,15 +354,16 @@
                     self.assertLess(exposed, 30 + 0.15 * number * 10)
 
     async def test_a_session_whose_request_outlasts_the_order_stays_on_its_version(self):
-        async with Fleet() as fleet:
+        # The first requests outlast the time in which a session of before the order is waited for.
+        async with Fleet(session_s=3) as fleet:
             for replica in fleet.of("pool"):
-                replica.events, replica.work_s = 10, 0.15
+                replica.events, replica.work_s = 15, 0.3
             sessions = [f"session-{number}" for number in range(60)]
 
             async def ask_twice(session):
                 for number in (1, 2):
                     await call(fleet.front, "/stream/", f"{session}-{number}", accept=EVENTS,
-                               headers=[("Session", session)])
+                               deadline_ms=8000, headers=[("Session", session)])
 
             asked = [asyncio.create_task(ask_twice(session)) for session in sessions]
             await wait_until(lambda: all(fleet.runs(f"{session}-1") for session in sessions))
