Remove what nothing uses; explicit types

Found at the reading of the diff: closing of idle channels and of a listener, a count of calls, and auto that was neither an iterator nor a lambda. No behaviour changes; TestServer and TestClientChannel pass.

--- a/Libraries/LibHttp/ClientChannel.cpp
+++ b/Libraries/LibHttp/ClientChannel.cpp
@@ -61,7 +61,6 @@
   m_isHead = aIsHead;
   m_sawBytes = false;
   m_sawHead = false;
-  ++m_calls;
   m_parser.Reset();
   if (aIsHead) {
     m_parser.ExpectNoBody();
--- a/Libraries/LibHttp/ClientChannel.h
+++ b/Libraries/LibHttp/ClientChannel.h
@@ -61,7 +61,6 @@
   bool IsOpen() const { return m_socket->IsOpen(); }
   /// Whether another call may be sent on it.
   bool IsReusable() const { return m_reusable && !m_busy && IsOpen(); }
-  bool WasUsed() const { return m_calls > 0; }
   Time IdleSince() const { return m_idleSince; }
   /// How long the server keeps the channel idle, where it says so.
   Duration ServerKeepsIdle() const { return m_serverKeepsIdle; }
@@ -86,7 +85,6 @@
   EventLoop::TimerId m_connectTimer = EventLoop::kNoTimer;
   Time m_idleSince{};
   Duration m_serverKeepsIdle{0};
-  int m_calls = 0;
   bool m_busy = false;
   bool m_isHead = false;
   bool m_reusable = true;
--- a/Libraries/LibHttp/HttpServer.cpp
+++ b/Libraries/LibHttp/HttpServer.cpp
@@ -26,11 +26,6 @@
   return {};
 }
 
-void HttpServer::StopListening() {
-  m_loop.Unwatch(m_watch);
-  m_listener.Close();
-}
-
 void HttpServer::AcceptAll() {
   while (m_listener.IsOpen()) {
     FileDescriptor accepted = AcceptStream(m_listener);
@@ -69,14 +64,6 @@
                 [](const std::shared_ptr<ServerChannel>& aChannel) { return !aChannel->IsOpen(); });
 }
 
-void HttpServer::CloseIdle(Duration aIdleFor) {
-  for (const std::shared_ptr<ServerChannel>& channel : m_channels) {
-    if (m_loop.Now() - channel->IdleSince() >= aIdleFor) {
-      channel->CloseIfIdle();
-    }
-  }
-}
-
 std::size_t HttpServer::CountBusy() const {
   return static_cast<std::size_t>(std::count_if(
     m_channels.begin(), m_channels.end(),
--- a/Libraries/LibHttp/HttpServer.h
+++ b/Libraries/LibHttp/HttpServer.h
@@ -18,9 +18,6 @@
 
   /// Listens on "IP:PORT". Port 0 takes a free one, see Port().
   Result<void> Listen(const std::string& aAddress);
-  void StopListening();
-  /// Closes the channels that have been idle for so long.
-  void CloseIdle(Duration aIdleFor);
   int Port() const { return LocalPort(m_listener); }
   std::size_t CountChannels() const { return m_channels.size(); }
   std::size_t CountBusy() const;
--- a/Libraries/LibHttp/MessageParser.cpp
+++ b/Libraries/LibHttp/MessageParser.cpp
@@ -27,7 +27,7 @@
   constexpr unsigned char kFirstPrintable = 0x20;
   constexpr unsigned char kDelete = 0x7f;
   return std::any_of(aText.begin(), aText.end(), [](char aCharacter) {
-    const auto code = static_cast<unsigned char>(aCharacter);
+    const unsigned char code = static_cast<unsigned char>(aCharacter);
     return (code < kFirstPrintable && aCharacter != '\t') || code == kDelete;
   });
 }
--- a/Libraries/LibHttp/StreamSocket.h
+++ b/Libraries/LibHttp/StreamSocket.h
@@ -62,7 +62,6 @@
   /// Whether any byte was handed to the kernel since the connection was made.
   bool HasSent() const { return m_sent; }
   bool IsOpen() const { return m_descriptor.IsOpen(); }
-  bool IsConnected() const { return IsOpen() && !m_connecting; }
   /// Stops or goes on to read, for back-pressure.
   void SetReading(bool aReading);
 
--- a/Services/Edge/EdgeLog.cpp
+++ b/Services/Edge/EdgeLog.cpp
@@ -26,7 +26,7 @@
   constexpr unsigned char kFirstPrintable = 0x20;
   constexpr unsigned char kLastAscii = 0x7e;
   for (const char character : aValue) {
-    const auto code = static_cast<unsigned char>(character);
+    const unsigned char code = static_cast<unsigned char>(character);
     if (character == '"' || character == '\\') {
       aText += '\\';
       aText += character;
--- a/Services/Edge/RequestRelay.cpp
+++ b/Services/Edge/RequestRelay.cpp
@@ -285,7 +285,7 @@
   const Time now = m_context.m_loop.Now();
   const Service* service = m_routes->FindService(m_service);
   const bool isEngine = service != nullptr && service->m_isEngine;
-  const auto entries = static_cast<double>(m_context.m_entries);
+  const double entries = static_cast<double>(m_context.m_entries);
   const PlacementQuery query = MakeQuery(isEngine);
   const double mostChannels =
     service == nullptr || service->m_mostChannels == 0
