--- /dev/null
+++ b/Tests/Ctl/TestRequestStory.cpp
@@ -0,0 +1,97 @@
+#include "Utilities/Ctl/RequestStory.h"
+
+#include <doctest/doctest.h>
+#include <sstream>
+
+using namespace fennelline;
+
+namespace {
+
+constexpr const char* kAttempt =
+  R"({"at":1000,"node":"a","event":"attempt","id":"r1","backend":"i-1","service":"pool","number":1,"reading":40.0})"
+  "\n";
+
+std::string AttemptEnd(const std::string& aOutcome, const std::string& aNext, double aTimeLeft) {
+  return R"({"at":1400,"node":"a","event":"attempt-end","id":"r1","backend":"i-1","outcome":")" +
+         aOutcome + R"(","next":")" + aNext + R"(","took":400.0,"time-left":)" +
+         std::to_string(aTimeLeft) + "}\n";
+}
+
+std::string End(const std::string& aEnd, int aSends) {
+  return R"({"at":1500,"node":"a","event":"request","id":"r1","end":")" + aEnd +
+         R"(","status":0,"sends":)" + std::to_string(aSends) + R"(,"took":500.0})" + "\n";
+}
+
+std::string Refused(const std::string& aReason) {
+  return R"({"at":1500,"node":"a","event":"refused","id":"r1","reason":")" + aReason +
+         R"(","retry-after":300.0})" + "\n";
+}
+
+RequestStory StoryOf(const std::string& aLogs) {
+  std::istringstream logs(aLogs);
+  Result<RequestStory> story = TellStory(logs, "r1");
+  REQUIRE(!story.IsError());
+  return story.Take();
+}
+
+StoryCause CauseOf(const std::string& aLogs) {
+  return StoryOf(aLogs).m_cause;
+}
+
+} // namespace
+
+TEST_CASE("each of twelve causes is found from a request's id") {
+  const std::string attempt = kAttempt;
+  CHECK(CauseOf(attempt + End("answered", 0)) == StoryCause::Answered);
+  CHECK(CauseOf(R"({"at":1,"node":"a","event":"rejected","id":"r1","reason":"no such key"})"
+                "\n" +
+                End("rejected", 0)) == StoryCause::Rejected);
+  CHECK(CauseOf(Refused("no configuration is known yet") + End("refused", 0)) ==
+        StoryCause::NoConfiguration);
+  CHECK(CauseOf(Refused("stopping") + End("refused", 0)) == StoryCause::Stopping);
+  CHECK(CauseOf(Refused("no backend server can take it") + End("refused", 0)) ==
+        StoryCause::NoServer);
+  CHECK(CauseOf(attempt + AttemptEnd("not-run", "refuse", 900.0) +
+                Refused("no backend server can take it") + End("refused", 1)) ==
+        StoryCause::TurnedAway);
+  CHECK(CauseOf(attempt + AttemptEnd("lost", "cut", 900.0) + End("cut", 1)) ==
+        StoryCause::ConnectionLost);
+  CHECK(CauseOf(attempt + AttemptEnd("spoilt", "fail", 900.0) + End("failed", 1)) ==
+        StoryCause::SpoiltAnswer);
+  CHECK(CauseOf(attempt + AttemptEnd("failed", "pass-on", 900.0) + End("server-failure", 1)) ==
+        StoryCause::ServerFailure);
+  CHECK(CauseOf(attempt + AttemptEnd("lost", "fail", -1.0) + End("failed", 1)) ==
+        StoryCause::TimeOver);
+  CHECK(CauseOf(attempt + End("caller-left", 1)) == StoryCause::CallerLeft);
+  CHECK(CauseOf(attempt) == StoryCause::NoEnd);
+}
+
+TEST_CASE("what the entry believed of the servers asked belongs to the story, in order of time") {
+  const std::string logs =
+    std::string("text that is no log line\n") + End("answered", 0) + kAttempt +
+    R"({"at":900,"node":"a","event":"backend","backend":"i-1","state":"ready"})"
+    "\n"
+    R"({"at":900,"node":"a","event":"backend","backend":"i-2","state":"gone"})"
+    "\n"
+    R"({"at":900,"node":"b","event":"dependency-lost","dependency":"store"})"
+    "\n"
+    R"(  12.3 a {"at":950,"node":"a","event":"configuration","version":7})"
+    "\n"
+    R"({"at":980,"node":"a","event":"attempt","id":"r2","backend":"i-1"})"
+    "\n";
+  const RequestStory story = StoryOf(logs);
+  REQUIRE(story.m_lines.size() == 4);
+  CHECK(!story.m_lines[0].m_isOwn);
+  CHECK(story.m_lines[0].m_text.find("i-1") != std::string::npos);
+  CHECK(story.m_lines[1].m_text.find("configuration") != std::string::npos);
+  CHECK(story.m_lines[2].m_isOwn);
+  CHECK(story.m_lines[3].m_at == 1500);
+  CHECK(PrintStory(story).find("answered") == 0);
+}
+
+TEST_CASE("an id that no line has is an error that names it") {
+  std::istringstream logs(kAttempt);
+  const Result<RequestStory> story = TellStory(logs, "r9");
+  REQUIRE(story.IsError());
+  CHECK(story.GetError().m_detail.find("r9") != std::string::npos);
+}
--- a/Tests/Edge/edge_process.py
+++ b/Tests/Edge/edge_process.py
@@ -417,6 +417,58 @@
                 self.assertTrue(all("configuration" in line and "belief-age" in line
                                     for line in story if line["event"] == "attempt"))
 
+    async def test_the_tool_names_each_of_twelve_causes_from_a_requests_id(self):
+        async def explain(entry, request):
+            tool = await asyncio.create_subprocess_exec(
+                os.path.join(os.path.dirname(BINARY), "fennelline-ctl"), "explain", request,
+                f"--logs={entry.log_path}", stdout=asyncio.subprocess.PIPE)
+            text, _ = await tool.communicate()
+            return text.decode().splitlines()[0]
+
+        async def expect(entry, request, cause):
+            await wait_until(lambda: any(line.get("id") == request
+                                         for line in entry.lines("request")), what=f"{request} ends")
+            self.assertIn(cause, await explain(entry, request))
+
+        async with Fleet() as fleet:
+            entry = fleet.entries[0]
+            app = fleet.of("app")
+            await call(fleet.front, "/once/", "answered")
+            await expect(entry, "answered", "answered")
+            await call(fleet.front, "/once/", "key", key="unknown")
+            await expect(entry, "key", "rejected by the entry: no such key")
+            await call(fleet.front, "/nowhere/", "path")
+            await expect(entry, "path", "rejected by the entry: no such route")
+            for fault, cause in {"lost": "a server's connection broke",
+                                 "half": "a server's connection broke",
+                                 "garbage": "a server's answer was spoilt",
+                                 "error": "a server failed it",
+                                 "shed": "servers turned it away"}.items():
+                for replica in app:
+                    replica.fault = fault
+                await call(fleet.front, "/once/", fault)
+                await expect(entry, fault, cause)
+            for replica in app:
+                replica.fault = "hang"
+            await call(fleet.front, "/once/", "time", deadline_ms=300)
+            await expect(entry, "time", "its time was over")
+            for replica in fleet.of("pool"):
+                replica.events, replica.work_s = 1000, 0.02
+            await call(fleet.front, "/stream/", "left", accept=EVENTS, stop_after=10)
+            await expect(entry, "left", "the caller left")
+            for replica in app:
+                replica.fault = None
+                fleet.store.delete(f"servers/{replica.name}")
+            await wait_until(lambda: sum(line.get("state") == "gone"
+                                         for line in entry.lines("backend")) == len(app))
+            await call(fleet.front, "/once/", "none")
+            await expect(entry, "none", "no server could be used")
+            killed = asyncio.create_task(call(fleet.front, "/stream/", "killed", accept=EVENTS))
+            await wait_until(lambda: any(line.get("id") == "killed" for line in entry.lines("attempt")))
+            await entry.end()
+            await killed
+            self.assertIn("no end was logged", await explain(entry, "killed"))
+
 
 if __name__ == "__main__":
     BINARY = os.path.join(sys.argv.pop(1), "fennelline-edge")
--- a/Utilities/Ctl/Main.cpp
+++ b/Utilities/Ctl/Main.cpp
@@ -3,10 +3,12 @@
 #include "Utilities/Ctl/ConfigurationCommands.h"
 #include "Utilities/Ctl/ConfigurationEdits.h"
 #include "Utilities/Ctl/FleetCommands.h"
+#include "Utilities/Ctl/RequestStory.h"
 
 #include <charconv>
 #include <gflags/gflags.h>
 #include <iostream>
+#include <sstream>
 
 DEFINE_string(platform, "", "The platform's address, IP:PORT");
 DEFINE_string(admin, "",
@@ -17,6 +19,9 @@
 DEFINE_string(out, "", "show: write the document to this file for editing");
 DEFINE_string(at, "", "apply: the revision that the file was read at; 0 for the first document");
 DEFINE_string(wait, "3s", "in-force: how long to wait, such as 3s or 500ms");
+DEFINE_string(logs, "",
+              "explain: files with the log lines of fennelline-edge processes, with commas between "
+              "them; - for standard input");
 DEFINE_string(mode, "", "withdraw: drain (sessions finish) or revoke (nothing more at all)");
 DEFINE_string(from, "", "rollout start: the present version, MODEL@NUMBER");
 DEFINE_string(to, "", "rollout start: the new version, MODEL@NUMBER");
@@ -38,6 +43,7 @@
   "  status                          entries, backend servers, revisions, spend\n"
   "  in-force REVISION [--wait 3s]   waits until each entry has the revision\n"
   "  explain REQUEST                 why a request went where it went, by its key\n"
+  "  explain REQUEST --logs FILE,... the same by its id, out of the logs of fennelline-edge\n"
   "  key-hash                        reads a key from standard input, prints its SHA-256\n"
   "  bill                            what each customer owes\n"
   "The commands on the configuration and bill want --platform IP:PORT; status, in-force and\n"
@@ -199,6 +205,27 @@
   return wait ? commands.InForce(revision, wait.Get()) : aSession.m_output.Report(wait.GetError());
 }
 
+ExitCode ExplainFromLogs(Session& aSession) {
+  const std::string request = aSession.Word(1);
+  if (request.empty()) {
+    return aSession.m_output.Report(Missing("explain: give the request's id"));
+  }
+  std::stringstream logs;
+  for (const std::string& path : SplitList(FLAGS_logs)) {
+    const Result<std::string> text = ReadInput(path);
+    if (text.IsError()) {
+      return aSession.m_output.Report(text.GetError());
+    }
+    logs << text.Get() << "\n";
+  }
+  const Result<RequestStory> story = TellStory(logs, request);
+  if (story.IsError()) {
+    return aSession.m_output.Report(story.GetError());
+  }
+  aSession.m_output.Print(PrintStory(story.Get()));
+  return ExitCode::Ok;
+}
+
 ExitCode KeyHash(Session& aSession) {
   std::string key;
   if (!std::getline(std::cin, key) || key.empty()) {
@@ -239,6 +266,9 @@
   if (command == "key-hash") {
     return KeyHash(session);
   }
+  if (command == "explain" && !FLAGS_logs.empty()) {
+    return ExplainFromLogs(session);
+  }
   if (command == "status" || command == "in-force" || command == "explain") {
     return RunFleetCommand(session, command);
   }
--- /dev/null
+++ b/Utilities/Ctl/RequestStory.cpp
@@ -0,0 +1,222 @@
+#include "Utilities/Ctl/RequestStory.h"
+
+#include "LibBase/NameTable.h"
+
+#include <algorithm>
+#include <array>
+#include <nlohmann/json.hpp>
+#include <set>
+
+namespace fennelline {
+
+namespace {
+
+using nlohmann::json;
+
+/// What an entry came to believe so long before a request may have decided it: the bound for a
+/// change to be in force everywhere is two to three seconds.
+constexpr std::int64_t kBeforeMs = 3000;
+
+/// Events that bear on each request of the entry that logged them.
+constexpr std::array<std::string_view, 9> kBeliefEvents = {"dependency-lost",
+                                                           "dependency-regained",
+                                                           "configuration",
+                                                           "rollout",
+                                                           "rollout-decision",
+                                                           "start",
+                                                           "stop",
+                                                           "history-gone",
+                                                           "log-dropped"};
+
+std::string TextOf(const json& aLine, const char* aField) {
+  const auto found = aLine.find(aField);
+  return found != aLine.end() && found->is_string() ? found->get<std::string>() : std::string();
+}
+
+double NumberOf(const json& aLine, const char* aField) {
+  const auto found = aLine.find(aField);
+  return found != aLine.end() && found->is_number() ? found->get<double>() : 0.0;
+}
+
+std::int64_t TimeOf(const json& aLine) {
+  return static_cast<std::int64_t>(NumberOf(aLine, "at"));
+}
+
+std::string Rounded(double aMs) {
+  return std::to_string(static_cast<std::int64_t>(aMs)) + " ms";
+}
+
+/// What the request's own lines hold that tells the cause.
+struct Facts {
+  json m_end;
+  json m_refusal;
+  json m_lastAttemptEnd;
+  std::set<std::string> m_nodes;
+  std::set<std::string> m_servers;
+  double m_longestReading = 0.0;
+  int m_stalls = 0;
+  int m_escalations = 0;
+};
+
+Facts Gather(const std::vector<json>& aOwn) {
+  Facts facts;
+  for (const json& line : aOwn) {
+    const std::string event = TextOf(line, "event");
+    facts.m_nodes.insert(TextOf(line, "node"));
+    if (!TextOf(line, "backend").empty()) {
+      facts.m_servers.insert(TextOf(line, "backend"));
+    }
+    facts.m_end = event == "request" ? line : facts.m_end;
+    facts.m_refusal = event == "refused" || event == "rejected" ? line : facts.m_refusal;
+    facts.m_lastAttemptEnd = event == "attempt-end" ? line : facts.m_lastAttemptEnd;
+    facts.m_stalls += event == "stalled" ? 1 : 0;
+    facts.m_escalations += event == "escalate" ? 1 : 0;
+    if (event == "attempt") {
+      facts.m_longestReading = std::max(facts.m_longestReading, NumberOf(line, "reading"));
+    }
+  }
+  return facts;
+}
+
+StoryCause CauseOfRefusal(const Facts& aFacts) {
+  const std::string reason = TextOf(aFacts.m_refusal, "reason");
+  if (reason == "stopping") {
+    return StoryCause::Stopping;
+  }
+  if (reason == "no configuration is known yet") {
+    return StoryCause::NoConfiguration;
+  }
+  return NumberOf(aFacts.m_end, "sends") > 0 ? StoryCause::TurnedAway : StoryCause::NoServer;
+}
+
+StoryCause CauseOfFailure(const Facts& aFacts) {
+  const std::string outcome = TextOf(aFacts.m_lastAttemptEnd, "outcome");
+  if (outcome == "spoilt") {
+    return StoryCause::SpoiltAnswer;
+  }
+  return NumberOf(aFacts.m_lastAttemptEnd, "time-left") <= 0.0 ? StoryCause::TimeOver
+                                                               : StoryCause::ConnectionLost;
+}
+
+StoryCause CauseOf(const Facts& aFacts) {
+  const std::string end = TextOf(aFacts.m_end, "end");
+  if (end.empty()) {
+    return StoryCause::NoEnd;
+  }
+  if (end == "answered") {
+    return StoryCause::Answered;
+  }
+  if (end == "rejected") {
+    return StoryCause::Rejected;
+  }
+  if (end == "refused") {
+    return CauseOfRefusal(aFacts);
+  }
+  if (end == "caller-left") {
+    return StoryCause::CallerLeft;
+  }
+  return end == "server-failure" ? StoryCause::ServerFailure : CauseOfFailure(aFacts);
+}
+
+std::string Summarize(const Facts& aFacts, StoryCause aCause) {
+  std::string text(NameOf(aCause));
+  if (aCause == StoryCause::NoEnd) {
+    return text + ": last heard of at " + *aFacts.m_nodes.begin();
+  }
+  const std::string reason = TextOf(aFacts.m_refusal, "reason");
+  text += reason.empty() ? "" : ": " + reason;
+  const std::string server = TextOf(aFacts.m_lastAttemptEnd, "backend");
+  text += server.empty() ? ""
+                         : "; last failed at " + server + " after " +
+                             Rounded(NumberOf(aFacts.m_lastAttemptEnd, "took"));
+  text += "; ended after " + Rounded(NumberOf(aFacts.m_end, "took"));
+  if (aFacts.m_end.contains("first-byte")) {
+    text += ", first byte after " + Rounded(NumberOf(aFacts.m_end, "first-byte")) +
+            ", longest pause " + Rounded(NumberOf(aFacts.m_end, "longest-pause"));
+  }
+  text += "; prompts to read were foreseen to take " + Rounded(aFacts.m_longestReading);
+  text += aFacts.m_escalations > 0 ? "; a larger model was asked as well" : "";
+  text += aFacts.m_stalls > 0 ? "; " + std::to_string(aFacts.m_stalls) + " silent servers" : "";
+  return text;
+}
+
+bool BearsOn(const json& aLine, const Facts& aFacts, std::int64_t aFrom, std::int64_t aTo) {
+  const std::int64_t at = TimeOf(aLine);
+  if (at < aFrom - kBeforeMs || at > aTo || !aFacts.m_nodes.contains(TextOf(aLine, "node"))) {
+    return false;
+  }
+  const std::string event = TextOf(aLine, "event");
+  const bool isOfServer = event == "backend" && aFacts.m_servers.contains(TextOf(aLine, "backend"));
+  return isOfServer ||
+         std::find(kBeliefEvents.begin(), kBeliefEvents.end(), event) != kBeliefEvents.end();
+}
+
+} // namespace
+
+std::string_view NameOf(StoryCause aCause) {
+  static constexpr NameTable<StoryCause, 12> kNames = {{
+    {StoryCause::Answered, "answered"},
+    {StoryCause::Rejected, "rejected by the entry"},
+    {StoryCause::NoConfiguration, "no configuration was known"},
+    {StoryCause::Stopping, "the entry was stopping"},
+    {StoryCause::NoServer, "no server could be used"},
+    {StoryCause::TurnedAway, "servers turned it away"},
+    {StoryCause::ConnectionLost, "a server's connection broke"},
+    {StoryCause::SpoiltAnswer, "a server's answer was spoilt"},
+    {StoryCause::ServerFailure, "a server failed it"},
+    {StoryCause::TimeOver, "its time was over"},
+    {StoryCause::CallerLeft, "the caller left"},
+    {StoryCause::NoEnd, "no end was logged"},
+  }};
+  return NameOf(kNames, aCause);
+}
+
+Result<RequestStory> TellStory(std::istream& aLogs, const std::string& aRequest) {
+  std::vector<json> own;
+  std::vector<json> others;
+  std::string text;
+  while (std::getline(aLogs, text)) {
+    const std::size_t start = text.find('{');
+    json line = start == std::string::npos
+                  ? json()
+                  : json::parse(text.begin() + static_cast<std::ptrdiff_t>(start), text.end(),
+                                nullptr, false);
+    if (line.is_object()) {
+      const bool isOwn = TextOf(line, "id") == aRequest;
+      (isOwn ? own : others).push_back(std::move(line));
+    }
+  }
+  if (own.empty()) {
+    return MakeError(ErrorCode::NotFound, "no log line has the request id " + aRequest);
+  }
+  const Facts facts = Gather(own);
+  RequestStory story;
+  story.m_cause = CauseOf(facts);
+  story.m_summary = Summarize(facts, story.m_cause);
+  std::int64_t from = TimeOf(own.front());
+  std::int64_t until = from;
+  for (const json& line : own) {
+    from = std::min(from, TimeOf(line));
+    until = std::max(until, TimeOf(line));
+    story.m_lines.push_back({.m_at = TimeOf(line), .m_isOwn = true, .m_text = line.dump()});
+  }
+  for (const json& line : others) {
+    if (BearsOn(line, facts, from, until)) {
+      story.m_lines.push_back({.m_at = TimeOf(line), .m_isOwn = false, .m_text = line.dump()});
+    }
+  }
+  std::stable_sort(
+    story.m_lines.begin(), story.m_lines.end(),
+    [](const StoryLine& aOne, const StoryLine& aOther) { return aOne.m_at < aOther.m_at; });
+  return story;
+}
+
+std::string PrintStory(const RequestStory& aStory) {
+  std::string text = aStory.m_summary + "\n";
+  for (const StoryLine& line : aStory.m_lines) {
+    text += (line.m_isOwn ? "  " : "  (also) ") + line.m_text + "\n";
+  }
+  return text;
+}
+
+} // namespace fennelline
