--- a/Services/Edge/RelayAnswer.cpp
+++ b/Services/Edge/RelayAnswer.cpp
@@ -4,8 +4,6 @@
 #include "Services/Edge/RequestRelay.h"
 #include "platform/RequestCodec.h"
 
-#include <algorithm>
-
 namespace fennelline {
 
 namespace {
@@ -91,18 +89,14 @@
 
 double RequestRelay::MsBehind() const {
   const Time now = m_context.m_loop.Now();
-  std::vector<Duration> left;
-  for (const std::shared_ptr<BackendLink>& backend : Eligible()) {
-    left.push_back(backend->m_reading.Left(now));
-  }
-  if (left.empty()) {
-    return 0.0;
+  double sum = 0.0;
+  const std::vector<std::shared_ptr<BackendLink>> eligible = Eligible();
+  for (const std::shared_ptr<BackendLink>& backend : eligible) {
+    sum += InSeconds(backend->m_reading.Left(now));
   }
-  // The median: a few servers with long prompts say nothing of the others.
-  const auto middle = left.begin() + static_cast<std::ptrdiff_t>(left.size() / 2);
-  std::nth_element(left.begin(), middle, left.end());
   constexpr double kMillisecondsPerSecond = 1000.0;
-  return InSeconds(*middle) * kMillisecondsPerSecond;
+  return eligible.empty() ? 0.0
+                          : sum * kMillisecondsPerSecond / static_cast<double>(eligible.size());
 }
 
 void RequestRelay::Escalate() {
