Do not pile up kept channels after calls on new ones

Ruled out: the server crashing (other requests ran there meanwhile); the addresses' being used again (its id answered). Change: a new channel that is given back takes the place of the oldest kept one.

--- a/Libraries/LibHttp/ClientPool.cpp
+++ b/Libraries/LibHttp/ClientPool.cpp
@@ -44,15 +44,30 @@
     m_loop, m_settings.m_address, m_settings.m_connectTime, m_settings.m_socket));
   ++m_onLoan;
   ++m_connected;
+  if (aFresh) {
+    m_fresh.push_back(channel.get());
+  }
   return channel;
 }
 
+void ClientPool::DropOldest() {
+  m_idle.front()->SetOnClosed({});
+  m_idle.front()->Abandon();
+  m_idle.erase(m_idle.begin());
+}
+
 void ClientPool::GiveBack(const std::shared_ptr<ClientChannel>& aChannel) {
   --m_onLoan;
+  const bool wasFresh = std::erase(m_fresh, aChannel.get()) > 0;
   if (!aChannel->IsReusable()) {
     aChannel->Abandon();
     return;
   }
+  if (wasFresh && !m_idle.empty()) {
+    // Calls on new channels would pile up kept ones. Servers take a limited number of channels from
+    // all callers and reset more, under requests that may have run for all that anyone can tell.
+    DropOldest();
+  }
   aChannel->SetOnClosed([this, raw = aChannel.get()] {
     std::erase_if(
       m_idle, [raw](const std::shared_ptr<ClientChannel>& aKept) { return aKept.get() == raw; });
@@ -63,9 +78,7 @@
 void ClientPool::Sweep() {
   // The oldest stand first, for the newest are used first.
   while (!m_idle.empty() && IsTooOld(*m_idle.front())) {
-    m_idle.front()->SetOnClosed({});
-    m_idle.front()->Abandon();
-    m_idle.erase(m_idle.begin());
+    DropOldest();
   }
 }
 
--- a/Libraries/LibHttp/ClientPool.h
+++ b/Libraries/LibHttp/ClientPool.h
@@ -41,11 +41,15 @@
   std::uint64_t CountConnected() const { return m_connected; }
 
 private:
+  /// Closes the kept channel that was used longest ago.
+  void DropOldest();
   bool IsTooOld(const ClientChannel& aChannel) const;
 
   EventLoop& m_loop;
   ClientPoolSettings m_settings;
   std::vector<std::shared_ptr<ClientChannel>> m_idle;
+  /// Those on loan that were asked for as new ones.
+  std::vector<const ClientChannel*> m_fresh;
   std::size_t m_onLoan = 0;
   std::uint64_t m_connected = 0;
 };
--- a/Tests/LibHttp/TestClientChannel.cpp
+++ b/Tests/LibHttp/TestClientChannel.cpp
@@ -3,6 +3,7 @@
 
 #include <doctest/doctest.h>
 #include <memory>
+#include <vector>
 
 using namespace fennelline;
 
@@ -180,3 +181,24 @@
   CHECK(pool.Take(false).Take() == channel);
   CHECK(pool.CountConnected() == 2);
 }
+
+TEST_CASE("calls on new channels do not pile up kept ones at the server") {
+  ScriptedServer server;
+  ClientPool pool(server.m_loop, {.m_address = server.m_address});
+  std::vector<FileDescriptor> accepted;
+  for (int call = 0; call < 20; ++call) {
+    const std::shared_ptr<ClientChannel> channel = pool.Take(true).Take();
+    CallRecord record;
+    channel->Send("POST / HTTP/1.1\r\n\r\n", false, record.Listener("a"));
+    server.Accept();
+    server.Send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    REQUIRE(RunUntil(server.m_loop, [&record] { return record.IsOver(); }));
+    REQUIRE(record.m_isComplete);
+    pool.GiveBack(channel);
+    accepted.push_back(std::move(server.m_accepted));
+    CHECK(pool.CountOpen() == 1);
+  }
+  // A call that may use a kept channel finds one.
+  CHECK(!pool.Take(false).IsError());
+  CHECK(pool.CountConnected() == 20);
+}
