Log the content and the connection's failure at the end of an attempt

Nothing in the logs linked two request ids with the same content, or told a crashed server (its address refuses the next connection) from a reset.

Change: attempt-end has 'failure' (refused, not-sent, no-answer, broken-answer, malformed) and, for a lost attempt, 'content', a hash of account, method, target and body that is computed only then. CallFailure tells a refused connection from others that failed before a byte was sent; TestClientConnection now asks for Refused where it asked for NotSent, which is stricter.

--- a/Libraries/LibHttp/ClientConnection.cpp
+++ b/Libraries/LibHttp/ClientConnection.cpp
@@ -77,7 +77,10 @@
   m_socket->Reset();
 }
 
-CallFailure ClientConnection::CurrentFailure() const {
+CallFailure ClientConnection::FailureAt(SocketEnd aEnd) const {
+  if (aEnd == SocketEnd::Refused) {
+    return CallFailure::Refused;
+  }
   if (!m_socket->HasSent()) {
     return CallFailure::NotSent;
   }
@@ -104,7 +107,7 @@
     FinishCall();
     return;
   }
-  Fail(CurrentFailure());
+  Fail(FailureAt(aEnd));
 }
 
 void ClientConnection::OnInput() {
--- a/Libraries/LibHttp/ClientConnection.h
+++ b/Libraries/LibHttp/ClientConnection.h
@@ -15,6 +15,8 @@
 
 /// How far a call progressed before it failed, in order of progress.
 enum class CallFailure : std::uint8_t {
+  /// Nothing listens at the server's address.
+  Refused,
   /// The connection could not be established, or failed before any request byte was written.
   NotSent,
   /// The server may have read the request, but sent no response.
@@ -25,7 +27,8 @@
   Malformed,
 };
 
-constexpr NameTable<CallFailure, 4> kCallFailureNames = {{
+constexpr NameTable<CallFailure, 5> kCallFailureNames = {{
+  {CallFailure::Refused, "refused"},
   {CallFailure::NotSent, "not-sent"},
   {CallFailure::NoResponse, "no-answer"},
   {CallFailure::TruncatedResponse, "broken-answer"},
@@ -75,7 +78,7 @@
   bool OnHead();
   void FinishCall();
   void Fail(CallFailure aFailure);
-  CallFailure CurrentFailure() const;
+  CallFailure FailureAt(SocketEnd aEnd) const;
 
   EventLoop& m_loop;
   std::shared_ptr<StreamSocket> m_socket;
--- a/Libraries/LibHttp/StreamSocket.cpp
+++ b/Libraries/LibHttp/StreamSocket.cpp
@@ -101,7 +101,7 @@
   socklen_t length = sizeof(problem);
   getsockopt(m_descriptor.Number(), SOL_SOCKET, SO_ERROR, &problem, &length);
   if (problem != 0) {
-    End(SocketEnd::Failed);
+    End(problem == ECONNREFUSED ? SocketEnd::Refused : SocketEnd::Failed);
     return;
   }
   m_connecting = false;
--- a/Libraries/LibHttp/StreamSocket.h
+++ b/Libraries/LibHttp/StreamSocket.h
@@ -16,6 +16,8 @@
 enum class SocketEnd : std::uint8_t {
   /// The peer closed its sending direction in an orderly way.
   Closed,
+  /// Nothing listens at the address.
+  Refused,
   /// The connection was reset, timed out or could not be established.
   Failed,
 };
--- a/Services/Edge/RelayAnswer.cpp
+++ b/Services/Edge/RelayAnswer.cpp
@@ -230,14 +230,15 @@
     return;
   }
   const Time now = m_context.m_loop.Now();
+  m_attempt->m_failure = aFailure;
   switch (aFailure) {
+    case CallFailure::Refused:
     case CallFailure::NotSent:
       m_attempt->m_backend->m_health.OnUnreachable(now);
       EndAttempt(AttemptOutcome::NotSent);
       return;
     case CallFailure::NoResponse:
     case CallFailure::TruncatedResponse:
-      m_attempt->m_isBroken = true;
       EndAttempt(AttemptOutcome::Lost);
       return;
     case CallFailure::Malformed:
@@ -271,6 +272,7 @@
   m_framer.DropPartial();
   // Stop the work on the previous server before the request runs on another one.
   const Duration took = now - m_attempt->m_sentAt;
+  const std::optional<CallFailure> failure = m_attempt->m_failure;
   ReleaseAttempt();
   m_context.m_metrics.OnAttemptEnded(aOutcome);
   const NextAction action = m_retryPolicy.OnOutcome(
@@ -278,6 +280,12 @@
   LogLine line("attempt-end");
   line.Text("id", m_metadata.m_requestId).Text("backend", backend->m_record.m_id);
   line.Text("outcome", NameOf(kAttemptOutcomeNames, aOutcome));
+  if (failure) {
+    line.Text("failure", NameOf(kCallFailureNames, *failure));
+  }
+  if (aOutcome == AttemptOutcome::Lost) {
+    line.Text("content", Fingerprint());
+  }
   line.Text("next", NameOf(kNextActionNames, action)).Ms("took", took);
   line.Count("events", m_framer.CountEvents()).Flag("answer-begun", m_answerBegun);
   line.Ms("time-left", m_retryPolicy.Promise().m_answerBy - now);
@@ -358,7 +366,7 @@
        .m_kind = m_route->m_name + "/" + m_attempt->m_model,
        .m_latency = MeasuredLatency(),
        .m_isBad = aIsBad,
-       .m_brokenServer = m_attempt->m_isBroken ? m_attempt->m_backend->m_identity : 0});
+       .m_brokenServer = m_attempt->IsBroken() ? m_attempt->m_backend->m_identity : 0});
   }
 }
 
--- a/Services/Edge/RequestRelay.cpp
+++ b/Services/Edge/RequestRelay.cpp
@@ -1,5 +1,6 @@
 #include "Services/Edge/RequestRelay.h"
 
+#include "LibRouting/ContentFingerprint.h"
 #include "LibRouting/ShutdownPolicy.h"
 #include "Services/Edge/Hash.h"
 #include "platform/RequestCodec.h"
@@ -151,6 +152,15 @@
   return rule;
 }
 
+const std::string& RequestRelay::Fingerprint() {
+  if (m_fingerprint.empty()) {
+    m_fingerprint =
+      ContentFingerprint(m_account == nullptr ? "" : m_account->m_name, m_request.m_head.m_method,
+                         m_request.m_head.m_target, m_request.m_body);
+  }
+  return m_fingerprint;
+}
+
 void RequestRelay::KeepSessionOnOldVersion() {
   const VersionRule rule = RuleForRequest();
   if (rule.m_preference != VersionPreference::Trial || m_metadata.m_session.empty()) {
--- a/Services/Edge/RequestRelay.h
+++ b/Services/Edge/RequestRelay.h
@@ -40,9 +40,14 @@
     /// The server rejected the request without executing it.
     bool m_notRun = false;
     bool m_isStream = false;
-    /// The connection to the server broke.
-    bool m_isBroken = false;
+    /// How the call failed; none if it did not fail on the connection.
+    std::optional<CallFailure> m_failure;
     std::string m_body;
+
+    /// The connection broke after the request, or part of it, had been sent.
+    bool IsBroken() const {
+      return m_failure == CallFailure::NoResponse || m_failure == CallFailure::TruncatedResponse;
+    }
   };
   /// A backend server's error response, forwarded if all further attempts fail too.
   struct FailureAnswer {
@@ -65,6 +70,7 @@
   void RecordPrefill(BackendLink& aBackend, const PlacementQuery& aQuery, bool aIsPrefixCached);
   std::vector<std::shared_ptr<BackendLink>> Eligible() const;
   VersionRule RuleForRequest() const;
+  const std::string& Fingerprint();
   void KeepSessionOnOldVersion();
   void AnnounceOldVersionSession();
   std::string ChooseModel() const;
@@ -111,6 +117,8 @@
   /// Ids of backend servers that this request is not sent to again.
   std::vector<std::string> m_triedBackends;
   std::uint64_t m_hash = 0;
+  /// See Fingerprint(); empty until it is needed.
+  std::string m_fingerprint;
   /// Part of a response has been sent to the caller.
   bool m_answerBegun = false;
   /// Prompt tokens that need prefill: those outside a prefix that the server has cached.
--- a/Tests/LibHttp/TestClientConnection.cpp
+++ b/Tests/LibHttp/TestClientConnection.cpp
@@ -113,7 +113,7 @@
     CallRecord record;
     pool.Acquire(false).Take()->Send(kRequest, false, record.Listener("mine"));
     REQUIRE(RunUntil(loop, [&] { return record.HasEnded(); }));
-    CHECK(record.m_failure == CallFailure::NotSent);
+    CHECK(record.m_failure == CallFailure::Refused);
   }
   SUBCASE("reset before a response") {
     Exchange exchange;
--- a/Tests/LibRouting/TestSmallParts.cpp
+++ b/Tests/LibRouting/TestSmallParts.cpp
@@ -1,3 +1,4 @@
+#include "LibRouting/ContentFingerprint.h"
 #include "LibRouting/EntryDirectory.h"
 #include "LibRouting/EscalationPolicy.h"
 #include "LibRouting/LatencyBaseline.h"
@@ -163,3 +164,13 @@
   CHECK(DecodeSessionHashes(EncodeSessionHashes({1, ~0ULL})).Get().back() == ~0ULL);
   CHECK(DecodeSessionHashes("x").IsError());
 }
+
+TEST_CASE("contents differ by account, method, target and body, and by nothing else") {
+  const std::string content = ContentFingerprint("shop", "POST", "/a/1", "body");
+  CHECK(content == ContentFingerprint("shop", "POST", "/a/1", "body"));
+  CHECK(content != ContentFingerprint("other", "POST", "/a/1", "body"));
+  CHECK(content != ContentFingerprint("shop", "PUT", "/a/1", "body"));
+  CHECK(content != ContentFingerprint("shop", "POST", "/a/2", "body"));
+  CHECK(content != ContentFingerprint("shop", "POST", "/a/1", "bodies"));
+  CHECK(content != ContentFingerprint("shop", "POST", "/a/", "1body"));
+}
