--- a/Tests/Edge/edge_process.py
+++ b/Tests/Edge/edge_process.py
@@ -13,76 +13,12 @@
 import unittest
 
 sys.path.insert(0, os.path.dirname(__file__))
-from standin import (Entry, Proxy, Replica, Store, call, configuration, free_port, wait_until)
+from fleet import Fleet
+from standin import Entry, Proxy, Replica, Store, call, configuration, free_port, wait_until
 
-BINARY = ""
 EVENTS = "text/event-stream"
 
 
-class Fleet:
-    """A fake store, fake backend servers and entries; ready once entered as a context."""
-
-    def __init__(self, entries=1, pool=2, app=2, session_s=0.5):
-        self.folder = tempfile.mkdtemp(prefix="fennelline-edge-")
-        self.counts = (entries, pool, app)
-        self.session_s = session_s
-        self.store = Store()
-        self.replicas = []
-        self.entries = []
-
-    async def __aenter__(self):
-        entries, pool, app = self.counts
-        await self.store.start()
-        self.store.put("op/config", configuration(1))
-        for number in range(pool):
-            await self.add_replica(f"i-pool-{number}", "pool")
-        for number in range(app):
-            await self.add_replica(f"i-app-{number}", "app")
-        port = free_port()
-        for number in range(entries):
-            seeds = [entry.address("control") for entry in self.entries[:3]]
-            self.entries.append(Entry(BINARY, self.folder, number, self.store.address, port, seeds,
-                                      first=False, session_s=self.session_s))
-        for entry in self.entries:
-            await entry.start()
-        for entry in self.entries:
-            await self.until_ready(entry)
-        return self
-
-    async def __aexit__(self, *_):
-        for entry in self.entries:
-            await entry.end()
-        for replica in self.replicas:
-            await replica.stop()
-        await self.store.stop()
-
-    async def add_replica(self, name, service, **more):
-        replica = await Replica(self.store, name, service, **more).start()
-        self.replicas.append(replica)
-        replica.register()
-        return replica
-
-    async def until_ready(self, entry):
-        await wait_until(lambda: os.path.exists(entry.log_path) and entry.lines("ready"), 10,
-                         f"{entry.name} has logged that it is ready")
-
-    def of(self, service):
-        return [replica for replica in self.replicas if replica.service == service]
-
-    def runs(self, request):
-        return [run for replica in self.replicas for run in replica.runs if run["id"] == request]
-
-    @property
-    def front(self):
-        return self.entries[0].address("front")
-
-    async def until_version(self, version):
-        await wait_until(lambda: all(any(line["version"] == version
-                                         for line in entry.lines("configuration"))
-                                     for entry in self.entries), 10,
-                         f"every entry has configuration version {version}")
-
-
 class EdgeProcess(unittest.IsolatedAsyncioTestCase):
     async def test_responses_are_forwarded_unchanged_and_the_api_key_is_not_forwarded(self):
         async with Fleet() as fleet:
@@ -110,7 +46,7 @@
         folder = tempfile.mkdtemp(prefix="fennelline-edge-")
         store = await Store().start()
         store.mode = "busy"
-        entry = await Entry(BINARY, folder, 0, store.address, free_port(), [], first=False).start()
+        entry = await Entry(Fleet.binary, folder, 0, store.address, free_port(), [], first=False).start()
         try:
             await wait_until(lambda: os.path.exists(entry.log_path) and entry.lines("start"))
             answer = await call(entry.address("front"), "/plain/", "r1")
@@ -242,8 +178,7 @@
 
     async def test_a_key_revoked_after_the_store_was_busy_is_rejected_by_every_entry(self):
         async with Fleet(entries=3) as fleet:
-            await wait_until(lambda: all(len({line["member"] for line in entry.lines("member")}) >= 3
-                                         for entry in fleet.entries))
+            await fleet.until_members_known()
             # The first entry by name watches the store for all of them, so it is the one to log the
             # outage.
             fleet.store.mode = "busy"
@@ -259,8 +194,7 @@
         async with Fleet(entries=3) as fleet:
             # The first entry by name watches the store for all entries of its data centre.
             watcher = fleet.entries[0]
-            await wait_until(lambda: all(len({line["member"] for line in entry.lines("member")}) >= 3
-                                         for entry in fleet.entries))
+            await fleet.until_members_known()
             proxy = await Proxy(fleet.store.address).start()
             await watcher.end()
             watcher.store_address = proxy.address
@@ -278,8 +212,7 @@
     async def test_a_burst_of_changes_takes_few_store_calls_while_others_replace_the_watcher(self):
         entries, changes, spacing_s, coalescing_s = 6, 50, 0.016, 0.080
         async with Fleet(entries=entries) as fleet:
-            await wait_until(lambda: all(len({line["member"] for line in entry.lines("member")})
-                                         >= entries for entry in fleet.entries))
+            await fleet.until_members_known()
             watcher = fleet.entries[0]
             proxy = await Proxy(fleet.store.address).start()
             await watcher.end()
@@ -428,7 +361,7 @@
     async def test_fennelline_ctl_explain_names_each_of_twelve_causes(self):
         async def explain(entry, request):
             tool = await asyncio.create_subprocess_exec(
-                os.path.join(os.path.dirname(BINARY), "fennelline-ctl"), "explain", request,
+                os.path.join(os.path.dirname(Fleet.binary), "fennelline-ctl"), "explain", request,
                 f"--logs={entry.log_path}", stdout=asyncio.subprocess.PIPE)
             text, _ = await tool.communicate()
             return text.decode().splitlines()[0]
@@ -480,5 +413,5 @@
 
 
 if __name__ == "__main__":
-    BINARY = os.path.join(sys.argv.pop(1), "fennelline-edge")
+    Fleet.binary = os.path.join(sys.argv.pop(1), "fennelline-edge")
     unittest.main(verbosity=1)
--- a/Tests/Edge/standin.py
+++ b/Tests/Edge/standin.py
@@ -263,6 +263,10 @@
         self.random = None
         self.public_address = None
         self.confidence = 100
+        # Contents of requests under which the server crashes once it begins to run them.
+        self.crash_bodies = frozenset()
+        self.crashed_at = None
+        self.on_crash = None
 
     def entry(self, state="ready"):
         return {"backend": self.service, "address": self.public_address or self.address,
@@ -277,6 +281,13 @@
         self.leaving_since = time.monotonic()
         self.store.delete(f"servers/{self.name}")
 
+    async def crash(self):
+        """Ends like a killed process: no response, its connections reset, its port closed."""
+        self.crashed_at = time.monotonic()
+        await self.stop(reset=True)
+        if self.on_crash:
+            self.on_crash(self)
+
     def has_fault(self):
         return self.fault and (self.random is None or self.random.random() < self.fault_share)
 
@@ -295,6 +306,9 @@
                "body": body, "headers": headers, "first": int(headers.get("last-event-id", 0)) + 1,
                "leaving": self.leaving_since}
         self.runs.append(run)
+        if body in self.crash_bodies:
+            await self.crash()
+            return
         if fault == "lost":
             writer.transport.abort()
             return
