Let crash histories refuse for a time, try one request, and clear everywhere

Cause: the history of crashes could not be used by the entry on the users' platform. It refused for as long as it remembered, so a content that only ran beside crashes was not served again; a completed run cleared it at one entry alone; a new member waited for its turn in the anti-entropy; a burst of suspects sent all pending reports once for each of them and used up their rounds at once; a crash later than the retention time after the first report of a content was forgotten early.

Change: refusals have times of their own and end in a trial of one request in the fleet, which is announced; a crash counts as confirmation only if its run began after an earlier crash; verdicts (refused, on trial, cleared) are a message of their own, merged by the higher count and the newer time; new members are told everything; what is refused is dropped last. Crashes of one server are recorded together, suspicions are a type that both entries share. fennelline-entry keeps its times (600 s), and now clears everywhere.

--- a/Libraries/LibCoordination/Message.h
+++ b/Libraries/LibCoordination/Message.h
@@ -16,6 +16,6 @@
   std::variant<Heartbeat, ClaimRequest, ClaimReply, ClaimRelease, ClaimOutcome, ClaimOutcomeAck,
                AnswerQuery, AnswerReply, ViewAnnouncement, SlotHandoverPage, UsageCopy,
                UsageCopyAck, UsageSettled, ConfigurationOffer, ConfigurationRequest,
-               ConfigurationDocument, CrashReports, LoadReports, ConfigurationDelta>;
+               ConfigurationDocument, CrashReports, LoadReports, ConfigurationDelta, CrashVerdicts>;
 
 } // namespace fennelline
--- a/Libraries/LibCoordination/Observation/CrashHistory.cpp
+++ b/Libraries/LibCoordination/Observation/CrashHistory.cpp
@@ -1,215 +1,433 @@
 #include "LibCoordination/Observation/CrashHistory.h"
 
 #include <algorithm>
+#include <iterator>
+#include <utility>
+#include <variant>
 
 namespace fennelline {
 
 namespace {
 
-CrashReport ReportOf(const std::string& aFingerprint, const BackendServerId& aServer, Time aAt,
-                     Time aNow) {
-  return CrashReport{.m_fingerprint = aFingerprint,
-                     .m_backendServer = aServer,
-                     .m_ageMilliseconds = InMilliseconds(aNow - aAt)};
+/// Refusals of a request whose runs on the crashed servers overlapped.
+constexpr std::size_t kOverlapRefusal = 1;
+
+Time TimeOfAge(std::int64_t aAgeMilliseconds, Time aNow) {
+  return aNow - Milliseconds(std::max<std::int64_t>(0, aAgeMilliseconds));
 }
 
 } // namespace
 
-bool CrashHistory::Record(const std::string& aFingerprint, const BackendServerId& aServer, Time aAt,
-                          Time aNow) {
-  if (aNow - aAt > m_settings.m_retention) {
-    return false;
+Time CrashHistory::EndOfRefusal(const Request& aRequest) const {
+  if (aRequest.m_refusals <= kOverlapRefusal) {
+    return aRequest.m_refusedAt + m_settings.m_overlapRefusalTime;
   }
-  const auto [found, isNew] = m_requests.try_emplace(aFingerprint);
-  Request& request = found->second;
-  if (isNew) {
-    request.m_firstSeen = aNow;
-    m_order.push_back(aFingerprint);
-  }
-  const bool isKnown =
-    std::any_of(request.m_crashes.begin(), request.m_crashes.end(),
-                [&aServer](const Crash& aCrash) { return aCrash.m_server == aServer; });
-  const bool isEnough = request.m_crashes.size() >= m_settings.m_crashesToRefuse;
-  if (isKnown || isEnough || (!isNew && aAt <= request.m_clearedAt)) {
-    return false;
-  }
-  request.m_crashes.push_back({.m_server = aServer, .m_at = aAt});
-  ForgetOldest();
-  return true;
+  const std::size_t index =
+    std::min(aRequest.m_refusals - kOverlapRefusal, m_settings.m_refusalTimes.size()) - 1;
+  return aRequest.m_refusedAt + m_settings.m_refusalTimes[index];
 }
 
-void CrashHistory::ForgetOldest() {
-  while (m_order.size() > m_settings.m_maxRequests) {
-    m_requests.erase(m_order.front());
-    m_order.pop_front();
+Time CrashHistory::LastChange(const Request& aRequest) {
+  Time last = aRequest.m_clearedAt.value_or(Time::min());
+  if (!aRequest.m_crashes.empty()) {
+    last = std::max(last, aRequest.m_crashes.back().m_at);
   }
+  return aRequest.m_refusals > 0 ? std::max(last, aRequest.m_refusedAt) : last;
 }
 
-void CrashHistory::Expire(Time aNow) {
-  while (!m_order.empty()) {
-    const auto found = m_requests.find(m_order.front());
-    // A crash is only recorded and passed on within the retention time, so no crash of a request is
-    // later than its first report by more than that.
-    if (aNow - found->second.m_firstSeen <= 2 * m_settings.m_retention) {
-      return;
-    }
-    m_requests.erase(found);
-    m_order.pop_front();
-  }
+Time CrashHistory::ForgottenAt(const Request& aRequest) const {
+  const Time last = aRequest.m_refusals > 0 ? EndOfRefusal(aRequest) : LastChange(aRequest);
+  return last + m_settings.m_retention;
 }
 
-std::size_t CrashHistory::CountCrashes(const std::string& aFingerprint, Time aNow) const {
+const CrashHistory::Request* CrashHistory::Find(const std::string& aFingerprint, Time aNow) const {
   const auto found = m_requests.find(aFingerprint);
-  if (found == m_requests.end()) {
-    return 0;
+  return found != m_requests.end() && aNow <= ForgottenAt(found->second) ? &found->second : nullptr;
+}
+
+CrashHistory::Request& CrashHistory::Insert(const std::string& aFingerprint) {
+  const auto found = m_requests.find(aFingerprint);
+  if (found != m_requests.end()) {
+    return found->second;
   }
-  const std::vector<Crash>& crashes = found->second.m_crashes;
-  return static_cast<std::size_t>(
-    std::count_if(crashes.begin(), crashes.end(), [this, aNow](const Crash& aCrash) {
-      return aNow - aCrash.m_at <= m_settings.m_retention;
-    }));
+  if (m_requests.size() >= m_settings.m_maxRequests) {
+    DropOne();
+  }
+  Request& request = m_requests[aFingerprint];
+  request.m_number = m_nextNumber++;
+  return request;
 }
 
-bool CrashHistory::IsPoison(const std::string& aFingerprint, Time aNow) const {
-  return CountCrashes(aFingerprint, aNow) >= m_settings.m_crashesToRefuse;
+void CrashHistory::DropOne() {
+  const auto dropped =
+    std::min_element(m_requests.begin(), m_requests.end(),
+                     [](const std::pair<const std::string, Request>& aFirst,
+                        const std::pair<const std::string, Request>& aSecond) {
+                       const bool isFirstRefused = aFirst.second.m_refusals > 0;
+                       const bool isSecondRefused = aSecond.second.m_refusals > 0;
+                       return isFirstRefused != isSecondRefused
+                                ? isSecondRefused
+                                : aFirst.second.m_number < aSecond.second.m_number;
+                     });
+  m_requests.erase(dropped);
 }
 
-bool CrashHistory::IsSuspect(const std::string& aFingerprint, Time aNow) const {
-  const std::size_t crashes = CountCrashes(aFingerprint, aNow);
-  return crashes > 0 && crashes < m_settings.m_crashesToRefuse;
+void CrashHistory::Expire(Time aNow) {
+  std::erase_if(m_requests, [this, aNow](const std::pair<const std::string, Request>& aItem) {
+    return aNow > ForgottenAt(aItem.second);
+  });
 }
 
-bool CrashHistory::HasCrashed(const std::string& aFingerprint, const BackendServerId& aServer,
-                              Time aNow) const {
-  const auto found = m_requests.find(aFingerprint);
-  if (found == m_requests.end()) {
+void CrashHistory::RefuseLonger(const std::string& aFingerprint, Request& aRequest,
+                                std::size_t aRefusals, Time aAt, Step<VerdictChanged>& aStep) {
+  aRequest.m_refusals = aRefusals;
+  aRequest.m_refusedAt = aAt;
+  aRequest.m_trialUntil = Time{};
+  aStep.m_outcomes.push_back({.m_fingerprint = aFingerprint, .m_refusals = aRefusals});
+}
+
+bool CrashHistory::Record(const std::string& aFingerprint, const BackendServerId& aServer, Time aAt,
+                          Time aNow, Step<VerdictChanged>& aStep) {
+  if (aNow - aAt > m_settings.m_retention) {
     return false;
   }
-  const std::vector<Crash>& crashes = found->second.m_crashes;
-  return std::any_of(crashes.begin(), crashes.end(), [&](const Crash& aCrash) {
-    return aCrash.m_server == aServer && aNow - aCrash.m_at <= m_settings.m_retention;
+  Request& request = Insert(aFingerprint);
+  std::erase_if(request.m_crashes, [this, aNow](const Crash& aCrash) {
+    return aNow - aCrash.m_at > m_settings.m_retention;
   });
+  const bool isKnown =
+    std::any_of(request.m_crashes.begin(), request.m_crashes.end(),
+                [&aServer](const Crash& aCrash) { return aCrash.m_server == aServer; });
+  const bool isCleared = request.m_clearedAt && aAt <= *request.m_clearedAt;
+  if (isKnown || isCleared || request.m_refusals > 0) {
+    return false;
+  }
+  request.m_crashes.push_back({.m_server = aServer, .m_at = aAt});
+  if (request.m_crashes.size() >= m_settings.m_crashesToRefuse) {
+    RefuseLonger(aFingerprint, request, kOverlapRefusal, aAt, aStep);
+  }
+  return true;
 }
 
-void CrashHistory::AddPendingReport(const std::string& aFingerprint, const BackendServerId& aServer,
-                                    Time aAt) {
-  m_pendingReports.push_back({.m_report = ReportOf(aFingerprint, aServer, aAt, aAt),
-                              .m_at = aAt,
-                              .m_roundsLeft = m_settings.m_rounds});
+bool CrashHistory::IsConfirmation(const Request& aRequest, const CrashedRun& aRun) {
+  if (!aRun.m_sentAt) {
+    return false;
+  }
+  return aRequest.m_refusals > 0
+           ? *aRun.m_sentAt >= aRequest.m_refusedAt
+           : !aRequest.m_crashes.empty() && *aRun.m_sentAt >= aRequest.m_crashes.front().m_at;
 }
 
-Step<PoisonFound> CrashHistory::OnCrash(const std::string& aFingerprint,
-                                        const BackendServerId& aServer, Time aNow) {
-  Step<PoisonFound> step;
-  const bool wasPoison = IsPoison(aFingerprint, aNow);
-  if (!Record(aFingerprint, aServer, aNow, aNow)) {
-    return step;
-  }
-  AddPendingReport(aFingerprint, aServer, aNow);
-  if (!wasPoison && IsPoison(aFingerprint, aNow)) {
-    step.m_outcomes.push_back({aFingerprint});
+Step<VerdictChanged> CrashHistory::OnCrashes(const std::vector<CrashedRun>& aRuns,
+                                             const BackendServerId& aServer, Time aNow) {
+  Step<VerdictChanged> step;
+  for (const CrashedRun& run : aRuns) {
+    const Request* known = Find(run.m_fingerprint, aNow);
+    const bool isConfirmation = known != nullptr && IsConfirmation(*known, run);
+    const std::size_t refusals = known == nullptr ? 0 : known->m_refusals;
+    const bool isNew = Record(run.m_fingerprint, aServer, aNow, aNow, step);
+    if (isConfirmation) {
+      RefuseLonger(run.m_fingerprint, m_requests.at(run.m_fingerprint),
+                   std::max(refusals, kOverlapRefusal) + 1, aNow, step);
+    }
+    if (isNew || isConfirmation) {
+      Queue(run.m_fingerprint);
+    }
   }
-  step.Append(SendPendingReports(aNow));
+  step.Append(SendPendingChanges(aNow));
   return step;
 }
 
-void CrashHistory::OnFinished(const std::string& aFingerprint, Time aNow) {
+Step<VerdictChanged> CrashHistory::OnFinished(const std::string& aFingerprint, Time aNow) {
+  Step<VerdictChanged> step;
   const auto found = m_requests.find(aFingerprint);
-  if (found == m_requests.end()) {
+  if (found == m_requests.end() || found->second.IsClear()) {
+    return step;
+  }
+  AdoptClearance(aFingerprint, aNow, step);
+  Queue(aFingerprint);
+  step.Append(SendPendingChanges(aNow));
+  return step;
+}
+
+void CrashHistory::AdoptClearance(const std::string& aFingerprint, Time aAt,
+                                  Step<VerdictChanged>& aStep) {
+  Request& request = Insert(aFingerprint);
+  const bool isOutdated = !request.IsClear() && aAt < LastChange(request);
+  if (isOutdated || (request.m_clearedAt && aAt <= *request.m_clearedAt)) {
     return;
   }
-  found->second.m_crashes.clear();
-  found->second.m_clearedAt = aNow;
-  std::erase_if(m_pendingReports, [&aFingerprint](const PendingReport& aPending) {
-    return aPending.m_report.m_fingerprint == aFingerprint;
-  });
+  if (request.m_refusals > 0) {
+    aStep.m_outcomes.push_back({.m_fingerprint = aFingerprint, .m_refusals = 0});
+  }
+  request.m_crashes.clear();
+  request.m_refusals = 0;
+  request.m_trialUntil = Time{};
+  request.m_clearedAt = aAt;
 }
 
-Step<PoisonFound> CrashHistory::OnMessage(const EntryId& /*aFrom*/, const Message& aMessage,
-                                          Time aNow) {
-  Step<PoisonFound> step;
-  const CrashReports* reports = std::get_if<CrashReports>(&aMessage);
-  if (reports == nullptr) {
-    return step;
+void CrashHistory::Adopt(const CrashVerdict& aVerdict, Time aNow, Step<VerdictChanged>& aStep) {
+  const Time at = TimeOfAge(aVerdict.m_ageMilliseconds, aNow);
+  if (aVerdict.m_refusals <= 0) {
+    AdoptClearance(aVerdict.m_fingerprint, at, aStep);
+    return;
   }
-  for (const CrashReport& report : reports->m_reports) {
-    const Time at = aNow - Milliseconds(std::max<std::int64_t>(0, report.m_ageMilliseconds));
-    const bool wasPoison = IsPoison(report.m_fingerprint, aNow);
-    if (!Record(report.m_fingerprint, report.m_backendServer, at, aNow)) {
-      continue;
+  Request& request = Insert(aVerdict.m_fingerprint);
+  if (request.m_clearedAt && at <= *request.m_clearedAt) {
+    return;
+  }
+  const std::size_t refusals = static_cast<std::size_t>(aVerdict.m_refusals);
+  if (refusals > request.m_refusals) {
+    RefuseLonger(aVerdict.m_fingerprint, request, refusals, at, aStep);
+    if (!ReachesEveryMember()) {
+      Queue(aVerdict.m_fingerprint);
+    }
+  }
+  const Time trialUntil =
+    aNow + Milliseconds(std::max<std::int64_t>(0, aVerdict.m_trialMilliseconds));
+  if (refusals == request.m_refusals && trialUntil > request.m_trialUntil) {
+    request.m_trialUntil = trialUntil;
+  }
+}
+
+Step<VerdictChanged> CrashHistory::OnMessage(const EntryId& /*aFrom*/, const Message& aMessage,
+                                             Time aNow) {
+  Step<VerdictChanged> step;
+  if (const CrashReports* reports = std::get_if<CrashReports>(&aMessage)) {
+    for (const CrashReport& report : reports->m_reports) {
+      const Time at = TimeOfAge(report.m_ageMilliseconds, aNow);
+      const std::size_t known = step.m_outcomes.size();
+      const bool isNew = Record(report.m_fingerprint, report.m_backendServer, at, aNow, step);
+      // The sender may not know of the crashes that, with this one, lead to a refusal.
+      const bool leadsToRefusal = step.m_outcomes.size() > known;
+      if (isNew && (leadsToRefusal || !ReachesEveryMember())) {
+        Queue(report.m_fingerprint);
+      }
     }
-    AddPendingReport(report.m_fingerprint, report.m_backendServer, at);
-    if (!wasPoison && IsPoison(report.m_fingerprint, aNow)) {
-      step.m_outcomes.push_back({report.m_fingerprint});
+  }
+  if (const CrashVerdicts* verdicts = std::get_if<CrashVerdicts>(&aMessage)) {
+    for (const CrashVerdict& verdict : verdicts->m_verdicts) {
+      Adopt(verdict, aNow, step);
     }
   }
   return step;
 }
 
-Step<PoisonFound> CrashHistory::OnMembers(const std::vector<EntryId>& aMembers, Time aNow) {
-  const bool wasAlone = m_members.empty();
+Step<VerdictChanged> CrashHistory::OnRecord(const std::string& aFingerprint, std::size_t aRefusals,
+                                            Time aNow) {
+  Step<VerdictChanged> step;
+  const Request* known = Find(aFingerprint, aNow);
+  if (known == nullptr) {
+    Adopt({.m_fingerprint = aFingerprint, .m_refusals = static_cast<std::int64_t>(aRefusals)}, aNow,
+          step);
+  }
+  return step;
+}
+
+Step<VerdictChanged> CrashHistory::OnMembers(const std::vector<EntryId>& aMembers, Time aNow) {
+  std::vector<EntryId> added;
+  std::copy_if(aMembers.begin(), aMembers.end(), std::back_inserter(added),
+               [this](const EntryId& aMember) {
+                 return std::find(m_members.begin(), m_members.end(), aMember) == m_members.end();
+               });
   m_members = aMembers;
-  return wasAlone ? SendPendingReports(aNow) : Step<PoisonFound>();
+  return SendEverythingTo(added, aNow);
 }
 
-Step<PoisonFound> CrashHistory::Tick(Time aNow) {
-  Expire(aNow);
-  Step<PoisonFound> step;
+Step<VerdictChanged> CrashHistory::Tick(Time aNow) {
+  Step<VerdictChanged> step;
   if (aNow >= m_nextRound) {
-    step.Append(SendPendingReports(aNow));
+    step.Append(SendPendingChanges(aNow));
   }
   if (aNow >= m_nextAntiEntropy) {
+    Expire(aNow);
     step.Append(SendAntiEntropy(aNow));
   }
   return step;
 }
 
-Step<PoisonFound> CrashHistory::SendPendingReports(Time aNow) {
-  Step<PoisonFound> step;
+bool CrashHistory::MayRun(const std::string& aFingerprint, CrashTrial& aTrial, Time aEnd, Time aNow,
+                          Step<VerdictChanged>& aStep) {
+  if (Find(aFingerprint, aNow) == nullptr) {
+    return true;
+  }
+  Request& request = m_requests.at(aFingerprint);
+  if (request.m_refusals == 0 || request.m_refusals == aTrial.m_refusals) {
+    return true;
+  }
+  if (IsPoison(aFingerprint, aNow)) {
+    return false;
+  }
+  request.m_trialUntil = aEnd;
+  aTrial.m_refusals = request.m_refusals;
+  Queue(aFingerprint);
+  aStep.Append(SendPendingChanges(aNow));
+  return true;
+}
+
+bool CrashHistory::IsPoison(const std::string& aFingerprint, Time aNow) const {
+  const Request* request = Find(aFingerprint, aNow);
+  return request != nullptr && request->m_refusals > 0 &&
+         aNow < std::max(EndOfRefusal(*request), request->m_trialUntil);
+}
+
+Time CrashHistory::EndOfRefusal(const std::string& aFingerprint, Time aNow) const {
+  const Request* request = Find(aFingerprint, aNow);
+  return request == nullptr || request->m_refusals == 0 ? aNow
+                                                        : std::max(aNow, EndOfRefusal(*request));
+}
+
+bool CrashHistory::IsSuspect(const std::string& aFingerprint, Time aNow) const {
+  const Request* request = Find(aFingerprint, aNow);
+  return request != nullptr && !request->IsClear() && !IsPoison(aFingerprint, aNow);
+}
+
+bool CrashHistory::HasCrashed(const std::string& aFingerprint, const BackendServerId& aServer,
+                              Time aNow) const {
+  const Request* request = Find(aFingerprint, aNow);
+  return request != nullptr &&
+         std::any_of(request->m_crashes.begin(), request->m_crashes.end(),
+                     [&aServer](const Crash& aCrash) { return aCrash.m_server == aServer; });
+}
+
+std::size_t CrashHistory::CountRefused() const {
+  return static_cast<std::size_t>(std::count_if(
+    m_requests.begin(), m_requests.end(), [](const std::pair<const std::string, Request>& aItem) {
+      return aItem.second.m_refusals > 0;
+    }));
+}
+
+void CrashHistory::Queue(const std::string& aFingerprint) {
+  const auto found = std::find_if(m_pending.begin(), m_pending.end(),
+                                  [&aFingerprint](const PendingChange& aPending) {
+                                    return aPending.m_fingerprint == aFingerprint;
+                                  });
+  if (found != m_pending.end()) {
+    found->m_roundsLeft = m_settings.m_rounds;
+    return;
+  }
+  m_pending.push_back({.m_fingerprint = aFingerprint, .m_roundsLeft = m_settings.m_rounds});
+  if (m_pending.size() > m_settings.m_maxRequests) {
+    m_pending.erase(m_pending.begin());
+  }
+}
+
+void CrashHistory::Describe(const std::string& aFingerprint, const Request& aRequest, Time aNow,
+                            CrashReports& aReports, CrashVerdicts& aVerdicts) const {
+  for (const Crash& crash : aRequest.m_crashes) {
+    aReports.m_reports.push_back({.m_fingerprint = aFingerprint,
+                                  .m_backendServer = crash.m_server,
+                                  .m_ageMilliseconds = InMilliseconds(aNow - crash.m_at)});
+  }
+  if (aRequest.m_refusals > 0 || aRequest.m_clearedAt) {
+    const Time at = aRequest.m_refusals > 0 ? aRequest.m_refusedAt : *aRequest.m_clearedAt;
+    const Duration trialLeft = std::max(Duration(0), aRequest.m_trialUntil - aNow);
+    aVerdicts.m_verdicts.push_back({.m_fingerprint = aFingerprint,
+                                    .m_refusals = static_cast<std::int64_t>(aRequest.m_refusals),
+                                    .m_ageMilliseconds = InMilliseconds(aNow - at),
+                                    .m_trialMilliseconds = InMilliseconds(trialLeft)});
+  }
+}
+
+std::vector<Message> CrashHistory::Describe(const std::vector<std::string>& aFingerprints,
+                                            Time aNow) const {
+  std::vector<Message> messages;
+  CrashReports reports;
+  CrashVerdicts verdicts;
+  std::size_t count = 0;
+  const auto finish = [&] {
+    if (!reports.m_reports.empty()) {
+      messages.emplace_back(std::exchange(reports, {}));
+    }
+    if (!verdicts.m_verdicts.empty()) {
+      messages.emplace_back(std::exchange(verdicts, {}));
+    }
+    count = 0;
+  };
+  for (const std::string& fingerprint : aFingerprints) {
+    const Request* request = Find(fingerprint, aNow);
+    if (request == nullptr) {
+      continue;
+    }
+    Describe(fingerprint, *request, aNow, reports, verdicts);
+    if (++count == m_settings.m_maxRequestsPerMessage) {
+      finish();
+    }
+  }
+  finish();
+  return messages;
+}
+
+Step<VerdictChanged> CrashHistory::SendPendingChanges(Time aNow) {
+  Step<VerdictChanged> step;
   m_nextRound = aNow + m_settings.m_roundInterval;
-  if (m_pendingReports.empty() || m_members.empty()) {
+  if (m_pending.empty() || m_members.empty()) {
     return step;
   }
-  CrashReports reports;
-  for (PendingReport& pending : m_pendingReports) {
-    if (reports.m_reports.size() == m_settings.m_maxReportsPerMessage) {
+  std::vector<std::string> fingerprints;
+  for (PendingChange& pending : m_pending) {
+    if (fingerprints.size() == m_settings.m_maxRequestsPerRound) {
       break;
     }
-    pending.m_report.m_ageMilliseconds = InMilliseconds(aNow - pending.m_at);
-    reports.m_reports.push_back(pending.m_report);
+    fingerprints.push_back(pending.m_fingerprint);
     --pending.m_roundsLeft;
   }
-  std::erase_if(m_pendingReports,
-                [](const PendingReport& aPending) { return aPending.m_roundsLeft == 0; });
+  std::erase_if(m_pending,
+                [](const PendingChange& aPending) { return aPending.m_roundsLeft == 0; });
+  const std::vector<Message> messages = Describe(fingerprints, aNow);
   // A partial shuffle moves the members of this round to the front.
   const std::size_t count = std::min(m_settings.m_fanOut, m_members.size());
   for (std::size_t index = 0; index < count; ++index) {
     const std::size_t drawn = index + m_random.Below(m_members.size() - index);
     std::swap(m_members[index], m_members[drawn]);
-    step.m_effects.emplace_back(SendMessage{.m_to = m_members[index], .m_message = reports});
+    for (const Message& message : messages) {
+      step.m_effects.emplace_back(SendMessage{.m_to = m_members[index], .m_message = message});
+    }
   }
   return step;
 }
 
-Step<PoisonFound> CrashHistory::SendAntiEntropy(Time aNow) {
-  Step<PoisonFound> step;
+Step<VerdictChanged> CrashHistory::SendAntiEntropy(Time aNow) {
+  Step<VerdictChanged> step;
   m_nextAntiEntropy = aNow + m_settings.m_antiEntropyInterval;
-  if (m_members.empty()) {
+  std::vector<std::string> refused;
+  for (const auto& [fingerprint, request] : m_requests) {
+    if (request.m_refusals > 0) {
+      refused.push_back(fingerprint);
+    }
+  }
+  if (m_members.empty() || refused.empty()) {
     return step;
   }
-  CrashReports reports;
-  // The newest come first: they are the most likely not to have reached everyone.
-  for (auto name = m_order.rbegin(); name != m_order.rend(); ++name) {
-    for (const Crash& crash : m_requests.at(*name).m_crashes) {
-      const bool isFull = reports.m_reports.size() == m_settings.m_maxReportsPerMessage;
-      if (!isFull && aNow - crash.m_at <= m_settings.m_retention) {
-        reports.m_reports.push_back(ReportOf(*name, crash.m_server, crash.m_at, aNow));
+  // One message, from a random position, so that each of them is sent in turn.
+  const std::size_t start = m_random.Below(refused.size());
+  std::rotate(refused.begin(), refused.begin() + static_cast<std::ptrdiff_t>(start), refused.end());
+  refused.resize(std::min(refused.size(), m_settings.m_maxRequestsPerMessage));
+  const EntryId& member = m_members[m_random.Below(m_members.size())];
+  for (const Message& message : Describe(refused, aNow)) {
+    step.m_effects.emplace_back(SendMessage{.m_to = member, .m_message = message});
+  }
+  return step;
+}
+
+Step<VerdictChanged> CrashHistory::SendEverythingTo(const std::vector<EntryId>& aMembers,
+                                                    Time aNow) const {
+  Step<VerdictChanged> step;
+  std::vector<std::string> fingerprints;
+  for (const bool wantsRefused : {true, false}) {
+    for (const auto& [fingerprint, request] : m_requests) {
+      const bool isWanted = !request.IsClear() && (request.m_refusals > 0) == wantsRefused;
+      if (isWanted && fingerprints.size() < m_settings.m_maxRequestsPerRound) {
+        fingerprints.push_back(fingerprint);
       }
     }
   }
-  if (!reports.m_reports.empty()) {
-    const EntryId& member = m_members[m_random.Below(m_members.size())];
-    step.m_effects.emplace_back(SendMessage{.m_to = member, .m_message = std::move(reports)});
+  const std::vector<Message> messages =
+    aMembers.empty() ? std::vector<Message>() : Describe(fingerprints, aNow);
+  for (const EntryId& member : aMembers) {
+    for (const Message& message : messages) {
+      step.m_effects.emplace_back(SendMessage{.m_to = member, .m_message = message});
+    }
   }
   return step;
 }
--- a/Libraries/LibCoordination/ObservationMessages.h
+++ b/Libraries/LibCoordination/ObservationMessages.h
@@ -31,6 +31,32 @@
   }
 };
 
+/// What an entry knows of requests with one content: refused, or cleared by a complete run.
+struct CrashVerdict {
+  std::string m_fingerprint;
+  /// 0: cleared. 1: refused after overlapping runs. From 2: one more for each run that crashed a
+  /// server although it began after another crash.
+  std::int64_t m_refusals = 0;
+  /// Time since the crash that led to the last refusal, or since the complete run.
+  std::int64_t m_ageMilliseconds = 0;
+  /// Remaining time of the trial in progress; 0 if none.
+  std::int64_t m_trialMilliseconds = 0;
+
+  template<typename Visitor>
+  void VisitFields(Visitor& aVisitor) {
+    aVisitor(m_fingerprint, m_refusals, m_ageMilliseconds, m_trialMilliseconds);
+  }
+};
+
+struct CrashVerdicts {
+  std::vector<CrashVerdict> m_verdicts;
+
+  template<typename Visitor>
+  void VisitFields(Visitor& aVisitor) {
+    aVisitor(m_verdicts);
+  }
+};
+
 /// What an entry has observed of one version, as monotonic counters. The holder of the rollout
 /// lease aggregates them.
 struct VersionEvidence {
--- a/Services/Entry/Requests/RequestCalls.cpp
+++ b/Services/Entry/Requests/RequestCalls.cpp
@@ -12,7 +12,6 @@
 namespace {
 
 constexpr Duration kStreamIdleTimeout = Seconds(2);
-constexpr Duration kCrashConfirmationWindow = Seconds(2);
 constexpr Duration kCrashCheckTimeout = Milliseconds(100);
 constexpr Duration kRetryAfterFailure = Seconds(1);
 constexpr int kMaxResumes = 4;
@@ -309,7 +308,7 @@
   }
   CancelCalls(*active, aEvent.m_call, aEffects);
   EndCall(*active, aEvent.m_call, false);
-  m_parts.m_crashes.OnFinished(active->m_fingerprint, aNow);
+  Emit(m_parts.m_crashes.OnFinished(active->m_fingerprint, aNow), aEffects);
   AnswerObservation observation;
   observation.m_firstToken =
     (call.m_firstByte == kNever ? aNow : call.m_firstByte) - call.m_work.m_sentAt;
@@ -383,32 +382,27 @@
   if (aEvent.m_failure == BackendFailure::Broken ||
       aEvent.m_failure == BackendFailure::StreamLost) {
     aActive.m_crashes += 1;
-    m_suspectedCrashes.push_back({.m_fingerprint = aActive.m_fingerprint,
-                                  .m_server = aCall.m_work.m_server,
-                                  .m_kind = aActive.m_kind.m_name,
-                                  .m_version = aCall.m_version,
-                                  .m_session = cluster,
-                                  .m_at = aNow});
+    m_suspectedCrashes.Add({.m_fingerprint = aActive.m_fingerprint,
+                            .m_server = aCall.m_work.m_server,
+                            .m_kind = aActive.m_kind.m_name,
+                            .m_version = aCall.m_version,
+                            .m_session = cluster,
+                            .m_sentAt = aCall.m_work.m_sentAt,
+                            .m_at = aNow});
   }
 }
 
 void RequestPipeline::OnServerUnreachable(const BackendServerId& aServer, Time aNow,
                                           EntryEffects& aEffects) {
-  std::erase_if(m_suspectedCrashes, [aNow](const SuspectedCrash& aItem) {
-    return aNow - aItem.m_at > kCrashConfirmationWindow;
-  });
-  for (const SuspectedCrash& suspicion : m_suspectedCrashes) {
-    if (suspicion.m_server != aServer) {
-      continue;
-    }
-    Emit(m_parts.m_crashes.OnCrash(suspicion.m_fingerprint, aServer, aNow), aEffects);
+  std::vector<CrashedRun> runs;
+  for (const SuspectedCrash& suspicion : m_suspectedCrashes.Confirm(aServer, aNow)) {
+    runs.push_back({.m_fingerprint = suspicion.m_fingerprint, .m_sentAt = suspicion.m_sentAt});
     if (!suspicion.m_version.empty()) {
       m_parts.m_evidence.OnAnswer(suspicion.m_version, suspicion.m_kind, suspicion.m_session,
                                   AnswerEvidence{.m_crash = true}, aNow);
     }
   }
-  std::erase_if(m_suspectedCrashes,
-                [&aServer](const SuspectedCrash& aItem) { return aItem.m_server == aServer; });
+  Emit(m_parts.m_crashes.OnCrashes(runs, aServer, aNow), aEffects);
 }
 
 void RequestPipeline::AfterFailure(ActiveRequest& aActive, const BackendFailed& aEvent, Time aNow,
--- a/Services/Entry/Requests/RequestPipeline.h
+++ b/Services/Entry/Requests/RequestPipeline.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "LibCoordination/Observation/SuspectedCrashes.h"
 #include "Services/Entry/EntryEffect.h"
 #include "Services/Entry/EntryParts.h"
 #include "Services/Entry/Requests/ActiveRequest.h"
@@ -158,6 +159,7 @@
     std::string m_session;
     Time m_askedAt{};
   };
+  static constexpr Duration kCrashConfirmationWindow = Seconds(2);
   /// A broken call that counts as a crash if its server is found unreachable shortly after.
   struct SuspectedCrash {
     std::string m_fingerprint;
@@ -165,6 +167,7 @@
     std::string m_kind;
     std::string m_version;
     std::string m_session;
+    Time m_sentAt{};
     Time m_at{};
   };
 
@@ -173,7 +176,7 @@
   std::unordered_map<CallerId, ActiveRequest> m_requests;
   std::unordered_map<BackendCallId, CallerId> m_calls;
   std::unordered_map<std::uint64_t, RatingInFlight> m_ratings;
-  std::vector<SuspectedCrash> m_suspectedCrashes;
+  SuspectedCrashes<SuspectedCrash> m_suspectedCrashes{kCrashConfirmationWindow};
   BackendCallId m_nextCall = 1;
   std::uint64_t m_nextRating = 1;
   std::uint64_t m_nextKey = 1;
--- a/Tests/LibCoordination/Observation/TestCrashHistory.cpp
+++ b/Tests/LibCoordination/Observation/TestCrashHistory.cpp
@@ -1,5 +1,6 @@
 #include "LibCoordination/Observation/CrashHistory.h"
 
+#include <algorithm>
 #include <doctest/doctest.h>
 #include <map>
 
@@ -10,24 +11,60 @@
 /// Entries that forward each other's messages, some of which are lost.
 class Fleet {
 public:
-  Fleet(std::size_t aCount, double aLoss)
+  Fleet(std::size_t aCount, double aLoss, CrashHistorySettings aSettings = {},
+        std::uint64_t aSeed = 1)
     : m_loss(aLoss)
-    , m_random(aCount) {
-    std::vector<EntryId> names;
+    , m_settings(std::move(aSettings))
+    , m_random(aCount + aSeed - 1) {
     for (std::size_t index = 0; index < aCount; ++index) {
-      names.push_back("e" + std::to_string(index) + "#1");
-      m_entries.emplace(names.back(), CrashHistory(CrashHistorySettings{}, index + 1));
-    }
-    for (auto& [name, history] : m_entries) {
-      std::vector<EntryId> others = names;
-      std::erase(others, name);
-      Deliver(name, history.OnMembers(others, m_now));
+      m_entries.emplace("e" + std::to_string(index) + "#1",
+                        CrashHistory(m_settings, index + aSeed));
     }
+    AnnounceMembers();
+  }
+
+  /// An entry that knows nothing yet.
+  void Join(const EntryId& aEntry) {
+    m_entries.emplace(aEntry, CrashHistory(m_settings, m_random.Next()));
+    AnnounceMembers();
+  }
+  void Leave(const EntryId& aEntry) {
+    m_entries.erase(aEntry);
+    AnnounceMembers();
   }
+  void SetLoss(double aLoss) { m_loss = aLoss; }
 
   void Crash(const EntryId& aEntry, const std::string& aRequest, const BackendServerId& aServer) {
     Deliver(aEntry, m_entries.at(aEntry).OnCrash(aRequest, aServer, m_now));
   }
+  void CrashUnder(const EntryId& aEntry, const std::string& aRequest,
+                  const BackendServerId& aServer, Time aSentAt) {
+    Deliver(aEntry, m_entries.at(aEntry).OnCrashes(
+                      {{.m_fingerprint = aRequest, .m_sentAt = aSentAt}}, aServer, m_now));
+  }
+  void Finish(const EntryId& aEntry, const std::string& aRequest) {
+    Deliver(aEntry, m_entries.at(aEntry).OnFinished(aRequest, m_now));
+  }
+  bool MayRun(const EntryId& aEntry, const std::string& aRequest, CrashTrial& aTrial, Time aEnd) {
+    Step<VerdictChanged> step;
+    const bool mayRun = m_entries.at(aEntry).MayRun(aRequest, aTrial, aEnd, m_now, step);
+    Deliver(aEntry, step);
+    return mayRun;
+  }
+  bool MayRun(const EntryId& aEntry, const std::string& aRequest) {
+    CrashTrial trial;
+    return MayRun(aEntry, aRequest, trial, m_now + Seconds(1));
+  }
+  std::vector<EntryId> Names() const {
+    std::vector<EntryId> names;
+    for (const auto& [name, history] : m_entries) {
+      names.push_back(name);
+    }
+    return names;
+  }
+  Time Now() const { return m_now; }
+  std::size_t CountMessages() const { return m_messages; }
+  std::size_t LargestMessage() const { return m_largestMessage; }
   void Run(Duration aTime) {
     const Time end = m_now + aTime;
     while (m_now < end) {
@@ -46,21 +83,46 @@
   }
 
 private:
-  void Deliver(const EntryId& aFrom, const Step<PoisonFound>& aStep) {
+  void AnnounceMembers() {
+    const std::vector<EntryId> names = Names();
+    for (const EntryId& name : names) {
+      std::vector<EntryId> others = names;
+      std::erase(others, name);
+      Deliver(name, m_entries.at(name).OnMembers(others, m_now));
+    }
+  }
+  void Deliver(const EntryId& aFrom, const Step<VerdictChanged>& aStep) {
     for (const Effect& effect : aStep.m_effects) {
       const SendMessage& sent = std::get<SendMessage>(effect);
-      if (!m_random.Chance(m_loss)) {
+      ++m_messages;
+      if (const CrashReports* reports = std::get_if<CrashReports>(&sent.m_message)) {
+        m_largestMessage = std::max(m_largestMessage, reports->m_reports.size());
+      }
+      if (!m_random.Chance(m_loss) && m_entries.contains(sent.m_to)) {
         Deliver(sent.m_to, m_entries.at(sent.m_to).OnMessage(aFrom, sent.m_message, m_now));
       }
     }
   }
 
   double m_loss;
+  CrashHistorySettings m_settings;
   Random m_random;
+  std::size_t m_messages = 0;
+  std::size_t m_largestMessage = 0;
   Time m_now{};
   std::map<EntryId, CrashHistory> m_entries;
 };
 
+/// Refusals as on the users' platform.
+CrashHistorySettings ShortRefusals() {
+  CrashHistorySettings settings;
+  settings.m_overlapRefusalTime = Duration(0);
+  settings.m_refusalTimes = {Seconds(5), Seconds(60), Seconds(24 * 3600)};
+  settings.m_antiEntropyInterval = Milliseconds(500);
+  settings.m_maxRequestsPerMessage = 8;
+  return settings;
+}
+
 } // namespace
 
 TEST_CASE(
@@ -71,7 +133,7 @@
   CHECK(!history.IsPoison("r", Time{}));
   CHECK(history.IsSuspect("r", Time{}));
   CHECK(history.HasCrashed("r", "s1", Time{}));
-  const Step<PoisonFound> step = history.OnCrash("r", "s2", Time{});
+  const Step<VerdictChanged> step = history.OnCrash("r", "s2", Time{});
   REQUIRE(step.m_outcomes.size() == 1);
   CHECK(step.m_outcomes[0].m_fingerprint == "r");
   CHECK(history.IsPoison("r", Time{}));
@@ -116,3 +178,175 @@
   history.Tick(Time{} + Seconds(2000));
   CHECK(history.RequestCount() == 0);
 }
+
+TEST_CASE("a request whose run began after a crash and crashed too is refused, then tried again") {
+  Fleet fleet(3, 0.0, ShortRefusals());
+  const Time first = fleet.Now();
+  fleet.CrashUnder("e0#1", "r", "s1", first);
+  CHECK(fleet.MayRun("e1#1", "r"));
+  fleet.Run(Milliseconds(100));
+  fleet.CrashUnder("e1#1", "r", "s2", first + Milliseconds(50));
+  CHECK(!fleet.MayRun("e2#1", "r"));
+  fleet.Run(Milliseconds(4900));
+  CHECK(!fleet.MayRun("e2#1", "r"));
+  fleet.Run(Milliseconds(200));
+  CrashTrial trial;
+  CHECK(fleet.MayRun("e2#1", "r", trial, fleet.Now() + Seconds(1)));
+  const Time sent = fleet.Now();
+  fleet.Run(Milliseconds(100));
+  fleet.CrashUnder("e2#1", "r", "s3", sent);
+  CHECK(!fleet.MayRun("e2#1", "r", trial, fleet.Now() + Seconds(1)));
+  fleet.Run(Seconds(59));
+  CHECK(!fleet.MayRun("e0#1", "r"));
+  fleet.Run(Seconds(2));
+  CHECK(fleet.MayRun("e0#1", "r"));
+}
+
+TEST_CASE("after crashes under overlapping runs, one request at a time may try") {
+  Fleet fleet(3, 0.0, ShortRefusals());
+  const Time sent = fleet.Now();
+  fleet.Run(Milliseconds(100));
+  fleet.CrashUnder("e0#1", "r", "s1", sent);
+  fleet.CrashUnder("e1#1", "r", "s2", sent);
+  fleet.CrashUnder("e2#1", "r", "s3", sent);
+  CrashTrial trial;
+  CHECK(fleet.MayRun("e1#1", "r", trial, fleet.Now() + Seconds(1)));
+  CHECK(fleet.MayRun("e1#1", "r", trial, fleet.Now() + Seconds(1)));
+  CHECK(!fleet.MayRun("e0#1", "r"));
+  CHECK(!fleet.MayRun("e1#1", "r"));
+  SUBCASE("it completes") {
+    fleet.Finish("e1#1", "r");
+    for (const EntryId& entry : fleet.Names()) {
+      CHECK(fleet.MayRun(entry, "r"));
+      CHECK(fleet.MayRun(entry, "r"));
+    }
+  }
+  SUBCASE("it ends without a result") {
+    fleet.Run(Milliseconds(1100));
+    CHECK(fleet.MayRun("e0#1", "r"));
+    CHECK(!fleet.MayRun("e2#1", "r"));
+  }
+}
+
+TEST_CASE("a request that completes at one entry is cleared at all of them") {
+  Fleet fleet(3, 0.0, ShortRefusals());
+  fleet.CrashUnder("e0#1", "r", "s1", fleet.Now());
+  fleet.CrashUnder("e1#1", "r", "s2", fleet.Now());
+  CHECK(fleet.CountPoison("r") == 3);
+  fleet.Run(Seconds(1));
+  fleet.Finish("e2#1", "r");
+  CHECK(fleet.CountPoison("r") == 0);
+  fleet.Run(Seconds(10));
+  CHECK(fleet.CountPoison("r") == 0);
+}
+
+TEST_CASE("an entry that starts later, or lost all messages, learns what is refused") {
+  Fleet fleet(5, 0.0, ShortRefusals());
+  fleet.Run(Seconds(1));
+  fleet.SetLoss(1.0);
+  fleet.CrashUnder("e0#1", "r", "s1", fleet.Now());
+  fleet.CrashUnder("e0#1", "r", "s2", fleet.Now());
+  fleet.Run(Seconds(1));
+  CHECK(fleet.CountPoison("r") == 1);
+  fleet.Run(Seconds(1));
+  fleet.SetLoss(0.0);
+  fleet.Join("late#1");
+  CHECK(!fleet.MayRun("late#1", "r"));
+  fleet.Run(Milliseconds(2900));
+  CHECK(fleet.CountPoison("r") >= 4);
+  CHECK(!fleet.MayRun("e4#1", "r"));
+}
+
+TEST_CASE("a record in the store restores a refusal, unless the content was cleared since") {
+  CrashHistory history(ShortRefusals(), 1);
+  const Time now{Seconds(100)};
+  CHECK(history.OnRecord("r", 3, now).m_outcomes.size() == 1);
+  CHECK(history.IsPoison("r", now + Seconds(59)));
+  CHECK(!history.IsPoison("r", now + Seconds(61)));
+  history.OnFinished("r", now + Seconds(61));
+  CHECK(history.OnRecord("r", 3, now + Seconds(62)).m_outcomes.empty());
+  CHECK(!history.IsPoison("r", now + Seconds(62)));
+}
+
+TEST_CASE("many contents beside crashes neither displace a refused one nor make messages long") {
+  CrashHistorySettings settings = ShortRefusals();
+  settings.m_maxRequests = 200;
+  Fleet fleet(9, 0.0, settings);
+  fleet.CrashUnder("e0#1", "r", "s1", fleet.Now());
+  fleet.CrashUnder("e0#1", "r", "s2", fleet.Now());
+  for (int request = 0; request < 2000; ++request) {
+    fleet.Crash("e" + std::to_string(request % 9) + "#1", "other" + std::to_string(request), "s3");
+  }
+  CHECK(fleet.CountPoison("r") == 9);
+  CHECK(fleet.LargestMessage() <= 2 * settings.m_maxRequestsPerMessage);
+  fleet.Run(Seconds(1));
+  const std::size_t before = fleet.CountMessages();
+  fleet.Run(Seconds(10));
+  // What was only beside one crash is no longer told; what is refused goes to one member in turn.
+  CHECK(fleet.CountMessages() - before <= 9 * 2 * 20 + 9 * 2);
+}
+
+TEST_CASE("a second crash just before the first is forgotten still leads to a refusal") {
+  CrashHistory history(CrashHistorySettings{}, 1);
+  history.OnCrash("r", "s1", Time{});
+  history.OnCrash("r", "s2", Time{} + Seconds(599));
+  history.Tick(Time{} + Seconds(1198));
+  CHECK(history.IsPoison("r", Time{} + Seconds(1198)));
+  CHECK(history.OnCrash("q", "s1", Time{} + Seconds(1198)).m_outcomes.empty());
+  CHECK(history.OnCrash("q", "s2", Time{} + Seconds(1799)).m_outcomes.empty());
+}
+
+TEST_CASE(
+  "entries together send a crashing request at most three times later than the contact time") {
+  // Crashes show only after a while, messages get lost, and entries are replaced by new ones.
+  constexpr Duration kContactTime = Seconds(3);
+  constexpr std::size_t kAllowedRetries = 3;
+  for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+    CAPTURE(seed);
+    Random random(seed);
+    Fleet fleet(9, 0.03, ShortRefusals(), seed);
+    struct Run {
+      EntryId m_entry;
+      Time m_sentAt{};
+      Time m_crashesAt{};
+    };
+    std::vector<Run> running;
+    std::vector<Time> crashes;
+    std::size_t lateRetries = 0;
+    std::size_t starts = 9;
+    const Duration slowest = Milliseconds(seed % 2 == 0 ? 20 : 2000);
+    const Time end = fleet.Now() + Seconds(120);
+    while (fleet.Now() < end) {
+      fleet.Run(Milliseconds(100));
+      const std::vector<EntryId> names = fleet.Names();
+      if (random.Chance(0.005)) {
+        fleet.Leave(names[random.Below(names.size())]);
+        fleet.Join("e" + std::to_string(starts++) + "#1");
+        fleet.Run(kContactTime);
+      }
+      for (const Run& run : running) {
+        if (run.m_crashesAt <= fleet.Now()) {
+          crashes.push_back(fleet.Now());
+          const std::vector<EntryId> live = fleet.Names();
+          if (std::find(live.begin(), live.end(), run.m_entry) != live.end()) {
+            fleet.CrashUnder(run.m_entry, "r", "s" + std::to_string(crashes.size()), run.m_sentAt);
+          }
+        }
+      }
+      std::erase_if(running, [&fleet](const Run& aRun) { return aRun.m_crashesAt <= fleet.Now(); });
+      const std::vector<EntryId> live = fleet.Names();
+      const EntryId& entry = live[random.Below(live.size())];
+      CrashTrial trial;
+      if (random.Chance(0.2) && fleet.MayRun(entry, "r", trial, fleet.Now() + Seconds(20))) {
+        const bool isLate = crashes.size() >= 3 && fleet.Now() > crashes[2] + kContactTime;
+        lateRetries += isLate ? 1 : 0;
+        running.push_back({.m_entry = entry,
+                           .m_sentAt = fleet.Now(),
+                           .m_crashesAt = fleet.Now() + std::chrono::duration_cast<Duration>(
+                                                          slowest * random.Uniform())});
+      }
+    }
+    CHECK(crashes.size() >= 3);
+    CHECK(lateRetries <= kAllowedRetries);
+  }
+}
--- a/Tests/LibWire/TestMessageCodec.cpp
+++ b/Tests/LibWire/TestMessageCodec.cpp
@@ -94,6 +94,17 @@
   CHECK(report.m_versions == std::vector<std::string>{"tagger@3", "writer@1"});
 }
 
+TEST_CASE("verdicts on crashing requests survive a round trip") {
+  const CrashVerdicts verdicts{.m_verdicts = {{std::string(32, 'f'), 2, 5000, 750}}};
+  const Result<Envelope> read = DecodeMessage(EncodeMessage({"e1#1", 0, verdicts}));
+  REQUIRE(read);
+  const CrashVerdict& verdict = std::get<CrashVerdicts>(read.Get().m_message).m_verdicts.at(0);
+  CHECK(verdict.m_fingerprint == std::string(32, 'f'));
+  CHECK(verdict.m_refusals == 2);
+  CHECK(verdict.m_ageMilliseconds == 5000);
+  CHECK(verdict.m_trialMilliseconds == 750);
+}
+
 TEST_CASE("corrupted messages decode to errors or other messages and never crash") {
   Random random(20'261);
   const std::string bytes = EncodeMessage(SampleReply());
