--- a/Libraries/LibHttp/ClientConnection.cpp
+++ b/Libraries/LibHttp/ClientConnection.cpp
@@ -45,6 +45,10 @@
   SocketListener listener;
   listener.m_onConnected = [self = shared_from_this()] {
     self->m_loop.Cancel(std::exchange(self->m_connectTimer, EventLoop::kNoTimer));
+    const std::function<void()> onConnected = std::exchange(self->m_onConnected, {});
+    if (onConnected) {
+      onConnected();
+    }
   };
   listener.m_onInput = [self = shared_from_this()] { self->OnInput(); };
   listener.m_onEnd = [self = shared_from_this()](SocketEnd aEnd) { self->OnEnd(aEnd); };
@@ -73,6 +77,7 @@
   m_loop.Cancel(std::exchange(m_connectTimer, EventLoop::kNoTimer));
   m_busy = false;
   m_listener.reset();
+  m_onConnected = {};
   m_onClosed = {};
   m_socket->Reset();
 }
@@ -90,12 +95,12 @@
 void ClientConnection::Fail(CallFailure aFailure) {
   const bool wasBusy = std::exchange(m_busy, false);
   const std::shared_ptr<const CallListener> listener = m_listener;
-  const std::function<void()> onClosed = std::move(m_onClosed);
+  const std::function<void(CallFailure)> onClosed = std::move(m_onClosed);
   Abort();
   if (wasBusy) {
     listener->m_onFailed(aFailure);
-  } else if (!wasBusy && onClosed) {
-    onClosed();
+  } else if (onClosed) {
+    onClosed(aFailure);
   }
 }
 
--- a/Libraries/LibHttp/ClientConnection.h
+++ b/Libraries/LibHttp/ClientConnection.h
@@ -68,8 +68,14 @@
   Time IdleSince() const { return m_idleSince; }
   /// The idle timeout that the server announced in its Keep-Alive header, or zero.
   Duration ServerIdleTimeout() const { return m_serverIdleTimeout; }
+  /// Sets the callback for the server accepting the connection.
+  void SetOnConnected(std::function<void()> aOnConnected) {
+    m_onConnected = std::move(aOnConnected);
+  }
   /// Sets the callback for a close while no request is pending.
-  void SetOnClosed(std::function<void()> aOnClosed) { m_onClosed = std::move(aOnClosed); }
+  void SetOnClosed(std::function<void(CallFailure)> aOnClosed) {
+    m_onClosed = std::move(aOnClosed);
+  }
 
 private:
   void Start(Duration aConnectTimeout);
@@ -85,7 +91,8 @@
   MessageParser m_parser{MessageKind::Response};
   /// Shared, because a callback may end the call while it runs.
   std::shared_ptr<const CallListener> m_listener;
-  std::function<void()> m_onClosed;
+  std::function<void()> m_onConnected;
+  std::function<void(CallFailure)> m_onClosed;
   EventLoop::TimerId m_connectTimer = EventLoop::kNoTimer;
   Time m_idleSince{};
   Duration m_serverIdleTimeout{0};
--- a/Libraries/LibHttp/ConnectionPool.cpp
+++ b/Libraries/LibHttp/ConnectionPool.cpp
@@ -50,6 +50,23 @@
   return connection;
 }
 
+void ConnectionPool::CheckReachability(std::function<void(Reachability)> aOnResult) {
+  Result<std::shared_ptr<ClientConnection>> acquired = Acquire(true);
+  if (acquired.IsError()) {
+    m_loop.Post([onResult = std::move(aOnResult)] { onResult(Reachability::Unknown); });
+    return;
+  }
+  const std::shared_ptr<ClientConnection> connection = acquired.Take();
+  connection->SetOnConnected([this, connection, aOnResult] {
+    Release(connection);
+    aOnResult(Reachability::Accepts);
+  });
+  connection->SetOnClosed([this, connection, aOnResult](CallFailure aFailure) {
+    Release(connection);
+    aOnResult(aFailure == CallFailure::Refused ? Reachability::Refuses : Reachability::Unknown);
+  });
+}
+
 void ConnectionPool::CloseLeastRecentlyUsed() {
   m_idle.front()->SetOnClosed({});
   m_idle.front()->Abort();
@@ -69,7 +86,7 @@
     // state.
     CloseLeastRecentlyUsed();
   }
-  aConnection->SetOnClosed([this, raw = aConnection.get()] {
+  aConnection->SetOnClosed([this, raw = aConnection.get()](CallFailure) {
     std::erase_if(
       m_idle, [raw](const std::shared_ptr<ClientConnection>& aKept) { return aKept.get() == raw; });
   });
--- a/Libraries/LibHttp/ConnectionPool.h
+++ b/Libraries/LibHttp/ConnectionPool.h
@@ -3,6 +3,8 @@
 #include "LibHttp/ClientConnection.h"
 
 #include <cstddef>
+#include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -18,6 +20,21 @@
   SocketLimits m_socket;
 };
 
+/// Whether a server accepts connections.
+enum class Reachability : std::uint8_t {
+  Accepts,
+  /// Nothing listens at its address.
+  Refuses,
+  /// No reply in time, or another failure.
+  Unknown,
+};
+
+constexpr NameTable<Reachability, 3> kReachabilityNames = {{
+  {Reachability::Accepts, "accepts"},
+  {Reachability::Refuses, "refuses"},
+  {Reachability::Unknown, "unknown"},
+}};
+
 /// Keep-alive connections to one server. Each call holds one connection until it releases it.
 class ConnectionPool {
 public:
@@ -31,6 +48,9 @@
   Result<std::shared_ptr<ClientConnection>> Acquire(bool aNew);
   /// Returns a connection after its call has completed or failed.
   void Release(const std::shared_ptr<ClientConnection>& aConnection);
+  /// Opens a connection to learn whether the server accepts it, and keeps it for later calls. The
+  /// pool must exist until aOnResult has been called.
+  void CheckReachability(std::function<void(Reachability)> aOnResult);
   /// Closes all idle connections.
   void CloseIdle();
   /// Closes the idle connections that have expired.
--- a/Services/Edge/BackendTable.h
+++ b/Services/Edge/BackendTable.h
@@ -32,6 +32,8 @@
   ConnectionPool m_pool;
   /// Requests of this entry that run or are queued on the server.
   int m_runningRequests = 0;
+  /// Those of them that ran on servers that crashed.
+  int m_runningSuspects = 0;
   PrefillLoad m_prefillLoad;
   /// When response bytes of any request were last received from it.
   Time m_lastReceivedAt{};
--- /dev/null
+++ b/Services/Edge/CrashWatch.cpp
@@ -0,0 +1,278 @@
+#include "Services/Edge/CrashWatch.h"
+
+#include "LibRouting/CrashRecord.h"
+#include "LibWire/MessageCodec.h"
+#include "platform/StoreCodec.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace fennelline {
+
+namespace {
+
+constexpr Duration kTickInterval = Milliseconds(100);
+
+/// A crashed server is back within seconds. If it keeps its id, its new entry in the store is the
+/// last sign of the crash.
+constexpr Duration kSuspicionWindow = Seconds(10);
+
+/// A request whose server may have crashed waits this long for the result of the check. A refused
+/// connection shows within a round trip.
+constexpr Duration kMaxCheckWait = Milliseconds(100);
+constexpr int kMaxCheckAttempts = 3;
+
+/// Contents that were refused fewer times may well be harmless.
+constexpr std::size_t kMinKeptRefusals = 2;
+constexpr int kMaxRecordsPerSecond = 10;
+/// The longest lease that the store grants. Records of crashes end with it.
+constexpr Duration kRecordLease = Seconds(600);
+
+CrashHistorySettings HistorySettings() {
+  CrashHistorySettings settings;
+  settings.m_overlapRefusalTime = Duration(0);
+  // A content that only ran beside crashes is soon served again. One that crashes a server in each
+  // trial is sent two more times in a day.
+  settings.m_refusalTimes = {Seconds(5), Seconds(60), Seconds(24 * 3600)};
+  settings.m_antiEntropyInterval = Milliseconds(500);
+  // A description takes up to 150 bytes, and a message is one unfragmented datagram.
+  settings.m_maxRequestsPerMessage = 8;
+  return settings;
+}
+
+} // namespace
+
+CrashWatch::CrashWatch(EdgeContext& aContext, Members& aMembers, StoreClient& aStore,
+                       SendToPeer aSend)
+  : m_context(aContext)
+  , m_members(aMembers)
+  , m_store(aStore)
+  , m_send(std::move(aSend))
+  , m_history(HistorySettings(), aContext.m_random.Next())
+  , m_suspects(kSuspicionWindow) {}
+
+void CrashWatch::Start() {
+  m_context.m_loop.Every(kTickInterval, [this] { Apply(m_history.Tick(m_context.m_loop.Now())); });
+}
+
+BackendServerId CrashWatch::IdOf(const BackendLink& aBackend) {
+  return std::to_string(aBackend.m_identity);
+}
+
+bool CrashWatch::MayRun(const std::string& aFingerprint, CrashTrial& aTrial, Time aEnd) {
+  const CrashTrial before = aTrial;
+  Step<VerdictChanged> step;
+  const bool mayRun = m_history.MayRun(aFingerprint, aTrial, aEnd, m_context.m_loop.Now(), step);
+  if (aTrial.m_refusals != before.m_refusals) {
+    LogLine line("content-trial");
+    line.Text("content", aFingerprint).Count("refusals", aTrial.m_refusals);
+    m_context.Log(LogPriority::Notable, line);
+  }
+  Apply(step);
+  return mayRun;
+}
+
+Duration CrashWatch::RefusedFor(const std::string& aFingerprint) const {
+  const Time now = m_context.m_loop.Now();
+  return m_history.EndOfRefusal(aFingerprint, now) - now;
+}
+
+bool CrashWatch::IsSuspect(const std::string& aFingerprint) const {
+  return m_history.IsSuspect(aFingerprint, m_context.m_loop.Now());
+}
+
+void CrashWatch::OnBroken(const std::shared_ptr<BackendLink>& aBackend,
+                          const std::string& aFingerprint, Time aSentAt,
+                          std::function<void()> aOnChecked) {
+  const Time now = m_context.m_loop.Now();
+  if (!aBackend->TakesRequests(now)) {
+    // It is leaving, so its end is not a crash.
+    aOnChecked();
+    return;
+  }
+  m_suspects.Add(
+    {.m_fingerprint = aFingerprint, .m_server = IdOf(*aBackend), .m_sentAt = aSentAt, .m_at = now});
+  const auto [check, isNew] = m_checks.try_emplace(aBackend->m_identity);
+  check->second.m_waiting.push_back(std::move(aOnChecked));
+  if (isNew) {
+    StartCheck(aBackend);
+  }
+  m_context.m_loop.After(kMaxCheckWait,
+                         [this, identity = aBackend->m_identity] { ReleaseWaiting(identity); });
+}
+
+void CrashWatch::StartCheck(const std::shared_ptr<BackendLink>& aBackend) {
+  ++m_checks[aBackend->m_identity].m_attempts;
+  aBackend->m_pool.CheckReachability(
+    [this, aBackend](Reachability aResult) { OnCheckResult(aBackend, aResult); });
+}
+
+void CrashWatch::ReleaseWaiting(std::uint64_t aIdentity) {
+  const auto check = m_checks.find(aIdentity);
+  if (check == m_checks.end()) {
+    return;
+  }
+  const std::vector<std::function<void()>> waiting = std::exchange(check->second.m_waiting, {});
+  for (const std::function<void()>& resume : waiting) {
+    resume();
+  }
+}
+
+void CrashWatch::OnCheckResult(const std::shared_ptr<BackendLink>& aBackend, Reachability aResult) {
+  const std::uint64_t identity = aBackend->m_identity;
+  const int attempts = m_checks[identity].m_attempts;
+  LogLine line("server-check");
+  line.Text("backend", aBackend->m_record.m_id).Count("attempt", attempts);
+  line.Text("result", NameOf(kReachabilityNames, aResult));
+  line.Count("waiting", m_checks[identity].m_waiting.size());
+  m_context.Log(LogPriority::Notable, line);
+  m_context.m_metrics.OnServerCheck(aResult);
+  switch (aResult) {
+    case Reachability::Refuses:
+      OnCrashed(*aBackend);
+      break;
+    case Reachability::Accepts:
+      m_suspects.RefuteServer(IdOf(*aBackend));
+      break;
+    case Reachability::Unknown:
+      if (attempts < kMaxCheckAttempts && !aBackend->m_isRemoved) {
+        StartCheck(aBackend);
+        return;
+      }
+      break;
+  }
+  ReleaseWaiting(identity);
+  m_checks.erase(identity);
+}
+
+void CrashWatch::OnSilent(const BackendLink& aBackend, const std::string& aFingerprint,
+                          Time aSentAt) {
+  m_suspects.Add({.m_fingerprint = aFingerprint,
+                  .m_server = IdOf(aBackend),
+                  .m_sentAt = aSentAt,
+                  .m_at = m_context.m_loop.Now()});
+}
+
+void CrashWatch::OnCrashed(BackendLink& aBackend) {
+  const Time now = m_context.m_loop.Now();
+  if (!aBackend.TakesRequests(now)) {
+    // It was leaving, so its end is not a crash.
+    m_suspects.RefuteServer(IdOf(aBackend));
+    return;
+  }
+  std::vector<CrashedRun> runs;
+  for (const Suspicion& suspicion : m_suspects.Confirm(IdOf(aBackend), now)) {
+    runs.push_back({.m_fingerprint = suspicion.m_fingerprint, .m_sentAt = suspicion.m_sentAt});
+  }
+  if (runs.empty()) {
+    return;
+  }
+  aBackend.m_health.OnUnreachable(now);
+  LogLine line("server-crashed");
+  line.Text("backend", aBackend.m_record.m_id).Count("runs", runs.size());
+  line.Text("content", runs.front().m_fingerprint);
+  m_context.Log(LogPriority::Notable, line);
+  ApplyOwn(m_history.OnCrashes(runs, IdOf(aBackend), now));
+}
+
+void CrashWatch::OnFinished(const std::string& aFingerprint) {
+  m_suspects.RefuteRequest(aFingerprint);
+  Apply(m_history.OnFinished(aFingerprint, m_context.m_loop.Now()));
+}
+
+void CrashWatch::OnMembersChanged() {
+  std::vector<EntryId> others;
+  for (const MemberDigest& member : m_members.All()) {
+    if (member.m_entry != m_members.Self().m_entry) {
+      others.push_back(member.m_entry);
+    }
+  }
+  Apply(m_history.OnMembers(others, m_context.m_loop.Now()));
+}
+
+void CrashWatch::OnPeerMessage(const std::string& aBytes) {
+  const Result<Envelope> envelope = DecodeMessage(aBytes);
+  if (envelope.IsError()) {
+    LogLine line("note-refused");
+    line.Text("reason", envelope.GetError().m_detail).Count("bytes", aBytes.size());
+    m_context.Log(LogPriority::Notable, line);
+    return;
+  }
+  Apply(
+    m_history.OnMessage(envelope.Get().m_from, envelope.Get().m_message, m_context.m_loop.Now()));
+}
+
+void CrashWatch::OnRecord(const std::string& aFingerprint, std::size_t aRefusals) {
+  Apply(m_history.OnRecord(aFingerprint, aRefusals, m_context.m_loop.Now()));
+}
+
+void CrashWatch::Apply(const Step<VerdictChanged>& aStep) {
+  for (const VerdictChanged& outcome : aStep.m_outcomes) {
+    LogLine line(outcome.m_refusals > 0 ? "content-refused" : "content-cleared");
+    line.Text("content", outcome.m_fingerprint).Count("refusals", outcome.m_refusals);
+    line.Ms("for", RefusedFor(outcome.m_fingerprint));
+    m_context.Log(LogPriority::Notable, line);
+  }
+  const std::vector<MemberDigest> members =
+    aStep.m_effects.empty() ? std::vector<MemberDigest>() : m_members.All();
+  for (const Effect& effect : aStep.m_effects) {
+    const SendMessage& send = std::get<SendMessage>(effect);
+    const auto member =
+      std::find_if(members.begin(), members.end(),
+                   [&send](const MemberDigest& aMember) { return aMember.m_entry == send.m_to; });
+    if (member != members.end()) {
+      m_send(member->m_datagramAddress,
+             EncodeMessage({.m_from = m_members.Self().m_entry, .m_message = send.m_message}));
+    }
+  }
+}
+
+void CrashWatch::ApplyOwn(const Step<VerdictChanged>& aStep) {
+  Apply(aStep);
+  for (const VerdictChanged& outcome : aStep.m_outcomes) {
+    if (outcome.m_refusals >= kMinKeptRefusals) {
+      Keep(outcome.m_fingerprint, outcome.m_refusals);
+    }
+  }
+}
+
+void CrashWatch::Keep(const std::string& aFingerprint, std::size_t aRefusals) {
+  const Time now = m_context.m_loop.Now();
+  if (now - m_recordSecond >= Seconds(1)) {
+    m_recordSecond = now;
+    m_recordsInSecond = 0;
+  }
+  if (++m_recordsInSecond > kMaxRecordsPerSecond) {
+    LogUnkept(aFingerprint, "too many records");
+    return;
+  }
+  const GrantLease grant{.m_milliseconds = InMilliseconds(kRecordLease)};
+  m_store.Call(grant, [this, aFingerprint, aRefusals](const PlatformReply& aGranted) {
+    if (aGranted.m_status != PlatformStatus::Ok) {
+      LogUnkept(aFingerprint, "no lease");
+      return;
+    }
+    const std::string key = platform::MakeKey(platform::KeyKind::CrashRecord, aFingerprint);
+    const KeyValue* current = m_store.Mirror().Find(key);
+    const PutKey put{.m_key = key,
+                     .m_value = WriteCrashRecord({.m_refusals = aRefusals}),
+                     .m_expected = current == nullptr ? kAbsent : current->m_revision,
+                     .m_lease = aGranted.m_lease};
+    m_store.Call(put, [this, aFingerprint](const PlatformReply& aWritten) {
+      // A conflict means that another entry has just written the same.
+      if (aWritten.m_status != PlatformStatus::Ok &&
+          aWritten.m_status != PlatformStatus::Conflict) {
+        LogUnkept(aFingerprint, "not written");
+      }
+    });
+  });
+}
+
+void CrashWatch::LogUnkept(const std::string& aFingerprint, std::string_view aReason) const {
+  // The live entries know of the refusal. Only a fleet that starts anew would not.
+  LogLine line("crash-record-failed");
+  line.Text("content", aFingerprint).Text("reason", aReason);
+  m_context.Log(LogPriority::Notable, line);
+}
+
+} // namespace fennelline
--- /dev/null
+++ b/Services/Edge/CrashWatch.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "LibCoordination/Observation/CrashHistory.h"
+#include "LibCoordination/Observation/SuspectedCrashes.h"
+#include "Services/Edge/EdgeContext.h"
+#include "Services/Edge/Members.h"
+#include "Services/Edge/StoreClient.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace fennelline {
+
+/// Finds out which requests crash backend servers, together with the other entries, so that they
+/// are no longer sent. CrashHistory decides; this class checks whether servers have crashed and
+/// exchanges what is known with the other entries and the store.
+class CrashWatch {
+public:
+  using SendToPeer = std::function<void(const std::string& aAddress, const std::string& aMessage)>;
+
+  /// aSend: sends an encoded message to a peer's datagram address.
+  CrashWatch(EdgeContext& aContext, Members& aMembers, StoreClient& aStore, SendToPeer aSend);
+  void Start();
+
+  /// Whether a request with this content may be sent to a server now, see CrashHistory::MayRun().
+  bool MayRun(const std::string& aFingerprint, CrashTrial& aTrial, Time aEnd);
+  /// How long requests with this content are still refused.
+  Duration RefusedFor(const std::string& aFingerprint) const;
+  bool IsSuspect(const std::string& aFingerprint) const;
+  std::size_t CountRefused() const { return m_history.CountRefused(); }
+  /// Whether there is nothing to ask or tell about any content, so that hashing can be saved.
+  bool IsEmpty() const { return m_history.RequestCount() == 0 && m_suspects.IsEmpty(); }
+
+  /// The connection broke while the server had the request. Calls aOnChecked once it is known
+  /// whether the server has crashed, or cannot be found out in time.
+  void OnBroken(const std::shared_ptr<BackendLink>& aBackend, const std::string& aFingerprint,
+                Time aSentAt, std::function<void()> aOnChecked);
+  /// The server had the request and stayed silent.
+  void OnSilent(const BackendLink& aBackend, const std::string& aFingerprint, Time aSentAt);
+  /// Nothing listens at the server's address, or it was started again.
+  void OnCrashed(BackendLink& aBackend);
+  /// A server has run a request with this content to its end.
+  void OnFinished(const std::string& aFingerprint);
+
+  void OnMembersChanged();
+  void OnPeerMessage(const std::string& aBytes);
+  /// The store holds a record of a content that crashed servers.
+  void OnRecord(const std::string& aFingerprint, std::size_t aRefusals);
+
+private:
+  struct Suspicion {
+    std::string m_fingerprint;
+    BackendServerId m_server;
+    Time m_sentAt{};
+    Time m_at{};
+  };
+  struct Check {
+    std::vector<std::function<void()>> m_waiting;
+    int m_attempts = 0;
+  };
+
+  static BackendServerId IdOf(const BackendLink& aBackend);
+  void StartCheck(const std::shared_ptr<BackendLink>& aBackend);
+  void OnCheckResult(const std::shared_ptr<BackendLink>& aBackend, Reachability aResult);
+  void ReleaseWaiting(std::uint64_t aIdentity);
+  void Apply(const Step<VerdictChanged>& aStep);
+  /// Also keeps longer refusals in the store.
+  void ApplyOwn(const Step<VerdictChanged>& aStep);
+  void Keep(const std::string& aFingerprint, std::size_t aRefusals);
+  void LogUnkept(const std::string& aFingerprint, std::string_view aReason) const;
+
+  EdgeContext& m_context;
+  Members& m_members;
+  StoreClient& m_store;
+  SendToPeer m_send;
+  CrashHistory m_history;
+  SuspectedCrashes<Suspicion> m_suspects;
+  /// Checks in progress, by the server's identity.
+  std::map<std::uint64_t, Check> m_checks;
+  Time m_recordSecond{};
+  int m_recordsInSecond = 0;
+};
+
+} // namespace fennelline
--- a/Services/Edge/EdgeContext.h
+++ b/Services/Edge/EdgeContext.h
@@ -22,6 +22,8 @@
 
 namespace fennelline {
 
+class CrashWatch;
+
 /// Outcome of one request on a software version, used as rollout evidence.
 struct VersionEvidenceEvent {
   std::string m_service;
@@ -63,6 +65,8 @@
   std::function<void(std::uint64_t)> m_onOldVersionSession;
   /// Announces to the other entries a long prompt sent to a backend server.
   std::function<void(const LoadUpdate&)> m_onLoad;
+  /// Set before the first request.
+  CrashWatch* m_crashWatch = nullptr;
 
   RetryLimits RetryPlan() const {
     return {.m_ratio = m_settings.m_maxRetryRatio,
--- a/Services/Edge/EdgeMetrics.cpp
+++ b/Services/Edge/EdgeMetrics.cpp
@@ -53,9 +53,26 @@
                                                           .Help("Calls to the platform's store.")
                                                           .Register(*m_registry);
   m_storeCalls = {&storeCalls.Add({{"outcome", "failed"}}), &storeCalls.Add({{"outcome", "ok"}})};
+  prometheus::Family<prometheus::Counter>& serverChecks =
+    prometheus::BuildCounter()
+      .Name("fennelline_server_checks_total")
+      .Help("Checks whether a backend server has crashed, after its connections broke.")
+      .Register(*m_registry);
+  for (std::size_t result = 0; result < kReachabilities; ++result) {
+    m_serverChecks[result] =
+      &serverChecks.Add({{"result", TextOf(kReachabilityNames[result].second)}});
+  }
+  m_contentRefusals =
+    &prometheus::BuildCounter()
+       .Name("fennelline_content_refusals_total")
+       .Help("Requests that were not sent (again) because their content crashes servers.")
+       .Register(*m_registry)
+       .Add({});
   const auto gauge = [this](const char* aName, const char* aHelp) {
     return &prometheus::BuildGauge().Name(aName).Help(aHelp).Register(*m_registry).Add({});
   };
+  m_refusedContents =
+    gauge("fennelline_refused_contents", "Contents known to crash backend servers.");
   m_callerChannels = gauge("fennelline_caller_channels", "Open connections of callers.");
   m_serverChannels = gauge("fennelline_server_channels", "Open connections to backend servers.");
   m_members = gauge("fennelline_members", "Entries known to be alive, this one included.");
@@ -85,6 +102,18 @@
   m_storeCalls[aSucceeded ? 1 : 0]->Increment();
 }
 
+void EdgeMetrics::OnServerCheck(Reachability aResult) {
+  m_serverChecks[static_cast<std::size_t>(aResult)]->Increment();
+}
+
+void EdgeMetrics::OnContentRefused() {
+  m_contentRefusals->Increment();
+}
+
+void EdgeMetrics::SetRefusedContents(std::size_t aCount) {
+  m_refusedContents->Set(static_cast<double>(aCount));
+}
+
 void EdgeMetrics::SetGauges(std::size_t aCallerChannels, std::size_t aServerChannels,
                             std::size_t aMembers, std::int64_t aConfigurationVersion,
                             Duration aStoreStateAge) {
--- a/Services/Edge/EdgeMetrics.h
+++ b/Services/Edge/EdgeMetrics.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibBase/Time.h"
+#include "LibHttp/ConnectionPool.h"
 #include "LibRouting/RetryPolicy.h"
 
 #include <array>
@@ -53,6 +54,11 @@
   void OnFirstByte(RouteKind aKind, Duration aTime);
   void OnAnswered(RouteKind aKind, Duration aTime);
   void OnStoreCall(bool aSucceeded);
+  /// A server was checked after its connections broke.
+  void OnServerCheck(Reachability aResult);
+  /// A request was not sent, or not sent again, because its content crashes servers.
+  void OnContentRefused();
+  void SetRefusedContents(std::size_t aCount);
   void SetGauges(std::size_t aCallerChannels, std::size_t aServerChannels, std::size_t aMembers,
                  std::int64_t aConfigurationVersion, Duration aStoreStateAge);
   /// Returns the metrics in the Prometheus text format.
@@ -62,6 +68,7 @@
   static constexpr std::size_t kKinds = kRouteKindNames.size();
   static constexpr std::size_t kEnds = kRequestEndNames.size();
   static constexpr std::size_t kOutcomes = kAttemptOutcomeNames.size();
+  static constexpr std::size_t kReachabilities = kReachabilityNames.size();
 
   std::shared_ptr<prometheus::Registry> m_registry = std::make_shared<prometheus::Registry>();
   std::array<std::array<prometheus::Counter*, kEnds>, kKinds> m_requests{};
@@ -69,6 +76,9 @@
   std::array<prometheus::Histogram*, kKinds> m_firstByte{};
   std::array<prometheus::Histogram*, kKinds> m_answered{};
   std::array<prometheus::Counter*, 2> m_storeCalls{};
+  std::array<prometheus::Counter*, kReachabilities> m_serverChecks{};
+  prometheus::Counter* m_contentRefusals = nullptr;
+  prometheus::Gauge* m_refusedContents = nullptr;
   prometheus::Gauge* m_callerChannels = nullptr;
   prometheus::Gauge* m_serverChannels = nullptr;
   prometheus::Gauge* m_members = nullptr;
--- a/Services/Edge/EdgeProcess.cpp
+++ b/Services/Edge/EdgeProcess.cpp
@@ -39,6 +39,7 @@
 constexpr char kLoadMessageType = 'L';
 constexpr char kSessionMessageType = 'S';
 constexpr char kRolloutMessageType = 'R';
+constexpr char kCrashMessageType = 'C';
 /// "ADDRESS REVISION": the sender's peer address and the latest store revision that it knows.
 constexpr char kRevisionMessageType = 'V';
 /// Messages created within this time are sent together.
@@ -121,7 +122,12 @@
         SendToPeers(kRevisionMessageType + m_context.m_settings.m_peerAddress + " " +
                     std::to_string(m_store.Mirror().LastChange()));
       })
-  , m_rollouts(m_context, m_storeView, m_members, m_store) {
+  , m_rollouts(m_context, m_storeView, m_members, m_store)
+  , m_crashWatch(m_context, m_members, m_store,
+                 [this](const std::string& aAddress, const std::string& aMessage) {
+                   m_members.SendPeerMessage(aAddress, kCrashMessageType + aMessage);
+                 }) {
+  m_context.m_crashWatch = &m_crashWatch;
   m_rollouts.SetSend([this](const std::string& aAddress, const RolloutReport& aReport) {
     m_members.SendPeerMessage(aAddress, kRolloutMessageType + EncodeRolloutReport(aReport));
   });
@@ -164,6 +170,7 @@
   m_members.AddSeeds(SeedAddresses());
   m_store.Start(settings.m_isFirstStart ? kFirstStartDelay : kRestartDelay);
   m_rollouts.Start();
+  m_crashWatch.Start();
   m_loop.Every(kLogFlushInterval, [this] { m_log.Flush(); });
   m_loop.Every(Seconds(1), [this] { OnSecondTimer(); });
   return {};
@@ -277,9 +284,14 @@
     }
   }
   m_store.SetPeers(watchesStore, std::move(near), std::move(others));
+  m_crashWatch.OnMembersChanged();
 }
 
 void EdgeProcess::OnPeerMessage(const std::string& aMessage) {
+  if (aMessage.starts_with(kCrashMessageType)) {
+    m_crashWatch.OnPeerMessage(aMessage.substr(1));
+    return;
+  }
   const Time now = m_loop.Now();
   const Result<std::vector<LoadUpdate>> loads = aMessage.starts_with(kLoadMessageType)
                                                   ? DecodeLoadUpdates(aMessage.substr(1))
@@ -386,6 +398,7 @@
   m_metrics.SetGauges(m_callers->CountConnections(), m_context.m_backends.CountChannels(),
                       m_context.m_entries, m_context.m_routes ? m_context.m_routes->Version() : 0,
                       m_loop.Now() - m_context.m_storeConfirmedAt);
+  m_metrics.SetRefusedContents(m_crashWatch.CountRefused());
   ResponseHead head{.m_status = kOk, .m_headers = {}};
   head.m_headers.Add("Content-Type", "text/plain; version=0.0.4");
   aCaller->SendResponse(head, m_metrics.Text());
--- a/Services/Edge/EdgeProcess.h
+++ b/Services/Edge/EdgeProcess.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibHttp/HttpServer.h"
+#include "Services/Edge/CrashWatch.h"
 #include "Services/Edge/EdgeContext.h"
 #include "Services/Edge/Members.h"
 #include "Services/Edge/RolloutDriver.h"
@@ -65,6 +66,7 @@
   Members m_members;
   StoreClient m_store;
   RolloutDriver m_rollouts;
+  CrashWatch m_crashWatch;
   std::unique_ptr<HttpServer> m_callers;
   std::vector<std::unique_ptr<HttpServer>> m_servers;
   std::vector<LoadUpdate> m_pendingLoads;
--- a/Services/Edge/RelayAnswer.cpp
+++ b/Services/Edge/RelayAnswer.cpp
@@ -1,6 +1,7 @@
 // Forwards a backend server's response to the caller.
 
 #include "LibRouting/EscalationPolicy.h"
+#include "Services/Edge/CrashWatch.h"
 #include "Services/Edge/RequestRelay.h"
 #include "platform/RequestCodec.h"
 
@@ -72,7 +73,7 @@
   if (m_answerBegun && !m_attempt->m_isStream) {
     // Part of another response was already sent to the caller, and this one cannot continue it.
     EndAttempt(AttemptOutcome::Failed);
-  } else if (IsLowConfidence() && TryReplaceRun(kAttemptsReservedForFailures)) {
+  } else if (IsLowConfidence() && MayRun() && TryReplaceRun(kAttemptsReservedForFailures)) {
     Escalate();
   }
   return HeadAction::Accept;
@@ -203,6 +204,9 @@
   const Time now = m_context.m_loop.Now();
   const int status = m_attempt->m_head.m_status;
   m_attempt->m_backend->m_health.OnSuccess(now);
+  if (!m_context.m_crashWatch->IsEmpty()) {
+    m_context.m_crashWatch->OnFinished(Fingerprint());
+  }
   ReportEvidence(false);
   if (m_answerBegun) {
     m_caller->SendBodyPart(m_attempt->m_body);
@@ -254,6 +258,7 @@
   const Attempt attempt = std::move(*m_attempt);
   m_attempt.reset();
   --attempt.m_backend->m_runningRequests;
+  attempt.m_backend->m_runningSuspects -= attempt.m_isSuspect ? 1 : 0;
   attempt.m_backend->m_pool.Release(attempt.m_channel);
 }
 
@@ -271,8 +276,10 @@
   m_triedBackends.push_back(backend->m_record.m_id);
   m_framer.DropPartial();
   // Stop the work on the previous server before the request runs on another one.
-  const Duration took = now - m_attempt->m_sentAt;
+  const Time sentAt = m_attempt->m_sentAt;
   const std::optional<CallFailure> failure = m_attempt->m_failure;
+  const bool isBroken = m_attempt->IsBroken();
+  m_wasBroken = m_wasBroken || isBroken;
   ReleaseAttempt();
   m_context.m_metrics.OnAttemptEnded(aOutcome);
   const NextAction action = m_retryPolicy.OnOutcome(
@@ -286,11 +293,38 @@
   if (aOutcome == AttemptOutcome::Lost) {
     line.Text("content", Fingerprint());
   }
-  line.Text("next", NameOf(kNextActionNames, action)).Ms("took", took);
+  line.Text("next", NameOf(kNextActionNames, action)).Ms("took", now - sentAt);
   line.Count("events", m_framer.CountEvents()).Flag("answer-begun", m_answerBegun);
   line.Ms("time-left", m_retryPolicy.Promise().m_answerBy - now);
   m_context.Log(LogPriority::Notable, line);
-  ExecuteAction(action);
+  if (failure == CallFailure::Refused) {
+    m_context.m_crashWatch->OnCrashed(*backend);
+  }
+  if (aOutcome == AttemptOutcome::Lost) {
+    ReportUnanswered(backend, sentAt, isBroken, action);
+  } else {
+    ExecuteAction(action);
+  }
+}
+
+void RequestRelay::ReportUnanswered(const std::shared_ptr<BackendLink>& aBackend, Time aSentAt,
+                                    bool aIsBroken, NextAction aAction) {
+  if (!aIsBroken) {
+    m_context.m_crashWatch->OnSilent(*aBackend, Fingerprint(), aSentAt);
+    ExecuteAction(aAction);
+    return;
+  }
+  // Another server gets the request only after it is known whether this one crashed under it.
+  const bool waits = aAction == NextAction::Send;
+  m_context.m_crashWatch->OnBroken(aBackend, Fingerprint(), aSentAt,
+                                   [self = shared_from_this(), waits] {
+                                     if (waits && !self->m_ended) {
+                                       self->Dispatch();
+                                     }
+                                   });
+  if (!waits) {
+    ExecuteAction(aAction);
+  }
 }
 
 void RequestRelay::ForwardFailure() {
@@ -329,9 +363,10 @@
     // The server is alive but busy. Sending the request again would add to the load.
     return;
   }
-  if (!TryReplaceRun(0)) {
+  if (!MayRun() || !TryReplaceRun(0)) {
     return;
   }
+  m_context.m_crashWatch->OnSilent(*m_attempt->m_backend, Fingerprint(), m_attempt->m_sentAt);
   const Time now = m_context.m_loop.Now();
   LogLine line("stalled");
   line.Text("id", m_metadata.m_requestId).Text("backend", m_attempt->m_backend->m_record.m_id);
--- a/Services/Edge/RelayPlacement.cpp
+++ b/Services/Edge/RelayPlacement.cpp
@@ -154,6 +154,7 @@
   const bool isEngine = service != nullptr && service->m_isEngine;
   const double entries = static_cast<double>(m_context.m_entries);
   const PlacementQuery query = MakeQuery(service);
+  const bool isSuspect = IsSuspect();
   const double maxChannels =
     service == nullptr || service->m_mostChannels == 0
       ? static_cast<double>(m_context.m_settings.m_maxDescriptors)
@@ -184,7 +185,8 @@
        .m_isReserved = isForLongPrompts[index],
        .m_isServingLongPrompt = prefillLoad.IsServingLongPrompt(now),
        .m_failureRate = backend->m_health.FailureRate(now),
-       .m_isAvoided = isFull || backend->m_health.IsAvoided(now)});
+       .m_isAvoided = isFull || backend->m_health.IsAvoided(now) ||
+                      (isSuspect && backend->m_runningSuspects > 0)});
   }
   const std::optional<std::size_t> chosen = ChoosePlacement(query, candidates, m_context.m_random);
   if (!chosen) {
--- a/Services/Edge/RequestRelay.cpp
+++ b/Services/Edge/RequestRelay.cpp
@@ -2,6 +2,7 @@
 
 #include "LibRouting/ContentFingerprint.h"
 #include "LibRouting/ShutdownPolicy.h"
+#include "Services/Edge/CrashWatch.h"
 #include "Services/Edge/Hash.h"
 #include "platform/RequestCodec.h"
 
@@ -161,6 +162,33 @@
   return m_fingerprint;
 }
 
+bool RequestRelay::MayRun() {
+  CrashWatch& crashWatch = *m_context.m_crashWatch;
+  return crashWatch.IsEmpty() ||
+         crashWatch.MayRun(Fingerprint(), m_crashTrial, m_retryPolicy.Promise().m_answerBy);
+}
+
+bool RequestRelay::IsSuspect() {
+  CrashWatch& crashWatch = *m_context.m_crashWatch;
+  return !crashWatch.IsEmpty() &&
+         (crashWatch.IsSuspect(Fingerprint()) || m_crashTrial.m_refusals > 0);
+}
+
+void RequestRelay::EndAsCrashing() {
+  const NextAction action = m_retryPolicy.OnGivenUp(m_answerBegun);
+  LogLine line("content-not-run");
+  line.Text("id", m_metadata.m_requestId).Text("content", Fingerprint());
+  line.Text("next", NameOf(kNextActionNames, action)).Count("sends", m_retryPolicy.Sends());
+  m_context.Log(LogPriority::Notable, line);
+  m_context.m_metrics.OnContentRefused();
+  if (action == NextAction::Refuse) {
+    Refuse("requests with this content crash servers",
+           std::max(m_context.m_crashWatch->RefusedFor(Fingerprint()), RetryAfter()));
+  } else {
+    ExecuteAction(action);
+  }
+}
+
 void RequestRelay::KeepSessionOnOldVersion() {
   const VersionRule rule = RuleForRequest();
   if (rule.m_preference != VersionPreference::Trial || m_metadata.m_session.empty()) {
@@ -199,6 +227,10 @@
 }
 
 void RequestRelay::Dispatch() {
+  if (!MayRun()) {
+    EndAsCrashing();
+    return;
+  }
   const std::shared_ptr<BackendLink> backend = ChooseBackend();
   if (!backend) {
     ExecuteAction(m_retryPolicy.OnGivenUp(m_answerBegun));
@@ -208,6 +240,7 @@
   attempt.m_backend = backend;
   attempt.m_model = ChooseModel();
   attempt.m_sentAt = m_context.m_loop.Now();
+  attempt.m_isSuspect = IsSuspect();
   LogLine line("attempt");
   line.Text("id", m_metadata.m_requestId).Text("backend", backend->m_record.m_id);
   line.Text("service", m_service).Text("version", backend->m_record.m_version);
@@ -219,9 +252,11 @@
   line.Count("configuration", m_routes->Version());
   line.Ms("belief-age", attempt.m_sentAt - m_context.m_storeConfirmedAt);
   m_context.Log(LogPriority::Routine, line);
-  // A server may close an idle connection just when a request is sent on it. A request that cannot
-  // be retried needs a new connection, since it would be unknown whether it was executed.
-  const bool needsFresh = !m_retryPolicy.Promise().MayRepeat();
+  // A server may close an idle connection, or have crashed, just when a request is sent on it. A
+  // new connection shows that the server is up, so that a request that cannot be retried is not
+  // sent in vain, and one that broke elsewhere does not seem to have crashed this server too.
+  const bool needsFresh =
+    !m_retryPolicy.Promise().MayRepeat() || m_wasBroken || attempt.m_isSuspect;
   Result<std::shared_ptr<ClientConnection>> channel = backend->m_pool.Acquire(needsFresh);
   if (channel.IsError()) {
     backend->m_health.OnUnreachable(attempt.m_sentAt);
@@ -233,6 +268,7 @@
   }
   attempt.m_channel = channel.Take();
   ++backend->m_runningRequests;
+  backend->m_runningSuspects += attempt.m_isSuspect ? 1 : 0;
   m_version = backend->m_record.m_version;
   const std::string bytes = EncodeForBackend(*backend, attempt.m_model);
   const bool isHead = m_request.m_head.m_method == "HEAD";
--- a/Services/Edge/RequestRelay.h
+++ b/Services/Edge/RequestRelay.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "LibCoordination/Observation/CrashHistory.h"
 #include "LibHttp/ServerConnection.h"
 #include "LibRouting/EventFramer.h"
 #include "LibRouting/Placement.h"
@@ -42,6 +43,7 @@
     bool m_isStream = false;
     /// How the call failed; none if it did not fail on the connection.
     std::optional<CallFailure> m_failure;
+    bool m_isSuspect = false;
     std::string m_body;
 
     /// The connection broke after the request, or part of it, had been sent.
@@ -71,6 +73,11 @@
   std::vector<std::shared_ptr<BackendLink>> Eligible() const;
   VersionRule RuleForRequest() const;
   const std::string& Fingerprint();
+  /// Whether the request may be sent to a server. False if its content crashes servers.
+  bool MayRun();
+  void EndAsCrashing();
+  /// Whether servers crashed under requests with this content.
+  bool IsSuspect();
   void KeepSessionOnOldVersion();
   void AnnounceOldVersionSession();
   std::string ChooseModel() const;
@@ -92,6 +99,9 @@
   Duration MeasuredLatency() const;
   void EndAttempt(AttemptOutcome aOutcome);
   void ReleaseAttempt();
+  /// Tells the crash watch about an attempt without an answer, then takes the action.
+  void ReportUnanswered(const std::shared_ptr<BackendLink>& aBackend, Time aSentAt, bool aIsBroken,
+                        NextAction aAction);
   void ExecuteAction(NextAction aAction);
   void ForwardFailure();
   void Refuse(std::string_view aReason, Duration aRetryAfter);
@@ -119,6 +129,9 @@
   std::uint64_t m_hash = 0;
   /// See Fingerprint(); empty until it is needed.
   std::string m_fingerprint;
+  CrashTrial m_crashTrial;
+  /// The connection to a server broke in an earlier attempt.
+  bool m_wasBroken = false;
   /// Part of a response has been sent to the caller.
   bool m_answerBegun = false;
   /// Prompt tokens that need prefill: those outside a prefix that the server has cached.
--- a/Services/Edge/StoreView.cpp
+++ b/Services/Edge/StoreView.cpp
@@ -1,5 +1,7 @@
 #include "Services/Edge/StoreView.h"
 
+#include "LibRouting/CrashRecord.h"
+#include "Services/Edge/CrashWatch.h"
 #include "platform/ConfigurationCodec.h"
 #include "platform/ReplicaCodec.h"
 #include "platform/RolloutCodec.h"
@@ -31,6 +33,9 @@
       case platform::KeyKind::RolloutRecord:
         ApplyRecord(name.m_name, key);
         break;
+      case platform::KeyKind::CrashRecord:
+        ApplyCrashRecord(name.m_name, key);
+        break;
       case platform::KeyKind::RolloutStatus:
       case platform::KeyKind::Member:
       case platform::KeyKind::Other:
@@ -92,9 +97,26 @@
   line.Text("service", record.Get().m_service).Text("version", record.Get().m_version);
   line.Text("address", record.Get().m_address).Text("zone", record.Get().m_zone);
   m_context.Log(LogPriority::Notable, line);
+  const std::shared_ptr<BackendLink> known = m_context.m_backends.Find(aId);
+  if (known && known->m_record.m_startedAtMs != record.Get().m_startedAtMs) {
+    m_context.m_crashWatch->OnCrashed(*known);
+  }
   m_context.m_backends.Update(record.Get());
 }
 
+void StoreView::ApplyCrashRecord(const std::string& aFingerprint, const KeyValue& aKey) {
+  if (aKey.m_removed) {
+    // Its lease has ended. The entries that know of the crashes forget them by themselves.
+    return;
+  }
+  const Result<CrashRecord> record = ParseCrashRecord(aKey.m_value);
+  if (record.IsError()) {
+    LogUnreadable(aKey, record.GetError());
+    return;
+  }
+  m_context.m_crashWatch->OnRecord(aFingerprint, record.Get().m_refusals);
+}
+
 void StoreView::ApplyOrder(const std::string& aService, const KeyValue& aKey) {
   if (aKey.m_removed) {
     m_orders.erase(aService);
--- a/Services/Edge/StoreView.h
+++ b/Services/Edge/StoreView.h
@@ -29,6 +29,7 @@
   void ApplyReplica(const std::string& aId, const KeyValue& aKey, bool aAfterOutage);
   void ApplyOrder(const std::string& aService, const KeyValue& aKey);
   void ApplyRecord(const std::string& aService, const KeyValue& aKey);
+  void ApplyCrashRecord(const std::string& aFingerprint, const KeyValue& aKey);
   void UpdateRule(const std::string& aService);
   void LogUnreadable(const KeyValue& aKey, const Error& aError) const;
 
--- a/Tests/Ctl/TestRequestExplanation.cpp
+++ b/Tests/Ctl/TestRequestExplanation.cpp
@@ -40,7 +40,7 @@
 
 } // namespace
 
-TEST_CASE("each of the twelve causes is determined from the log lines of a request") {
+TEST_CASE("each of the thirteen causes is determined from the log lines of a request") {
   const std::string attempt = kAttempt;
   CHECK(CauseOf(attempt + End("answered", 0)) == RequestEndCause::Answered);
   CHECK(CauseOf(R"({"at":1,"node":"a","event":"rejected","id":"r1","reason":"no such key"})"
@@ -54,6 +54,12 @@
   CHECK(CauseOf(attempt + AttemptEnd("not-run", "refuse", 900.0) +
                 Refused("no backend server can take it") + End("refused", 1)) ==
         RequestEndCause::RejectedByServers);
+  const std::string notRun =
+    R"({"at":1400,"node":"a","event":"content-not-run","id":"r1","content":"f00d"})"
+    "\n";
+  for (const char* end : {"refused", "failed", "cut"}) {
+    CHECK(CauseOf(notRun + End(end, 0)) == RequestEndCause::CrashingContent);
+  }
   CHECK(CauseOf(attempt + AttemptEnd("lost", "cut", 900.0) + End("cut", 1)) ==
         RequestEndCause::ConnectionLost);
   CHECK(CauseOf(attempt + AttemptEnd("spoilt", "fail", 900.0) + End("failed", 1)) ==
@@ -66,6 +72,21 @@
   CHECK(CauseOf(attempt) == RequestEndCause::NoEndLogged);
 }
 
+TEST_CASE("the explanation of a crashing content contains earlier crashes at other entries") {
+  const std::string crash =
+    R"({"at":1,"node":"b","event":"server-crashed","backend":"i-9","content":"f00d"})"
+    "\n";
+  const std::string other =
+    R"({"at":2,"node":"b","event":"server-crashed","backend":"i-8","content":"beef"})"
+    "\n";
+  const std::string notRun =
+    R"({"at":9000,"node":"a","event":"content-not-run","id":"r1","content":"f00d"})"
+    "\n";
+  const RequestExplanation explanation = ExplanationOf(crash + other + notRun + End("refused", 0));
+  REQUIRE(explanation.m_lines.size() == 3);
+  CHECK(explanation.m_lines.front().m_text.find("i-9") != std::string::npos);
+}
+
 TEST_CASE("an explanation contains related entry and server events in chronological order") {
   const std::string logs =
     std::string("text that is no log line\n") + End("answered", 0) + kAttempt +
--- a/Tests/Edge/crashing_request.py
+++ b/Tests/Edge/crashing_request.py
@@ -11,7 +11,7 @@
 
 sys.path.insert(0, os.path.dirname(__file__))
 from fleet import Fleet
-from standin import Replica, call
+from standin import call, wait_until
 
 EVENTS = "text/event-stream"
 POISON = b"crashes the server"
@@ -118,6 +118,188 @@
             # A request that cannot be repeated fails if it runs beside a crash.
             await self.check_is_refused(fleet, "/once/report", apart_s=(0.25,))
 
+    async def test_a_request_that_crashed_a_server_twice_under_one_id_is_refused(self):
+        async with CrashingFleet(keeps_id=True, entries=2, app=2) as fleet:
+            await fleet.until_members_known()
+            for number in range(8):
+                entry = fleet.entries[number % 2]
+                await call(entry.address("front"), "/once/x", f"poison-{number}", body=POISON)
+                await asyncio.sleep(0.4)
+            self.assertEqual(len(fleet.crashes()), 2)
+
+    async def test_a_server_started_again_after_silence_counts_as_crashed(self):
+        async with Fleet(app=3) as fleet:
+            for number in range(2):
+                for replica in fleet.of("app"):
+                    replica.fault = "hang"
+                await call(fleet.front, "/once/x", f"poison-{number}", body=POISON, deadline_ms=300)
+                hung = next(replica for replica in fleet.of("app")
+                            if any(run["id"] == f"poison-{number}" for run in replica.runs))
+                hung.born += 1000
+                hung.register()
+                await wait_until(lambda n=number: len(fleet.entries[0].lines("server-crashed")) > n)
+            refused = await call(fleet.front, "/once/x", "poison-2", body=POISON)
+            self.assertEqual((refused.status, fleet.runs("poison-2")), (503, []))
+
+    async def test_what_is_refused_has_not_run_and_what_may_have_run_is_not_refused(self):
+        async with CrashingFleet(entries=2, app=4, pool=4) as fleet:
+            await fleet.until_members_known()
+            answers = {}
+            for path, accept in (("/once/x", ""), ("/plain/x", ""), ("/stream/x", EVENTS)):
+                for number in range(4):
+                    request = f"{path}-{number}"
+                    entry = fleet.entries[number % 2]
+                    answers[request] = await call(entry.address("front"), path, request,
+                                                  body=POISON, accept=accept)
+            for request, answer in answers.items():
+                was_run = bool(fleet.runs(request))
+                self.assertEqual(answer.status, 502 if was_run else 503, request)
+                self.assertLess(answer.took_s, 1.0, request)
+            self.assertEqual({answers[f"{path}-3"].status
+                              for path in ("/once/x", "/plain/x", "/stream/x")}, {503})
+
+    async def test_an_entry_that_starts_after_the_crashes_refuses_the_request(self):
+        async with CrashingFleet(entries=3, app=4) as fleet:
+            await fleet.until_members_known()
+            late = fleet.entries[2]
+            await late.end()
+            for number in range(2):
+                await call(fleet.front, "/once/x", f"poison-{number}", body=POISON)
+            await late.start()
+            await wait_until(lambda: late.lines("content-refused"))
+            refused = await call(late.address("front"), "/once/x", "poison-late", body=POISON)
+            self.assertEqual((refused.status, fleet.runs("poison-late")), (503, []))
+
+    async def test_a_request_is_still_refused_after_all_entries_were_killed(self):
+        async with CrashingFleet(entries=2, app=4) as fleet:
+            await fleet.until_members_known()
+            for number in range(2):
+                await call(fleet.front, "/once/x", f"poison-{number}", body=POISON)
+            await wait_until(lambda: any(key.startswith("fennelline/crash/")
+                                         for key in fleet.store.items))
+            for entry in fleet.entries:
+                await entry.end()
+            for entry in fleet.entries:
+                await entry.start()
+                await wait_until(lambda e=entry: len(e.lines("ready")) == 2)
+                refused = await call(entry.address("front"), "/once/x", "poison-late", body=POISON)
+                self.assertEqual((refused.status, fleet.runs("poison-late")), (503, []))
+
+    async def test_a_popular_request_beside_crashes_of_other_causes_is_served(self):
+        async with CrashingFleet(entries=3, app=9) as fleet:
+            await fleet.until_members_known()
+            for replica in fleet.of("app"):
+                replica.work_s = 0.05
+
+            async def crash_six():
+                for replica in fleet.of("app")[:6]:
+                    await wait_until(lambda r=replica: r.writers)
+                    await replica.crash()
+                    await asyncio.sleep(0.3)
+
+            crashes = asyncio.create_task(crash_six())
+            await send_in_turn(fleet, "/plain/x", b"popular", 120, 0.02, "popular")
+            await crashes
+            last = await send_in_turn(fleet, "/plain/x", b"popular", 72, 0.02, "last")
+            self.assertEqual([answer.status for answer in last if not is_served(answer)], [])
+
+    async def test_a_request_running_on_all_servers_as_they_crash_is_soon_served_again(self):
+        async with CrashingFleet(entries=3, app=3) as fleet:
+            await fleet.until_members_known()
+            for replica in fleet.of("app"):
+                replica.work_s = 0.5
+            first = asyncio.create_task(send_in_turn(fleet, "/plain/x", b"popular", 12, 0.01, "first"))
+            await wait_until(lambda: all(len(replica.writers) >= 2 for replica in fleet.of("app")))
+            await asyncio.gather(*(replica.crash() for replica in fleet.of("app")))
+            await first
+            await asyncio.gather(*fleet.returns)
+            # One at a time may try, so the first that is served lets the others in.
+            answer = await call(fleet.front, "/plain/x", "trial", body=b"popular")
+            self.assertTrue(is_served(answer), answer.status)
+            answers = await send_in_turn(fleet, "/plain/x", b"popular", 9, 0.01, "again")
+            self.assertEqual([answer.status for answer in answers if not is_served(answer)], [])
+
+    async def test_a_request_without_an_answer_from_live_servers_is_not_refused(self):
+        async with Fleet(entries=2, app=3) as fleet:
+            await fleet.until_members_known()
+            for fault in ("lost", "half", "garbage", "hang", "error"):
+                for replica in fleet.of("app"):
+                    replica.fault = fault
+                for number in range(4):
+                    entry = fleet.entries[number % 2]
+                    await call(entry.address("front"), "/plain/x", f"{fault}-{number}",
+                               deadline_ms=300)
+                for replica in fleet.of("app"):
+                    replica.fault = None
+                for entry in fleet.entries:
+                    answer = await call(entry.address("front"), "/plain/x", f"{fault}-{entry.name}")
+                    self.assertTrue(is_served(answer), f"{fault}: {answer.status}")
+            self.assertEqual([line for entry in fleet.entries
+                              for line in entry.lines("server-crashed")], [])
+
+    async def test_a_request_is_not_refused_for_the_end_of_servers_that_were_leaving(self):
+        async with Fleet(app=4) as fleet:
+            entry = fleet.entries[0]
+            for replica in fleet.of("app"):
+                replica.work_s = 0.5
+            for leaving in fleet.of("app")[:3]:
+                answer = asyncio.create_task(call(fleet.front, "/plain/x", leaving.name))
+                await wait_until(lambda: fleet.runs(leaving.name))
+                busy = next(replica for replica in fleet.of("app")
+                            if any(run["id"] == leaving.name for run in replica.runs))
+                busy.leave()
+                await wait_until(lambda: any(line["backend"] == busy.name and line["state"] == "gone"
+                                             for line in entry.lines("backend")))
+                await busy.stop(reset=True)
+                self.assertTrue(is_served(await answer))
+            self.assertEqual(entry.lines("server-crashed"), [])
+
+    async def test_a_request_refused_meanwhile_is_neither_escalated_nor_sent_again_on_a_stall(self):
+        for path, confidence in (("/sized/x", 10), ("/plain/x", 100)):
+            async with CrashingFleet(entries=2, app=3, pool=3) as fleet:
+                await fleet.until_members_known()
+                servers = fleet.of("pool" if path == "/sized/x" else "app")
+                for replica in servers:
+                    replica.work_s, replica.confidence = 0.9, confidence
+                    replica.crash_bodies = frozenset()
+                running = asyncio.create_task(
+                    call(fleet.front, path, "running", body=POISON, deadline_ms=8000,
+                         accept=EVENTS if path == "/sized/x" else "",
+                         headers=[("Fennelline-Model", "*")]))
+                await wait_until(lambda: fleet.runs("running"))
+                holder = next(replica for replica in servers if replica.runs)
+                for replica in servers:
+                    if replica is not holder:
+                        replica.crash_bodies = frozenset([POISON])
+                other = fleet.entries[1].address("front")
+                for number in range(6):
+                    if fleet.entries[0].lines("content-refused"):
+                        break
+                    await call(other, path, f"poison-{number}", body=POISON, deadline_ms=200,
+                               accept=EVENTS if path == "/sized/x" else "",
+                               headers=[("Fennelline-Model", "*")])
+                answer = await running
+                self.assertTrue(is_served(answer), answer.status)
+                self.assertEqual(len(fleet.runs("running")), 1, path)
+
+    async def test_fennelline_ctl_explain_names_the_crashing_content_and_the_servers(self):
+        async with CrashingFleet(entries=2, app=4) as fleet:
+            await fleet.until_members_known()
+            for number in range(3):
+                await call(fleet.entries[number % 2].address("front"), "/once/x", f"id-{number}",
+                           body=POISON)
+            await wait_until(lambda: any(line["id"] == "id-2"
+                                         for line in fleet.entries[0].lines("request")))
+            tool = await asyncio.create_subprocess_exec(
+                os.path.join(os.path.dirname(Fleet.binary), "fennelline-ctl"), "explain", "id-2",
+                "--logs=" + ",".join(entry.log_path for entry in fleet.entries),
+                stdout=asyncio.subprocess.PIPE)
+            text, _ = await tool.communicate()
+            self.assertIn("its content crashes servers", text.decode().splitlines()[0])
+            for replica in fleet.replicas:
+                if replica.crashed_at:
+                    self.assertIn(f'"backend":"{replica.name}"', text.decode())
+
 
 if __name__ == "__main__":
     Fleet.binary = os.path.join(sys.argv.pop(1), "fennelline-edge")
--- a/Tests/Edge/standin.py
+++ b/Tests/Edge/standin.py
@@ -94,13 +94,14 @@
         self.changed = asyncio.Event()
         self.calls = 0
         self.mode = "up"
+        self.last_lease = 0
 
-    def put(self, key, value):
+    def put(self, key, value, lease=0):
         self.revision += 1
         data = value if isinstance(value, bytes) else json.dumps(value).encode()
         created = self.items.get(key, {}).get("created", self.revision)
         item = {"key": key, "value": base64.b64encode(data).decode(), "mod-revision": self.revision,
-                "created": created, "lease": 0}
+                "created": created, "lease": lease}
         self.items[key] = item
         self._publish(item)
         return self.revision
@@ -152,8 +153,19 @@
             return await self.watch(prefix, int(parameters["after"]), int(parameters["wait-ms"]))
         if path == "/fennelline/kv-txn":
             return self.transact(json.loads(body))
+        if path == "/fennelline/kv-lease":
+            return self.grant_lease(json.loads(body)["ttl-ms"])
         return 404, {}
 
+    def grant_lease(self, ttl_ms):
+        self.last_lease += 1
+        asyncio.get_running_loop().call_later(ttl_ms / 1000, self.end_lease, self.last_lease)
+        return 200, {"lease": self.last_lease, "ttl-ms": ttl_ms}
+
+    def end_lease(self, lease):
+        for key in [key for key, item in self.items.items() if item["lease"] == lease]:
+            self.delete(key)
+
     async def watch(self, prefix, after, wait_ms):
         end = time.monotonic() + wait_ms / 1000
         while True:
@@ -175,7 +187,7 @@
             if (item["mod-revision"] if item else 0) != condition["mod-revision"]:
                 return 412, {"items": [item] if item else []}
         for put in request["puts"]:
-            self.put(put["key"], base64.b64decode(put["value"]))
+            self.put(put["key"], base64.b64decode(put["value"]), put.get("lease", 0))
         for key in request["deletes"]:
             self.delete(key)
         return 200, {"mod-revision": self.revision}
--- a/Tests/LibHttp/TestClientConnection.cpp
+++ b/Tests/LibHttp/TestClientConnection.cpp
@@ -145,6 +145,44 @@
   }
 }
 
+TEST_CASE("a check tells a server that accepts connections from one that does not") {
+  EventLoop loop;
+  REQUIRE(!loop.Open().IsError());
+  std::optional<Reachability> result;
+  const auto check = [&](ConnectionPool& aPool) {
+    aPool.CheckReachability([&result](Reachability aResult) { result = aResult; });
+    REQUIRE(RunUntil(loop, [&] { return result.has_value(); }));
+  };
+  SUBCASE("it accepts, and the connection is kept") {
+    const FileDescriptor listener = ListenStream("127.0.0.1", 0).Take();
+    ConnectionPool pool(loop, {.m_address = "127.0.0.1:" + std::to_string(LocalPort(listener))});
+    check(pool);
+    CHECK(result == Reachability::Accepts);
+    CHECK(pool.CountInUse() == 0);
+    CHECK(pool.CountOpen() == 1);
+  }
+  SUBCASE("nothing listens") {
+    ConnectionPool pool(loop, {.m_address = ClosedAddress()});
+    check(pool);
+    CHECK(result == Reachability::Refuses);
+    CHECK(pool.CountOpen() == 0);
+  }
+  SUBCASE("no reply in time") {
+    // The queue of a listener that accepts nothing is full after a few connections.
+    const FileDescriptor listener = ListenStream("127.0.0.1", 0).Take();
+    REQUIRE(::listen(listener.Number(), 0) == 0);
+    const std::string address = "127.0.0.1:" + std::to_string(LocalPort(listener));
+    std::vector<FileDescriptor> queued;
+    for (int connection = 0; connection < 4; ++connection) {
+      queued.push_back(ConnectStream(address).Take());
+    }
+    ConnectionPool pool(loop, {.m_address = address, .m_connectTimeout = Milliseconds(50)});
+    check(pool);
+    CHECK(result == Reachability::Unknown);
+    CHECK(pool.CountOpen() == 0);
+  }
+}
+
 TEST_CASE("a response without a length is complete after an orderly close") {
   Exchange exchange;
   exchange.m_server.Send("HTTP/1.1 200 OK\r\n\r\nwhole");
--- a/Tests/LibRouting/TestSmallParts.cpp
+++ b/Tests/LibRouting/TestSmallParts.cpp
@@ -1,4 +1,5 @@
 #include "LibRouting/ContentFingerprint.h"
+#include "LibRouting/CrashRecord.h"
 #include "LibRouting/EntryDirectory.h"
 #include "LibRouting/EscalationPolicy.h"
 #include "LibRouting/LatencyBaseline.h"
@@ -174,3 +175,12 @@
   CHECK(content != ContentFingerprint("shop", "POST", "/a/1", "bodies"));
   CHECK(content != ContentFingerprint("shop", "POST", "/a/", "1body"));
 }
+
+TEST_CASE("a record of a crashing content is read as written, and others are errors") {
+  const Result<CrashRecord> read = ParseCrashRecord(WriteCrashRecord({.m_refusals = 3}));
+  REQUIRE(!read.IsError());
+  CHECK(read.Get().m_refusals == 3);
+  for (const char* text : {"", "{}", R"({"refusals":0})", R"({"refusals":"3"})", "[3]"}) {
+    CHECK(ParseCrashRecord(text).IsError());
+  }
+}
--- a/Tests/Platform/TestCodecs.cpp
+++ b/Tests/Platform/TestCodecs.cpp
@@ -200,6 +200,7 @@
   CHECK(platform::ParseKey("op/config").m_kind == platform::KeyKind::Configuration);
   CHECK(platform::ParseKey("servers/i-1").m_name == "i-1");
   CHECK(platform::ParseKey("op/rollout/p").m_kind == platform::KeyKind::RolloutOrder);
+  CHECK(platform::ParseKey("fennelline/crash/f00d").m_kind == platform::KeyKind::CrashRecord);
   CHECK(platform::ParseKey("other").m_kind == platform::KeyKind::Other);
   CHECK(platform::MakeKey(platform::KeyKind::RolloutStatus, "p") == "status/rollout/p");
 }
--- a/Utilities/Ctl/RequestExplanation.cpp
+++ b/Utilities/Ctl/RequestExplanation.cpp
@@ -54,6 +54,9 @@
   std::set<std::string> m_nodes;
   std::set<std::string> m_servers;
   double m_longestPrefillMs = 0.0;
+  /// Identifies its content; empty if no line has it.
+  std::string m_content;
+  bool m_isCrashing = false;
   int m_stalls = 0;
   int m_escalations = 0;
 };
@@ -69,6 +72,8 @@
     facts.m_end = event == "request" ? line : facts.m_end;
     facts.m_refusal = event == "refused" || event == "rejected" ? line : facts.m_refusal;
     facts.m_lastAttemptEnd = event == "attempt-end" ? line : facts.m_lastAttemptEnd;
+    facts.m_content = TextOf(line, "content").empty() ? facts.m_content : TextOf(line, "content");
+    facts.m_isCrashing = facts.m_isCrashing || event == "content-not-run";
     facts.m_stalls += event == "stalled" ? 1 : 0;
     facts.m_escalations += event == "escalate" ? 1 : 0;
     if (event == "attempt") {
@@ -110,6 +115,9 @@
   if (end == "rejected") {
     return RequestEndCause::Rejected;
   }
+  if (aFacts.m_isCrashing && end != "caller-left") {
+    return RequestEndCause::CrashingContent;
+  }
   if (end == "refused") {
     return CauseOfRefusal(aFacts);
   }
@@ -143,6 +151,10 @@
 
 bool IsRelevant(const json& aLine, const RequestFacts& aFacts, std::int64_t aFrom,
                 std::int64_t aTo) {
+  // Other requests with the same content may have crashed servers long before, at any entry.
+  if (!aFacts.m_content.empty() && TextOf(aLine, "content") == aFacts.m_content) {
+    return true;
+  }
   const std::int64_t at = TimeOf(aLine);
   if (at < aFrom - kContextWindowMs || at > aTo ||
       !aFacts.m_nodes.contains(TextOf(aLine, "node"))) {
@@ -157,13 +169,14 @@
 } // namespace
 
 std::string_view NameOf(RequestEndCause aCause) {
-  static constexpr NameTable<RequestEndCause, 12> kNames = {{
+  static constexpr NameTable<RequestEndCause, 13> kNames = {{
     {RequestEndCause::Answered, "answered"},
     {RequestEndCause::Rejected, "rejected by the entry"},
     {RequestEndCause::NoConfiguration, "no configuration was known"},
     {RequestEndCause::Stopping, "the entry was stopping"},
     {RequestEndCause::NoServer, "no server could be used"},
     {RequestEndCause::RejectedByServers, "servers turned it away"},
+    {RequestEndCause::CrashingContent, "its content crashes servers"},
     {RequestEndCause::ConnectionLost, "a server's connection broke"},
     {RequestEndCause::MalformedAnswer, "a server's answer was spoilt"},
     {RequestEndCause::ServerFailure, "a server failed it"},
--- a/Utilities/Ctl/RequestExplanation.h
+++ b/Utilities/Ctl/RequestExplanation.h
@@ -24,6 +24,8 @@
   NoServer,
   /// Every server that was tried rejected it without executing it.
   RejectedByServers,
+  /// Servers crashed under requests with its content, so it was not sent, or not sent again.
+  CrashingContent,
   /// A server's connection broke.
   ConnectionLost,
   /// A server's response violated the protocol.
