--- a/Libraries/LibCoordination/Observation/CrashHistory.h
+++ b/Libraries/LibCoordination/Observation/CrashHistory.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace fennelline {
@@ -74,7 +75,7 @@
 class CrashHistory {
 public:
   CrashHistory(CrashHistorySettings aSettings, std::uint64_t aSeed)
-    : m_settings(aSettings)
+    : m_settings(std::move(aSettings))
     , m_random(aSeed) {}
 
   /// The request was running on the backend server when that crashed.
--- a/Services/Edge/CrashWatch.cpp
+++ b/Services/Edge/CrashWatch.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr Duration kTickInterval = Milliseconds(100);
+constexpr Duration kDay = std::chrono::hours(24);
 
 /// A crashed server is back within seconds. If it keeps its id, its new entry in the store is the
 /// last sign of the crash.
@@ -33,7 +34,7 @@
   settings.m_overlapRefusalTime = Duration(0);
   // A content that only ran beside crashes is soon served again. One that crashes a server in each
   // trial is sent two more times in a day.
-  settings.m_refusalTimes = {Seconds(5), Seconds(60), Seconds(24 * 3600)};
+  settings.m_refusalTimes = {Seconds(5), Seconds(60), kDay};
   settings.m_antiEntropyInterval = Milliseconds(500);
   // A description takes up to 150 bytes, and a message is one unfragmented datagram.
   settings.m_maxRequestsPerMessage = 8;
--- a/Tests/LibCoordination/Observation/TestCrashHistory.cpp
+++ b/Tests/LibCoordination/Observation/TestCrashHistory.cpp
@@ -115,9 +115,10 @@
 
 /// Refusals as on the users' platform.
 CrashHistorySettings ShortRefusals() {
+  constexpr Duration kDay = std::chrono::hours(24);
   CrashHistorySettings settings;
   settings.m_overlapRefusalTime = Duration(0);
-  settings.m_refusalTimes = {Seconds(5), Seconds(60), Seconds(24 * 3600)};
+  settings.m_refusalTimes = {Seconds(5), Seconds(60), kDay};
   settings.m_antiEntropyInterval = Milliseconds(500);
   settings.m_maxRequestsPerMessage = 8;
   return settings;
