--- a/Tests/Edge/crashing_request.py
+++ b/Tests/Edge/crashing_request.py
@@ -48,14 +48,17 @@
 
     async def bring_back(self, replica):
         await asyncio.sleep(DOWN_S)
-        name = replica.name if self.keeps_id else f"{replica.name}+"
-        await self.add_replica(name, replica.service)
-        if not self.keeps_id:
-            await asyncio.sleep(EXPIRY_S - DOWN_S)
-            self.store.delete(f"servers/{replica.name}")
+        if self.keeps_id:
+            await replica.start()
+            replica.born = int(time.time() * 1000)
+            replica.register()
+            return
+        await self.add_replica(f"{replica.name}+", replica.service)
+        await asyncio.sleep(EXPIRY_S - DOWN_S)
+        self.store.delete(f"servers/{replica.name}")
 
     def crashes(self):
-        return sorted(replica.crashed_at for replica in self.replicas if replica.crashed_at)
+        return sorted(at for replica in self.replicas for at in replica.crash_times)
 
     def late_retries(self):
         """Runs of POISON that began later than the contact time after the third crash."""
@@ -119,12 +122,9 @@
             await self.check_is_refused(fleet, "/once/report", apart_s=(0.25,))
 
     async def test_a_request_that_crashed_a_server_twice_under_one_id_is_refused(self):
-        async with CrashingFleet(keeps_id=True, entries=2, app=2) as fleet:
+        async with CrashingFleet(keeps_id=True, entries=2, app=1) as fleet:
             await fleet.until_members_known()
-            for number in range(8):
-                entry = fleet.entries[number % 2]
-                await call(entry.address("front"), "/once/x", f"poison-{number}", body=POISON)
-                await asyncio.sleep(0.4)
+            await send_in_turn(fleet, "/once/x", POISON, 16, 0.4, "poison")
             self.assertEqual(len(fleet.crashes()), 2)
 
     async def test_a_server_started_again_after_silence_counts_as_crashed(self):
@@ -345,7 +345,7 @@
             text, _ = await tool.communicate()
             self.assertIn("its content crashes servers", text.decode().splitlines()[0])
             for replica in fleet.replicas:
-                if replica.crashed_at:
+                if replica.crash_times:
                     self.assertIn(f'"backend":"{replica.name}"', text.decode())
 
 
--- a/Tests/Edge/edge_process.py
+++ b/Tests/Edge/edge_process.py
@@ -130,6 +130,50 @@
             models = [run["headers"]["fennelline-model"] for run in runs]
             self.assertEqual(models, ["small", "large"])
 
+    async def test_a_request_runs_on_no_more_servers_than_its_route_allows(self):
+        attempts = {"plain": 3, "stream": 3, "sized": 3, "once": 1}
+        async with Fleet(app=6, pool=6) as fleet:
+            for replica in fleet.replicas:
+                replica.confidence = 10
+            for fault in ("lost", "error", "half", "garbage", "break", "hang"):
+                for replica in fleet.replicas:
+                    replica.fault = fault
+                for route, allowed in attempts.items():
+                    request = f"{fault}-{route}"
+                    await call(fleet.front, f"/{route}/", request, deadline_ms=1500,
+                               accept=EVENTS if route in ("stream", "sized") else "",
+                               headers=[("Fennelline-Model", "*")])
+                    self.assertLessEqual(len(fleet.runs(request)), allowed, request)
+
+    async def test_each_attempt_is_handed_no_more_time_than_the_caller_has_left(self):
+        async with Fleet(app=3) as fleet:
+            for replica in fleet.of("app"):
+                replica.fault, replica.work_s = "error", 0.4
+            for headers, deadline_ms in (([], 2000), ([("X-Other", "1")], 60000)):
+                request = f"r-{deadline_ms}"
+                await call(fleet.front, "/plain/", request, deadline_ms=deadline_ms, headers=headers)
+                runs = sorted(fleet.runs(request), key=lambda run: run["at"])
+                self.assertGreater(len(runs), 1)
+                # The route's own time limit is three seconds.
+                end = runs[0]["at"] + min(deadline_ms, 3000) / 1000
+                for run in runs:
+                    handed_s = int(run["headers"]["fennelline-deadline-ms"]) / 1000
+                    self.assertLessEqual(run["at"] + handed_s, end + 0.05)
+
+    async def test_a_stalled_server_is_left_before_another_one_gets_the_stream(self):
+        async with Fleet(pool=2) as fleet:
+            for replica in fleet.of("pool"):
+                replica.fault = "hang"
+            task = asyncio.create_task(call(fleet.front, "/stream/", "s1", accept=EVENTS))
+            await wait_until(lambda: fleet.runs("s1"))
+            stalled = next(replica for replica in fleet.of("pool") if replica.runs)
+            other = next(replica for replica in fleet.of("pool") if replica is not stalled)
+            other.fault = None
+            await wait_until(lambda: other.runs, 3.0, "the stream goes on elsewhere")
+            await wait_until(lambda: not stalled.has_open_peers(), 0.4,
+                             "the connection to the stalled server is closed")
+            self.assertTrue((await task).whole)
+
     async def test_a_caller_disconnect_cancels_the_request_at_the_server(self):
         async with Fleet() as fleet:
             for replica in fleet.of("pool"):
@@ -161,7 +205,12 @@
             await wait_until(lambda: len(fleet.entries[0].lines("unreadable")) == 3)
             reasons = " ".join(line["reason"] for line in fleet.entries[0].lines("unreadable"))
             self.assertIn("routes[0].hostname", reasons)
-            self.assertEqual((await call(fleet.front, "/plain/", "r1")).status, 200)
+            unreadable, other = fleet.of("app")
+            fleet.store.put(f"servers/{unreadable.name}", b"\xff\xfe")
+            await wait_until(lambda: len(fleet.entries[0].lines("unreadable")) == 4)
+            for number in range(6):
+                self.assertEqual((await call(fleet.front, "/plain/", f"r{number}")).status, 200)
+            self.assertEqual((unreadable.runs, len(other.runs)), ([], 6))
 
     async def test_a_server_restarted_under_the_same_id_replaces_the_old_one(self):
         async with Fleet(app=1) as fleet:
--- a/Tests/Edge/standin.py
+++ b/Tests/Edge/standin.py
@@ -49,6 +49,9 @@
     def address(self):
         return f"{HOST}:{self.port}"
 
+    def has_open_peers(self):
+        return any(not writer.transport.is_closing() for writer in self.writers)
+
     async def start(self, port=0):
         self.server = await asyncio.start_server(self._serve, HOST, port or self.port,
                                                  limit=READ_LIMIT)
@@ -277,7 +280,7 @@
         self.confidence = 100
         # Contents of requests under which the server crashes once it begins to run them.
         self.crash_bodies = frozenset()
-        self.crashed_at = None
+        self.crash_times = []
         self.on_crash = None
 
     def entry(self, state="ready"):
@@ -295,7 +298,7 @@
 
     async def crash(self):
         """Ends like a killed process: no response, its connections reset, its port closed."""
-        self.crashed_at = time.monotonic()
+        self.crash_times.append(time.monotonic())
         await self.stop(reset=True)
         if self.on_crash:
             self.on_crash(self)
--- a/Tests/Platform/TestCodecs.cpp
+++ b/Tests/Platform/TestCodecs.cpp
@@ -59,7 +59,8 @@
   HeaderList headers = CallerHeaders();
   for (const char* name :
        {"Fennelline-Tenant", "Fennelline-Hold", "Fennelline-Pin-Ms", "Fennelline-Kv-Backup",
-        "Kv-From", "Kv-Fetch", "Fennelline-Expect-Replica", "Fennelline-Request-Priority"}) {
+        "Kv-From", "Kv-Fetch", "Fennelline-Expect-Replica", "Fennelline-Expect-Version",
+        "Fennelline-Request-Priority"}) {
     headers.Add(name, "forged");
   }
   headers.Add("Connection", "close, X-Hop, Fennelline-Request-Id");
