Do not take a popular request for the cause of the crashes that it runs beside

Cause: a popular content has a run on most servers at any time. Two servers that crash some milliseconds apart, under another content, have it both; its second run began after the first crash, which looked like a confirmation, and no run ended in between.

Ruled out: clearing by other runs in progress (the few that there are were on the same servers); refusing for less (every crash of a pair would refuse it again).

Change: completions are remembered for 30 s, up to 4,096 of them. The crashes of such a content count nowhere: the entry that has seen it complete contradicts the others at once. What never completes is refused as before.

Tests: TestCrashHistory (two cases), EdgeCrashingRequest (a request that completed lately), Soak: a harmless content must not be refused for its content, crashing ones keep to the rule for entries in touch.

--- a/Libraries/LibCoordination/Observation/CrashHistory.cpp
+++ b/Libraries/LibCoordination/Observation/CrashHistory.cpp
@@ -72,7 +72,46 @@
   m_requests.erase(dropped);
 }
 
+void CrashHistory::RememberCompletion(const std::string& aFingerprint, Time aNow) {
+  if (m_settings.m_completionMemory == Duration(0)) {
+    return;
+  }
+  const auto [found, isNew] = m_completed.try_emplace(aFingerprint, aNow);
+  if (!isNew && aNow - found->second < m_settings.m_completionMemory / 2) {
+    return;
+  }
+  found->second = aNow;
+  m_completionOrder.push_back({.m_fingerprint = aFingerprint, .m_at = aNow});
+  while (m_completed.size() > m_settings.m_maxCompletions) {
+    ForgetOldestCompletion();
+  }
+}
+
+void CrashHistory::ForgetOldestCompletion() {
+  const Completion& oldest = m_completionOrder.front();
+  const auto found = m_completed.find(oldest.m_fingerprint);
+  if (found != m_completed.end() && found->second == oldest.m_at) {
+    m_completed.erase(found);
+  }
+  m_completionOrder.pop_front();
+}
+
+bool CrashHistory::HasCompletedLately(const std::string& aFingerprint, Time aNow) const {
+  const auto found = m_completed.find(aFingerprint);
+  return found != m_completed.end() && aNow - found->second <= m_settings.m_completionMemory;
+}
+
+void CrashHistory::Contradict(const std::string& aFingerprint, Time aNow,
+                              Step<VerdictChanged>& aStep) {
+  AdoptClearance(aFingerprint, aNow, aStep);
+  Queue(aFingerprint);
+}
+
 void CrashHistory::Expire(Time aNow) {
+  while (!m_completionOrder.empty() &&
+         aNow - m_completionOrder.front().m_at > m_settings.m_completionMemory) {
+    ForgetOldestCompletion();
+  }
   std::erase_if(m_requests, [this, aNow](const std::pair<const std::string, Request>& aItem) {
     return aNow > ForgottenAt(aItem.second);
   });
@@ -122,6 +161,9 @@
                                              const BackendServerId& aServer, Time aNow) {
   Step<VerdictChanged> step;
   for (const CrashedRun& run : aRuns) {
+    if (HasCompletedLately(run.m_fingerprint, aNow)) {
+      continue;
+    }
     const Request* known = Find(run.m_fingerprint, aNow);
     const bool isConfirmation = known != nullptr && IsConfirmation(*known, run);
     const std::size_t refusals = known == nullptr ? 0 : known->m_refusals;
@@ -140,12 +182,12 @@
 
 Step<VerdictChanged> CrashHistory::OnFinished(const std::string& aFingerprint, Time aNow) {
   Step<VerdictChanged> step;
+  RememberCompletion(aFingerprint, aNow);
   const auto found = m_requests.find(aFingerprint);
   if (found == m_requests.end() || found->second.IsClear()) {
     return step;
   }
-  AdoptClearance(aFingerprint, aNow, step);
-  Queue(aFingerprint);
+  Contradict(aFingerprint, aNow, step);
   step.Append(SendPendingChanges(aNow));
   return step;
 }
@@ -193,8 +235,14 @@
 Step<VerdictChanged> CrashHistory::OnMessage(const EntryId& /*aFrom*/, const Message& aMessage,
                                              Time aNow) {
   Step<VerdictChanged> step;
+  bool contradicts = false;
   if (const CrashReports* reports = std::get_if<CrashReports>(&aMessage)) {
     for (const CrashReport& report : reports->m_reports) {
+      if (HasCompletedLately(report.m_fingerprint, aNow)) {
+        Contradict(report.m_fingerprint, aNow, step);
+        contradicts = true;
+        continue;
+      }
       const Time at = TimeOfAge(report.m_ageMilliseconds, aNow);
       const std::size_t known = step.m_outcomes.size();
       const bool isNew = Record(report.m_fingerprint, report.m_backendServer, at, aNow, step);
@@ -207,9 +255,18 @@
   }
   if (const CrashVerdicts* verdicts = std::get_if<CrashVerdicts>(&aMessage)) {
     for (const CrashVerdict& verdict : verdicts->m_verdicts) {
-      Adopt(verdict, aNow, step);
+      if (verdict.m_refusals > 0 && HasCompletedLately(verdict.m_fingerprint, aNow)) {
+        Contradict(verdict.m_fingerprint, aNow, step);
+        contradicts = true;
+      } else {
+        Adopt(verdict, aNow, step);
+      }
     }
   }
+  if (contradicts) {
+    // The others refuse the content until they hear of it.
+    step.Append(SendPendingChanges(aNow));
+  }
   return step;
 }
 
--- a/Libraries/LibCoordination/Observation/CrashHistory.h
+++ b/Libraries/LibCoordination/Observation/CrashHistory.h
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -26,6 +27,10 @@
   /// How long a crash is remembered, and a refusal after its end: at least as long as a caller may
   /// retry a request.
   Duration m_retention = Seconds(600);
+  /// A request whose content ran to completion within this time is not taken for the cause of a
+  /// crash. Zero if completions are not remembered.
+  Duration m_completionMemory{0};
+  std::size_t m_maxCompletions = 4096;
   /// Maximum number of remembered requests. Those that are not refused are dropped first, the
   /// oldest of them before the others.
   std::size_t m_maxRequests = 2000;
@@ -68,7 +73,9 @@
 ///
 /// A refusal ends by itself. One request in the fleet may then try; if its server crashes too, the
 /// next refusal is longer. A request that runs to completion clears its content at all entries,
-/// because it was only running alongside the one that crashed the servers.
+/// because it was only running alongside the one that crashed the servers. An entry where it did so
+/// lately contradicts the others, so that a popular content is not refused for the crashes that its
+/// many runs are beside.
 ///
 /// Changes are gossiped. The origin reaches every member of a small fleet itself; in larger ones,
 /// members pass on what is new to them. New members are told everything.
@@ -114,6 +121,7 @@
   std::size_t RequestCount() const { return m_requests.size(); }
   /// Number of requests that were refused and have not been cleared.
   std::size_t CountRefused() const;
+  std::size_t CountCompletions() const { return m_completed.size(); }
 
 private:
   struct Crash {
@@ -135,6 +143,10 @@
 
     bool IsClear() const { return m_crashes.empty() && m_refusals == 0; }
   };
+  struct Completion {
+    std::string m_fingerprint;
+    Time m_at{};
+  };
   struct PendingChange {
     std::string m_fingerprint;
     std::size_t m_roundsLeft = 0;
@@ -155,6 +167,11 @@
                            std::size_t aRefusals, Time aAt, Step<VerdictChanged>& aStep);
   void Adopt(const CrashVerdict& aVerdict, Time aNow, Step<VerdictChanged>& aStep);
   void AdoptClearance(const std::string& aFingerprint, Time aAt, Step<VerdictChanged>& aStep);
+  void RememberCompletion(const std::string& aFingerprint, Time aNow);
+  void ForgetOldestCompletion();
+  bool HasCompletedLately(const std::string& aFingerprint, Time aNow) const;
+  /// Tells the other entries that requests with this content complete.
+  void Contradict(const std::string& aFingerprint, Time aNow, Step<VerdictChanged>& aStep);
   void DropOne();
   void Expire(Time aNow);
   bool ReachesEveryMember() const { return m_members.size() <= m_settings.m_fanOut; }
@@ -172,6 +189,9 @@
   std::vector<EntryId> m_members;
   std::map<std::string, Request> m_requests;
   std::uint64_t m_nextNumber = 0;
+  /// When requests last ran to completion, and the same in the order of time.
+  std::map<std::string, Time> m_completed;
+  std::deque<Completion> m_completionOrder;
   std::vector<PendingChange> m_pending;
   Time m_nextRound{};
   Time m_nextAntiEntropy{};
--- a/Services/Edge/CrashWatch.cpp
+++ b/Services/Edge/CrashWatch.cpp
@@ -35,6 +35,7 @@
   // A content that only ran beside crashes is soon served again. One that crashes a server in each
   // trial is sent two more times in a day.
   settings.m_refusalTimes = {Seconds(5), Seconds(60), kDay};
+  settings.m_completionMemory = Seconds(30);
   settings.m_antiEntropyInterval = Milliseconds(500);
   // A request takes up to 140 bytes in a message, which should fit one packet.
   settings.m_maxRequestsPerMessage = 8;
--- a/Services/Edge/CrashWatch.h
+++ b/Services/Edge/CrashWatch.h
@@ -31,8 +31,8 @@
   Duration RefusedFor(const std::string& aFingerprint) const;
   bool IsSuspect(const std::string& aFingerprint) const;
   std::size_t CountRefused() const { return m_history.CountRefused(); }
-  /// Whether there is nothing to ask or tell about any content, so that hashing can be saved.
-  bool IsEmpty() const { return m_history.RequestCount() == 0 && m_suspects.IsEmpty(); }
+  /// Whether no content is known to have run beside a crash.
+  bool IsEmpty() const { return m_history.RequestCount() == 0; }
 
   /// The connection broke while the server had the request. Calls aOnChecked once it is known
   /// whether the server has crashed, or cannot be found out in time.
--- a/Services/Edge/RelayAnswer.cpp
+++ b/Services/Edge/RelayAnswer.cpp
@@ -204,9 +204,7 @@
   const Time now = m_context.m_loop.Now();
   const int status = m_attempt->m_head.m_status;
   m_attempt->m_backend->m_health.OnSuccess(now);
-  if (!m_context.m_crashWatch->IsEmpty()) {
-    m_context.m_crashWatch->OnFinished(Fingerprint());
-  }
+  m_context.m_crashWatch->OnFinished(Fingerprint());
   ReportEvidence(false);
   if (m_answerBegun) {
     m_caller->SendBodyPart(m_attempt->m_body);
--- a/Tests/Edge/crashing_request.py
+++ b/Tests/Edge/crashing_request.py
@@ -203,6 +203,27 @@
             last = await send_in_turn(fleet, "/plain/x", b"popular", 72, 0.02, "last")
             self.assertEqual([answer.status for answer in last if not is_served(answer)], [])
 
+    async def test_a_request_that_completed_lately_is_not_refused_after_two_crashes(self):
+        async with CrashingFleet(entries=2, app=2) as fleet:
+            await fleet.until_members_known()
+            self.assertTrue(is_served(await call(fleet.front, "/plain/x", "before")))
+            for replica in fleet.of("app"):
+                replica.work_s = 1.0
+            other = fleet.entries[1].address("front")
+            beside = asyncio.create_task(call(other, "/plain/x", "beside"))
+            for runs in (1, 2):
+                await wait_until(lambda n=runs: len(fleet.runs("beside")) == n)
+                await next(replica for replica in fleet.of("app") if not replica.crash_times
+                           and any(run["id"] == "beside" for run in replica.runs)).crash()
+            await beside
+            server = await fleet.add_replica("i-new", "app")
+            await wait_until(lambda: all(any(line["backend"] == server.name
+                                             for line in entry.lines("backend"))
+                                         for entry in fleet.entries))
+            for entry in fleet.entries:
+                answer = await call(entry.address("front"), "/plain/x", f"after-{entry.name}")
+                self.assertTrue(is_served(answer), answer.status)
+
     async def test_a_request_running_on_all_servers_as_they_crash_is_soon_served_again(self):
         async with CrashingFleet(entries=3, app=3) as fleet:
             await fleet.until_members_known()
--- a/Tests/LibCoordination/Observation/TestCrashHistory.cpp
+++ b/Tests/LibCoordination/Observation/TestCrashHistory.cpp
@@ -124,6 +124,7 @@
   settings.m_refusalTimes = {Seconds(5), Seconds(60), kDay};
   settings.m_antiEntropyInterval = Milliseconds(500);
   settings.m_maxRequestsPerMessage = 8;
+  settings.m_completionMemory = Seconds(30);
   return settings;
 }
 
@@ -244,6 +245,42 @@
   CHECK(fleet.CountPoison("r") == 0);
 }
 
+TEST_CASE("a request that completed lately is not refused for servers that crash beside it") {
+  Fleet fleet(3, 0.0, ShortRefusals());
+  fleet.Finish("e0#1", "r");
+  fleet.Run(Seconds(10));
+  // Neither by the entry that saw it complete nor, once told, by the others.
+  for (const char* entry : {"e0#1", "e1#1"}) {
+    const Time sent = fleet.Now();
+    fleet.CrashUnder(entry, "r", std::string("s1") + entry, sent);
+    fleet.CrashUnder(entry, "r", std::string("s2") + entry, sent);
+    fleet.Run(Milliseconds(100));
+    CHECK(fleet.CountPoison("r") == 0);
+    CHECK(fleet.MayRun(entry, "r"));
+    CHECK(fleet.MayRun(entry, "r"));
+  }
+  fleet.Run(Seconds(21));
+  fleet.CrashUnder("e1#1", "r", "s3", fleet.Now());
+  fleet.CrashUnder("e1#1", "r", "s4", fleet.Now());
+  CHECK(fleet.CountPoison("r") == 3);
+}
+
+TEST_CASE("completions are remembered in bounded number") {
+  CrashHistorySettings settings = ShortRefusals();
+  settings.m_maxCompletions = 100;
+  CrashHistory history(settings, 1);
+  for (int request = 0; request < 1000; ++request) {
+    history.OnFinished("r" + std::to_string(request), Time{});
+  }
+  CHECK(history.CountCompletions() == 100);
+  history.OnCrash("r999", "s1", Time{});
+  CHECK(!history.IsSuspect("r999", Time{}));
+  history.OnCrash("r0", "s1", Time{});
+  CHECK(history.IsSuspect("r0", Time{}));
+  history.Tick(Time{} + Seconds(31));
+  CHECK(history.CountCompletions() == 0);
+}
+
 TEST_CASE("an entry that starts later, or lost all messages, learns what is refused") {
   Fleet fleet(5, 0.0, ShortRefusals());
   fleet.Run(Seconds(1));
--- a/Tests/Soak/soak.py
+++ b/Tests/Soak/soak.py
@@ -3,12 +3,13 @@
 Usage: soak.py BIN --seed N [--seeds COUNT] [--seconds S] [--entries N]. Each seed determines a
 series of overlapping faults: entries are stopped, paused, killed and restarted by signals; the store
 fails, compacts its history or is partitioned from individual entries by a proxy; backend servers
-fail, deregister, restart and hang behind proxies. Checker verifies the requests and responses as
+fail, deregister, restart and hang behind proxies, and some contents crash those that run them. Checker verifies the requests and responses as
 seen by the callers and the backend servers.
 """
 
 import argparse
 import asyncio
+import collections
 import os
 import random
 import signal
@@ -28,17 +29,24 @@
 CONTACT_S = 3.0
 DRAIN_LIMIT_S = DRAIN_S + CONTACT_S + CLOCK_TOLERANCE_S
 RECOVERY_TIMEOUT_S = 12.0
+# Runs of a crashing content later than CONTACT_S after its third crash, by connected entries.
+MAX_LATE_RETRIES = 3
+# A crashed server is back after this time under a new id; its entry expires after three heartbeats.
+CRASH_DOWN_S = 1.0
+EXPIRY_S = 3.6
 
 
 class Checker:
     """Checks every request against the guarantees, as seen by its caller and the backend servers.
 
-    DENIED: a valid request is rejected with a 4xx status such as 400 or 404.
+    DENIED: a valid request is rejected with a 4xx status such as 400 or 404, or refused for a content
+    that crashes no server.
     MIXED: a complete 200 response lacks its seal or has another body than the request calls for.
     UNASKED: a backend server executes a request that no caller sent, or an altered body.
     TWICE: a non-idempotent request is executed more than once.
     REFUSED: a non-idempotent request is executed although its caller got 408, 421, 429 or 503.
-    BUDGET: a request is executed more than three times.
+    BUDGET: a request is executed more than three times, or a content that crashes servers is sent
+    to more of them than MAX_LATE_RETRIES.
     DRAIN: a request reaches a backend server too long after the server began to leave.
     RECOVER: an entry does not serve a request after the faults have ended.
     CONFIG: a revoked key is still accepted.
@@ -48,6 +56,10 @@
         self.violations = []
         self.outcome_counts = {}
         self.requests = {}
+        # Bodies of the requests that have another one than most, and those sent while their entry was
+        # connected.
+        self.bodies = {}
+        self.sent_connected = set()
 
     def fail(self, rule, request, detail):
         self.violations.append(f"{rule}: {request}: {detail}")
@@ -86,12 +98,29 @@
             if len(executions) > 3:
                 self.fail("BUDGET", request, f"executed {len(executions)} times")
             for replica, run in executions:
-                if run["body"] != b"question":
+                if run["body"] != self.bodies.get(request, b"question"):
                     self.fail("UNASKED", request, "request body differs from the one sent")
                 if run["leaving"] and run["at"] - run["leaving"] > DRAIN_LIMIT_S:
                     self.fail("DRAIN", request, f"received {run['at'] - run['leaving']:.2f} s after "
                                                 f"{replica.name} began to leave")
 
+    def check_refusals(self, entries):
+        for entry in entries:
+            for line in entry.lines("content-not-run"):
+                if line["id"] not in self.bodies:
+                    self.fail("DENIED", line["id"], f"{entry.name} takes its content for a crashing one")
+
+    def check_crashes(self, replicas, content):
+        runs = sorted((run for replica in replicas for run in replica.runs
+                       if run["body"] == content), key=lambda run: run["at"])
+        if len(runs) < 3:
+            return
+        late = [run for run in runs if run["at"] > runs[2]["at"] + CONTACT_S
+                and run["id"] in self.sent_connected]
+        if len(late) > MAX_LATE_RETRIES:
+            self.fail("BUDGET", content.decode(), f"crashed {len(runs)} servers, {len(late)} of them "
+                                                  f"later than {CONTACT_S} s after the third")
+
 
 class Soak:
     def __init__(self, binary, seed, seconds, entries):
@@ -107,6 +136,10 @@
         self.last_id = 0
         self.running = True
         self.event_log = []
+        self.crash_bodies = set()
+        # Faults in progress, and when the last one ended, by the name of the entry or "store".
+        self.faults_in_progress = collections.Counter()
+        self.last_fault_ended = collections.defaultdict(float)
 
     def log_event(self, text):
         self.event_log.append(f"{time.monotonic() - self.started:7.3f} {text}")
@@ -115,6 +148,9 @@
         self.last_id += 1
         replica = Replica(self.store, f"i-{service}-{self.last_id}", service, events=8, work_s=0.01)
         replica.random = random.Random(self.random.random())
+        replica.crash_bodies = self.crash_bodies
+        replica.on_crash = lambda crashed: self.tasks.append(
+            asyncio.create_task(self.replace_crashed(crashed)))
         await replica.start()
         proxy = await Proxy(replica.address).start()
         replica.public_address = proxy.address
@@ -123,6 +159,36 @@
         self.proxies.append(proxy)
         replica.register()
 
+    async def replace_crashed(self, replica):
+        replica.proxy.server.close()
+        replica.proxy.reset_all()
+        replica.leaving_since = time.monotonic()
+        await asyncio.sleep(CRASH_DOWN_S)
+        await self.add_replica(replica.service)
+        await asyncio.sleep(EXPIRY_S - CRASH_DOWN_S)
+        self.store.delete(f"servers/{replica.name}")
+
+    def is_connected(self, entry):
+        return all(self.faults_in_progress[name] == 0
+                   and time.monotonic() > self.last_fault_ended[name] + CONTACT_S
+                   for name in (entry.name, "store"))
+
+    async def send_crashing(self, content, kind, seconds, rng):
+        """Sends one content that crashes servers to random entries for a while."""
+        end = time.monotonic() + seconds
+        while time.monotonic() < end and self.running:
+            entry = rng.choice(self.entries)
+            self.last_id += 1
+            request = f"{kind}-crashing-{self.last_id}"
+            self.checker.requests[request] = (kind, _pending_response())
+            self.checker.bodies[request] = content
+            if self.is_connected(entry):
+                self.checker.sent_connected.add(request)
+            answer = await call(entry.address("front"), f"/{kind}/x", request, key="key-2",
+                                accept=EVENTS if kind == "stream" else "", body=content)
+            self.checker.check_response(kind, request, answer)
+            await asyncio.sleep(rng.uniform(0.05, 0.6))
+
     async def start(self):
         self.started = time.monotonic()
         await self.store.start()
@@ -139,6 +205,7 @@
                           first=False)
             entry.proxy = proxy
             entry.down = False
+            entry.starting = asyncio.Lock()
             self.entries.append(await entry.start())
         for entry in self.entries:
             await wait_until(lambda e=entry: os.path.exists(e.log_path) and e.lines("ready"))
@@ -163,29 +230,41 @@
             if not disconnects:
                 self.checker.check_response(kind, request, answer)
 
-    async def restart(self, entry, wait_s):
-        await entry.process.wait()
+    async def restart(self, entry, process, wait_s):
+        await process.wait()
         await asyncio.sleep(wait_s)
-        if self.running:
-            await entry.start()
-            await asyncio.sleep(0.5)
-            entry.down = False
+        # An overlapping fault may have started the entry again already.
+        async with entry.starting:
+            if self.running and entry.process is process:
+                await entry.start()
+                await asyncio.sleep(0.5)
+                entry.down = False
 
     async def inject_fault(self):
         kind = self.random.choice(["term", "kill", "pause", "hup", "store", "store-cut", "compact",
                                    "server-fault", "server-net", "leave", "server-restart", "config",
-                                   "malformed-record"])
+                                   "malformed-record", "crashing-content"])
         entry = self.random.choice(self.entries)
         replica = self.random.choice(self.replicas)
         duration_s = self.random.uniform(0.5, 3.0)
         self.log_event(f"{kind} {entry.name} {replica.name} {duration_s:.2f} s")
+        disturbed = "store" if kind in ("store", "compact") else entry.name
+        is_disturbance = kind in ("term", "kill", "pause", "store-cut", "store", "compact")
+        self.faults_in_progress[disturbed] += is_disturbance
+        await self.inject(kind, entry, replica, duration_s)
+        self.faults_in_progress[disturbed] -= is_disturbance
+        if is_disturbance:
+            self.last_fault_ended[disturbed] = time.monotonic()
+
+    async def inject(self, kind, entry, replica, duration_s):
         if kind in ("term", "kill") and not entry.down:
+            process = entry.process
             entry.down = kind == "kill"
             entry.signal(signal.SIGTERM if kind == "term" else signal.SIGKILL)
             if kind == "term":
                 await asyncio.sleep(2.0)
-                entry.down = True
-            await self.restart(entry, self.random.uniform(0, 1))
+                entry.down = entry.process is process
+            await self.restart(entry, process, self.random.uniform(0, 1))
         elif kind == "pause":
             entry.signal(signal.SIGSTOP)
             await asyncio.sleep(duration_s)
@@ -229,6 +308,12 @@
         elif kind == "config":
             self.version += self.random.randint(1, 3)
             self.store.put("op/config", configuration(self.version))
+        elif kind == "crashing-content":
+            content = f"crashing content {len(self.crash_bodies)}".encode()
+            self.crash_bodies.add(content)
+            route = self.random.choice(["plain", "once", "stream"])
+            await self.send_crashing(content, route, 4 * duration_s,
+                                     random.Random(self.random.random()))
         elif kind == "malformed-record":
             self.store.put("servers/i-odd", self.random.randbytes(20))
 
@@ -244,6 +329,11 @@
         self.running = False
         await asyncio.gather(*callers)
         self.checker.check_executions(self.replicas)
+        for content in self.crash_bodies:
+            self.checker.check_crashes(self.replicas, content)
+        self.checker.check_refusals(self.entries)
+        for task in self.tasks:
+            task.cancel()
         for entry in self.entries:
             await entry.end()
         for proxy in self.proxies:
