Bound the trials of a content that crashes servers, whatever becomes of them

What callers saw: a content whose refusal had ended was let in again and again as long as no trial ended in an observed crash, for instance on servers that fell silent under it, each time until the trial's time was over. Cause: a trial only kept others out until its deadline; the next, longer refusal began with its observed crash. Class: an outcome that is not known counts as a harmless one. Change: the refusal begins when the trial is sent. A completed run still clears the content, and now its record in the store as well. TestCrashHistory passes.

--- a/Libraries/LibCoordination/Observation/CrashHistory.cpp
+++ b/Libraries/LibCoordination/Observation/CrashHistory.cpp
@@ -149,12 +149,9 @@
 }
 
 bool CrashHistory::IsConfirmation(const Request& aRequest, const CrashedRun& aRun) {
-  if (!aRun.m_sentAt) {
-    return false;
-  }
-  return aRequest.m_refusals > 0
-           ? *aRun.m_sentAt >= aRequest.m_refusedAt
-           : !aRequest.m_crashes.empty() && *aRun.m_sentAt >= aRequest.m_crashes.front().m_at;
+  // Later runs are trials, whose refusal has begun already.
+  const bool isOpen = aRequest.m_refusals <= kOverlapRefusal && !aRequest.m_crashes.empty();
+  return isOpen && aRun.m_sentAt && *aRun.m_sentAt >= aRequest.m_crashes.front().m_at;
 }
 
 Step<VerdictChanged> CrashHistory::OnCrashes(const std::vector<CrashedRun>& aRuns,
@@ -166,11 +163,10 @@
     }
     const Request* known = Find(run.m_fingerprint, aNow);
     const bool isConfirmation = known != nullptr && IsConfirmation(*known, run);
-    const std::size_t refusals = known == nullptr ? 0 : known->m_refusals;
     const bool isNew = Record(run.m_fingerprint, aServer, aNow, aNow, step);
     if (isConfirmation) {
-      RefuseLonger(run.m_fingerprint, m_requests.at(run.m_fingerprint),
-                   std::max(refusals, kOverlapRefusal) + 1, aNow, step);
+      RefuseLonger(run.m_fingerprint, m_requests.at(run.m_fingerprint), kOverlapRefusal + 1, aNow,
+                   step);
     }
     if (isNew || isConfirmation) {
       Queue(run.m_fingerprint);
@@ -204,7 +200,6 @@
   }
   request.m_crashes.clear();
   request.m_refusals = 0;
-  request.m_trialUntil = Time{};
   request.m_clearedAt = aAt;
 }
 
@@ -225,10 +220,10 @@
       Queue(aVerdict.m_fingerprint);
     }
   }
-  const Time trialUntil =
-    aNow + Milliseconds(std::max<std::int64_t>(0, aVerdict.m_trialMilliseconds));
-  if (refusals == request.m_refusals && trialUntil > request.m_trialUntil) {
-    request.m_trialUntil = trialUntil;
+  const Duration trialLeft = Milliseconds(std::clamp<std::int64_t>(
+    aVerdict.m_trialMilliseconds, 0, InMilliseconds(m_settings.m_trialSetupTime)));
+  if (refusals == request.m_refusals) {
+    request.m_trialUntil = std::max(request.m_trialUntil, aNow + trialLeft);
   }
 }
 
@@ -303,7 +298,7 @@
   return step;
 }
 
-bool CrashHistory::MayRun(const std::string& aFingerprint, CrashTrial& aTrial, Time aEnd, Time aNow,
+bool CrashHistory::MayRun(const std::string& aFingerprint, CrashTrial& aTrial, Time aNow,
                           Step<VerdictChanged>& aStep) {
   if (Find(aFingerprint, aNow) == nullptr) {
     return true;
@@ -315,13 +310,26 @@
   if (IsPoison(aFingerprint, aNow)) {
     return false;
   }
-  request.m_trialUntil = aEnd;
+  request.m_trialUntil = aNow + m_settings.m_trialSetupTime;
   aTrial.m_refusals = request.m_refusals;
   Queue(aFingerprint);
   aStep.Append(SendPendingChanges(aNow));
   return true;
 }
 
+Step<VerdictChanged> CrashHistory::OnTrialSent(const std::string& aFingerprint,
+                                               const CrashTrial& aTrial, Time aNow) {
+  Step<VerdictChanged> step;
+  const Request* known = Find(aFingerprint, aNow);
+  if (known == nullptr || known->m_refusals == 0 || known->m_refusals != aTrial.m_refusals) {
+    return step;
+  }
+  RefuseLonger(aFingerprint, m_requests.at(aFingerprint), aTrial.m_refusals + 1, aNow, step);
+  Queue(aFingerprint);
+  step.Append(SendPendingChanges(aNow));
+  return step;
+}
+
 bool CrashHistory::IsPoison(const std::string& aFingerprint, Time aNow) const {
   const Request* request = Find(aFingerprint, aNow);
   return request != nullptr && request->m_refusals > 0 &&
--- a/Libraries/LibCoordination/Observation/CrashHistory.h
+++ b/Libraries/LibCoordination/Observation/CrashHistory.h
@@ -19,11 +19,13 @@
   /// A request that was running when this many different backend servers crashed is refused.
   std::size_t m_crashesToRefuse = 2;
   /// How long it is refused if its runs on the crashed servers overlapped. The crashes may then
-  /// have had a common cause. With zero, one request with this content at a time may try.
+  /// have had a common cause. With zero, a trial may follow at once.
   Duration m_overlapRefusalTime = Seconds(600);
-  /// How long it is refused after the first run, the second and so on that crashed a server
-  /// although it began after another crash. The last one is repeated.
+  /// How long it is refused after a run that crashed a server although it began after another
+  /// crash, and after the first trial, the second and so on. The last one is repeated.
   std::vector<Duration> m_refusalTimes = {Seconds(600)};
+  /// How long a request that may be sent as a trial has for finding a server that accepts it.
+  Duration m_trialSetupTime = Seconds(1);
   /// How long a crash is remembered, and a refusal after its end: at least as long as a caller may
   /// retry a request.
   Duration m_retention = Seconds(600);
@@ -61,9 +63,9 @@
   std::size_t m_refusals = 0;
 };
 
-/// The permission of one request to run although requests with its content were refused before.
+/// The permission of a request to be sent once although requests with its content were refused.
 struct CrashTrial {
-  /// Refusals of the content when the permission was given; 0 for none.
+  /// Refusals of the content when the permission was given; 0 without one.
   std::size_t m_refusals = 0;
 };
 
@@ -71,11 +73,11 @@
 /// refuses those that probably caused it. Requests are identified by a fingerprint of their
 /// content, so a new key or another entry makes no difference.
 ///
-/// A refusal ends by itself. One request in the fleet may then try; if its server crashes too, the
-/// next refusal is longer. A request that runs to completion clears its content at all entries,
-/// because it was only running alongside the one that crashed the servers. An entry where it did so
-/// lately contradicts the others, so that a popular content is not refused for the crashes that its
-/// many runs are beside.
+/// When a refusal has ended, one request in the fleet is sent once, as a trial, and the next,
+/// longer refusal begins with the sending: whatever becomes of the trials, their number is bounded.
+/// A request that runs to completion clears its content at all entries, because it was only running
+/// alongside the one that crashed the servers. An entry where it did so lately contradicts the
+/// others, so that a popular content is not refused for the crashes that its many runs are beside.
 ///
 /// Changes are gossiped. The origin reaches every member of a small fleet itself; in larger ones,
 /// members pass on what is new to them. New members are told everything.
@@ -103,15 +105,17 @@
   /// To be called at least every 100 ms.
   Step<VerdictChanged> Tick(Time aNow);
 
-  /// Whether the request may be sent to a backend server now. Where a refusal has ended, this
-  /// request becomes the only one in the fleet that may, until aEnd; aTrial keeps the permission
-  /// for its further attempts. aStep receives the announcement.
-  bool MayRun(const std::string& aFingerprint, CrashTrial& aTrial, Time aEnd, Time aNow,
+  /// Whether the request may be sent to a backend server now. Where a refusal has ended, aTrial
+  /// receives the permission for a trial, and aStep the announcement to the other entries.
+  bool MayRun(const std::string& aFingerprint, CrashTrial& aTrial, Time aNow,
               Step<VerdictChanged>& aStep);
+  /// A server has accepted the trial.
+  Step<VerdictChanged> OnTrialSent(const std::string& aFingerprint, const CrashTrial& aTrial,
+                                   Time aNow);
 
   /// Whether the request is refused now.
   bool IsPoison(const std::string& aFingerprint, Time aNow) const;
-  /// When the refusal ends, not counting a trial after it; aNow if it has ended.
+  /// When the refusal ends; aNow if it has ended.
   Time EndOfRefusal(const std::string& aFingerprint, Time aNow) const;
   /// Whether the request was running during crashes but is not refused. Two suspects on one server
   /// should be avoided: if it crashes, the innocent one would look guilty too.
@@ -132,9 +136,9 @@
     /// Crashes of different servers before the first refusal.
     std::vector<Crash> m_crashes;
     std::size_t m_refusals = 0;
-    /// When the crash occurred that led to the last refusal.
+    /// When the last refusal began.
     Time m_refusedAt{};
-    /// A request with this content is on trial until then.
+    /// Until then, another request has the permission for a trial.
     Time m_trialUntil{};
     /// Crashes up to this time no longer count.
     std::optional<Time> m_clearedAt;
--- a/Libraries/LibCoordination/ObservationMessages.h
+++ b/Libraries/LibCoordination/ObservationMessages.h
@@ -34,12 +34,12 @@
 /// What an entry knows of requests with one content: refused, or cleared by a complete run.
 struct CrashVerdict {
   std::string m_fingerprint;
-  /// 0: cleared. 1: refused after overlapping runs. From 2: one more for each run that crashed a
-  /// server although it began after another crash.
+  /// 0: cleared. 1: refused after crashes under overlapping runs. 2: refused after a run that began
+  /// after another crash. Each trial adds one.
   std::int64_t m_refusals = 0;
-  /// Time since the crash that led to the last refusal, or since the complete run.
+  /// Time since the last refusal began, or since the complete run.
   std::int64_t m_ageMilliseconds = 0;
-  /// Remaining time of the trial in progress; 0 if none.
+  /// For how long a request that is about to be sent as a trial keeps others from it.
   std::int64_t m_trialMilliseconds = 0;
 
   template<typename Visitor>
--- a/Services/Edge/CrashWatch.cpp
+++ b/Services/Edge/CrashWatch.cpp
@@ -65,10 +65,10 @@
   return std::to_string(aBackend.m_identity);
 }
 
-bool CrashWatch::MayRun(const std::string& aFingerprint, CrashTrial& aTrial, Time aEnd) {
+bool CrashWatch::MayRun(const std::string& aFingerprint, CrashTrial& aTrial) {
   const CrashTrial before = aTrial;
   Step<VerdictChanged> step;
-  const bool mayRun = m_history.MayRun(aFingerprint, aTrial, aEnd, m_context.m_loop.Now(), step);
+  const bool mayRun = m_history.MayRun(aFingerprint, aTrial, m_context.m_loop.Now(), step);
   if (aTrial.m_refusals != before.m_refusals) {
     LogLine line("content-trial");
     line.Text("content", aFingerprint).Count("refusals", aTrial.m_refusals);
@@ -78,6 +78,10 @@
   return mayRun;
 }
 
+void CrashWatch::OnTrialSent(const std::string& aFingerprint, const CrashTrial& aTrial) {
+  ApplyOwn(m_history.OnTrialSent(aFingerprint, aTrial, m_context.m_loop.Now()));
+}
+
 Duration CrashWatch::RefusedFor(const std::string& aFingerprint) const {
   const Time now = m_context.m_loop.Now();
   return m_history.EndOfRefusal(aFingerprint, now) - now;
@@ -183,7 +187,7 @@
 
 void CrashWatch::OnFinished(const std::string& aFingerprint) {
   m_suspects.RefuteRequest(aFingerprint);
-  Apply(m_history.OnFinished(aFingerprint, m_context.m_loop.Now()));
+  ApplyOwn(m_history.OnFinished(aFingerprint, m_context.m_loop.Now()));
 }
 
 void CrashWatch::OnMembersChanged() {
@@ -238,6 +242,8 @@
   for (const VerdictChanged& outcome : aStep.m_outcomes) {
     if (outcome.m_refusals >= kMinKeptRefusals) {
       Keep(outcome.m_fingerprint, outcome.m_refusals);
+    } else if (outcome.m_refusals == 0) {
+      RemoveRecord(outcome.m_fingerprint);
     }
   }
 }
@@ -274,6 +280,16 @@
   });
 }
 
+void CrashWatch::RemoveRecord(const std::string& aFingerprint) {
+  const std::string key = platform::MakeKey(platform::KeyKind::CrashRecord, aFingerprint);
+  const KeyValue* current = m_store.Mirror().Find(key);
+  if (current != nullptr) {
+    // If this fails, the record ends with its lease.
+    m_store.Call(RemoveKey{.m_key = key, .m_expected = current->m_revision},
+                 [](const PlatformReply&) {});
+  }
+}
+
 void CrashWatch::LogUnkept(const std::string& aFingerprint, std::string_view aReason) const {
   // The live entries know of the refusal. Only a fleet that starts anew would not.
   LogLine line("crash-record-failed");
--- a/Services/Edge/CrashWatch.h
+++ b/Services/Edge/CrashWatch.h
@@ -26,7 +26,8 @@
   void Start();
 
   /// Whether a request with this content may be sent to a server now, see CrashHistory::MayRun().
-  bool MayRun(const std::string& aFingerprint, CrashTrial& aTrial, Time aEnd);
+  bool MayRun(const std::string& aFingerprint, CrashTrial& aTrial);
+  void OnTrialSent(const std::string& aFingerprint, const CrashTrial& aTrial);
   /// How long requests with this content are still refused.
   Duration RefusedFor(const std::string& aFingerprint) const;
   bool IsSuspect(const std::string& aFingerprint) const;
@@ -67,9 +68,10 @@
   void OnCheckResult(const std::shared_ptr<BackendLink>& aBackend, Reachability aResult);
   void ReleaseWaiting(std::uint64_t aIdentity);
   void Apply(const Step<VerdictChanged>& aStep);
-  /// Also keeps longer refusals in the store.
+  /// Also keeps in the store what this entry found out.
   void ApplyOwn(const Step<VerdictChanged>& aStep);
   void Keep(const std::string& aFingerprint, std::size_t aRefusals);
+  void RemoveRecord(const std::string& aFingerprint);
   void LogUnkept(const std::string& aFingerprint, std::string_view aReason) const;
 
   EdgeContext& m_context;
--- a/Services/Edge/RelayAnswer.cpp
+++ b/Services/Edge/RelayAnswer.cpp
@@ -361,7 +361,8 @@
     // The server is alive but busy. Sending the request again would add to the load.
     return;
   }
-  if (!MayRun() || !TryReplaceRun(0)) {
+  // A suspect may be about to crash this server, and would be given a second one.
+  if (IsSuspect() || !MayRun() || !TryReplaceRun(0)) {
     return;
   }
   m_context.m_crashWatch->OnSilent(*m_attempt->m_backend, Fingerprint(), m_attempt->m_sentAt);
--- a/Services/Edge/RequestRelay.cpp
+++ b/Services/Edge/RequestRelay.cpp
@@ -164,8 +164,7 @@
 
 bool RequestRelay::MayRun() {
   CrashWatch& crashWatch = *m_context.m_crashWatch;
-  return crashWatch.IsEmpty() ||
-         crashWatch.MayRun(Fingerprint(), m_crashTrial, m_retryPolicy.Promise().m_answerBy);
+  return crashWatch.IsEmpty() || crashWatch.MayRun(Fingerprint(), m_crashTrial);
 }
 
 bool RequestRelay::IsSuspect() {
@@ -273,6 +272,11 @@
   const std::string bytes = EncodeForBackend(*backend, attempt.m_model);
   const bool isHead = m_request.m_head.m_method == "HEAD";
   m_attempt = std::move(attempt);
+  if (m_crashTrial.m_refusals > 0) {
+    m_attempt->m_channel->SetOnConnected([self = shared_from_this()] {
+      self->m_context.m_crashWatch->OnTrialSent(self->Fingerprint(), self->m_crashTrial);
+    });
+  }
   m_attempt->m_channel->Send(bytes, isHead, MakeListener());
   if (m_retryPolicy.HasRunLeft() && m_route->m_objective > Duration(0)) {
     const double fraction =
--- a/Tests/Edge/crashing_request.py
+++ b/Tests/Edge/crashing_request.py
@@ -158,6 +158,17 @@
             self.assertEqual({answers[f"{path}-3"].status
                               for path in ("/once/x", "/plain/x", "/stream/x")}, {503})
 
+    async def test_a_trial_without_a_result_lets_no_further_request_run(self):
+        async with CrashingFleet(entries=2, app=6) as fleet:
+            await fleet.until_members_known()
+            for number in range(2):
+                await call(fleet.front, "/once/x", f"poison-{number}", body=POISON)
+            for replica in fleet.of("app"):
+                replica.fault, replica.crash_bodies = "hang", frozenset()
+            # The first refusal lasts 5 s, the one after a trial 60 s.
+            await send_in_turn(fleet, "/once/x", POISON, 20, 0.5, "trial", deadline_ms=300)
+            self.assertEqual(sum(len(fleet.runs(f"trial-{number}")) for number in range(20)), 1)
+
     async def test_an_entry_that_starts_after_the_crashes_refuses_the_request(self):
         async with CrashingFleet(entries=3, app=4) as fleet:
             await fleet.until_members_known()
--- a/Tests/LibCoordination/Observation/TestCrashHistory.cpp
+++ b/Tests/LibCoordination/Observation/TestCrashHistory.cpp
@@ -48,15 +48,23 @@
   void Finish(const EntryId& aEntry, const std::string& aRequest) {
     Deliver(aEntry, m_entries.at(aEntry).OnFinished(aRequest, m_now));
   }
-  bool MayRun(const EntryId& aEntry, const std::string& aRequest, CrashTrial& aTrial, Time aEnd) {
+  bool MayRun(const EntryId& aEntry, const std::string& aRequest, CrashTrial& aTrial) {
     Step<VerdictChanged> step;
-    const bool mayRun = m_entries.at(aEntry).MayRun(aRequest, aTrial, aEnd, m_now, step);
+    const bool mayRun = m_entries.at(aEntry).MayRun(aRequest, aTrial, m_now, step);
     Deliver(aEntry, step);
     return mayRun;
   }
-  bool MayRun(const EntryId& aEntry, const std::string& aRequest) {
+  void TrialSent(const EntryId& aEntry, const std::string& aRequest, const CrashTrial& aTrial) {
+    Deliver(aEntry, m_entries.at(aEntry).OnTrialSent(aRequest, aTrial, m_now));
+  }
+  /// Sends the request if it may run.
+  bool Send(const EntryId& aEntry, const std::string& aRequest) {
     CrashTrial trial;
-    return MayRun(aEntry, aRequest, trial, m_now + Seconds(1));
+    const bool mayRun = MayRun(aEntry, aRequest, trial);
+    if (mayRun) {
+      TrialSent(aEntry, aRequest, trial);
+    }
+    return mayRun;
   }
   std::vector<EntryId> Names() const {
     std::vector<EntryId> names;
@@ -188,26 +196,27 @@
   Fleet fleet(3, 0.0, ShortRefusals());
   const Time first = fleet.Now();
   fleet.CrashUnder("e0#1", "r", "s1", first);
-  CHECK(fleet.MayRun("e1#1", "r"));
+  CHECK(fleet.Send("e1#1", "r"));
   fleet.Run(Milliseconds(100));
   fleet.CrashUnder("e1#1", "r", "s2", first + Milliseconds(50));
-  CHECK(!fleet.MayRun("e2#1", "r"));
+  CHECK(!fleet.Send("e2#1", "r"));
   fleet.Run(Milliseconds(4900));
-  CHECK(!fleet.MayRun("e2#1", "r"));
+  CHECK(!fleet.Send("e2#1", "r"));
   fleet.Run(Milliseconds(200));
-  CrashTrial trial;
-  CHECK(fleet.MayRun("e2#1", "r", trial, fleet.Now() + Seconds(1)));
+  CHECK(fleet.Send("e2#1", "r"));
   const Time sent = fleet.Now();
   fleet.Run(Milliseconds(100));
+  CHECK(!fleet.Send("e0#1", "r"));
   fleet.CrashUnder("e2#1", "r", "s3", sent);
-  CHECK(!fleet.MayRun("e2#1", "r", trial, fleet.Now() + Seconds(1)));
   fleet.Run(Seconds(59));
-  CHECK(!fleet.MayRun("e0#1", "r"));
-  fleet.Run(Seconds(2));
-  CHECK(fleet.MayRun("e0#1", "r"));
+  CHECK(!fleet.Send("e0#1", "r"));
+  fleet.Run(Seconds(1));
+  CHECK(fleet.Send("e0#1", "r"));
+  fleet.Run(Seconds(3600));
+  CHECK(!fleet.Send("e0#1", "r"));
 }
 
-TEST_CASE("after crashes under overlapping runs, one request at a time may try") {
+TEST_CASE("after crashes under overlapping runs, one request is sent as a trial") {
   Fleet fleet(3, 0.0, ShortRefusals());
   const Time sent = fleet.Now();
   fleet.Run(Milliseconds(100));
@@ -215,21 +224,51 @@
   fleet.CrashUnder("e1#1", "r", "s2", sent);
   fleet.CrashUnder("e2#1", "r", "s3", sent);
   CrashTrial trial;
-  CHECK(fleet.MayRun("e1#1", "r", trial, fleet.Now() + Seconds(1)));
-  CHECK(fleet.MayRun("e1#1", "r", trial, fleet.Now() + Seconds(1)));
-  CHECK(!fleet.MayRun("e0#1", "r"));
-  CHECK(!fleet.MayRun("e1#1", "r"));
+  CHECK(fleet.MayRun("e1#1", "r", trial));
+  // The permission is kept until the request has been sent.
+  CHECK(fleet.MayRun("e1#1", "r", trial));
+  CHECK(!fleet.Send("e0#1", "r"));
+  CHECK(!fleet.Send("e1#1", "r"));
   SUBCASE("it completes") {
+    fleet.TrialSent("e1#1", "r", trial);
+    CHECK(!fleet.MayRun("e1#1", "r", trial));
     fleet.Finish("e1#1", "r");
     for (const EntryId& entry : fleet.Names()) {
-      CHECK(fleet.MayRun(entry, "r"));
-      CHECK(fleet.MayRun(entry, "r"));
+      CHECK(fleet.Send(entry, "r"));
+      CHECK(fleet.Send(entry, "r"));
     }
   }
   SUBCASE("it ends without a result") {
-    fleet.Run(Milliseconds(1100));
-    CHECK(fleet.MayRun("e0#1", "r"));
-    CHECK(!fleet.MayRun("e2#1", "r"));
+    fleet.TrialSent("e1#1", "r", trial);
+    fleet.Run(Milliseconds(4900));
+    CHECK(!fleet.Send("e0#1", "r"));
+    fleet.Run(Milliseconds(200));
+    CHECK(fleet.Send("e0#1", "r"));
+    CHECK(!fleet.Send("e2#1", "r"));
+  }
+  SUBCASE("no server accepts it") {
+    fleet.Run(Milliseconds(900));
+    CHECK(!fleet.Send("e0#1", "r"));
+    fleet.Run(Milliseconds(200));
+    CHECK(fleet.Send("e0#1", "r"));
+  }
+}
+
+TEST_CASE("a run that began after the first of several crashes confirms, one before it does not") {
+  Fleet fleet(3, 0.0, ShortRefusals());
+  const Time sent = fleet.Now();
+  fleet.Run(Milliseconds(100));
+  fleet.CrashUnder("e0#1", "r", "s1", sent);
+  const Time retried = fleet.Now();
+  fleet.Run(Milliseconds(100));
+  fleet.CrashUnder("e1#1", "r", "s2", sent);
+  SUBCASE("after") {
+    fleet.CrashUnder("e0#1", "r", "s3", retried);
+    CHECK(fleet.CountPoison("r") == 3);
+  }
+  SUBCASE("before") {
+    fleet.CrashUnder("e2#1", "r", "s3", sent);
+    CHECK(fleet.CountPoison("r") == 0);
   }
 }
 
@@ -256,8 +295,8 @@
     fleet.CrashUnder(entry, "r", std::string("s2") + entry, sent);
     fleet.Run(Milliseconds(100));
     CHECK(fleet.CountPoison("r") == 0);
-    CHECK(fleet.MayRun(entry, "r"));
-    CHECK(fleet.MayRun(entry, "r"));
+    CHECK(fleet.Send(entry, "r"));
+    CHECK(fleet.Send(entry, "r"));
   }
   fleet.Run(Seconds(21));
   fleet.CrashUnder("e1#1", "r", "s3", fleet.Now());
@@ -292,7 +331,7 @@
   fleet.SetLoss(0.0);
   SUBCASE("starts later") {
     fleet.Join("late#1");
-    CHECK(!fleet.MayRun("late#1", "r"));
+    CHECK(!fleet.Send("late#1", "r"));
   }
   SUBCASE("lost all messages") {
     fleet.Run(Milliseconds(2900));
@@ -410,8 +449,7 @@
       std::erase_if(running, [&fleet](const Run& aRun) { return aRun.m_crashesAt <= fleet.Now(); });
       const std::vector<EntryId> live = fleet.Names();
       const EntryId& entry = live[random.Below(live.size())];
-      CrashTrial trial;
-      if (random.Chance(0.2) && fleet.MayRun(entry, "r", trial, fleet.Now() + Seconds(20))) {
+      if (random.Chance(0.2) && fleet.Send(entry, "r")) {
         const bool isLate = crashes.size() >= 3 && fleet.Now() > crashes[2] + kContactTime;
         lateRetries += isLate ? 1 : 0;
         running.push_back({.m_entry = entry,
