Count a crash of a server that was started again while the request was on its way

What callers saw: with servers that keep their id, one more request was let through to crash one. Cause: the broken connection belonged to the server's earlier start, which was already removed, so its end was taken for that of a server which leaves. Class: a belief about an object is dropped together with the object. Change: the suspicion goes to the server's present start.

--- a/Services/Edge/CrashWatch.cpp
+++ b/Services/Edge/CrashWatch.cpp
@@ -95,20 +95,23 @@
                           const std::string& aFingerprint, Time aSentAt,
                           std::function<void()> aOnChecked) {
   const Time now = m_context.m_loop.Now();
-  if (!aBackend->TakesRequests(now)) {
+  // The server may have been started again between the choice of it and the sending.
+  const std::shared_ptr<BackendLink> current =
+    aBackend->m_isRemoved ? m_context.m_backends.Find(aBackend->m_record.m_id) : aBackend;
+  if (!current || !current->TakesRequests(now)) {
     // It is leaving, so its end is not a crash.
     aOnChecked();
     return;
   }
   m_suspects.Add(
-    {.m_fingerprint = aFingerprint, .m_server = IdOf(*aBackend), .m_sentAt = aSentAt, .m_at = now});
-  const auto [check, isNew] = m_checks.try_emplace(aBackend->m_identity);
+    {.m_fingerprint = aFingerprint, .m_server = IdOf(*current), .m_sentAt = aSentAt, .m_at = now});
+  const auto [check, isNew] = m_checks.try_emplace(current->m_identity);
   check->second.m_waiting.push_back(std::move(aOnChecked));
   if (isNew) {
-    StartCheck(aBackend);
+    StartCheck(current);
   }
   m_context.m_loop.After(kMaxCheckWait,
-                         [this, identity = aBackend->m_identity] { ReleaseWaiting(identity); });
+                         [this, identity = current->m_identity] { ReleaseWaiting(identity); });
 }
 
 void CrashWatch::StartCheck(const std::shared_ptr<BackendLink>& aBackend) {
--- a/Tests/Edge/crashing_request.py
+++ b/Tests/Edge/crashing_request.py
@@ -127,6 +127,25 @@
             await send_in_turn(fleet, "/once/x", POISON, 16, 0.4, "poison")
             self.assertEqual(len(fleet.crashes()), 2)
 
+    async def test_a_crash_of_a_server_that_was_replaced_in_the_store_meanwhile_counts(self):
+        async with CrashingFleet(keeps_id=True, app=3) as fleet:
+            for number in range(2):
+                for replica in fleet.of("app"):
+                    replica.fault, replica.crash_bodies = "hang", frozenset()
+                running = asyncio.create_task(
+                    call(fleet.front, "/once/x", f"poison-{number}", body=POISON))
+                await wait_until(lambda n=number: fleet.runs(f"poison-{n}"))
+                holder = next(replica for replica in fleet.of("app")
+                              if any(run["id"] == f"poison-{number}" for run in replica.runs))
+                lines = len(fleet.entries[0].lines("backend"))
+                holder.born += 1000
+                holder.register()
+                await wait_until(lambda n=lines: len(fleet.entries[0].lines("backend")) > n)
+                await holder.crash()
+                await running
+            refused = await call(fleet.front, "/once/x", "poison-2", body=POISON)
+            self.assertEqual((refused.status, fleet.runs("poison-2")), (503, []))
+
     async def test_a_server_started_again_after_silence_counts_as_crashed(self):
         async with Fleet(app=3) as fleet:
             for number in range(2):
