Do not take a server's leaving after an outage of the store for an expired entry

Cause: every removal that was seen within 2.5 s of an outage's end counted as an expiry during it. Class: unknown is taken for harmless. Change: the revision at which the store came back tells the two apart; only removals up to it may be expiries. Entries pass it on with the changes. A second case guards what must stay: a server whose entry expired in the outage is used until it should be back.

--- a/Libraries/LibRouting/StoreMirror.cpp
+++ b/Libraries/LibRouting/StoreMirror.cpp
@@ -133,7 +133,7 @@
   const json document =
     json::array({aUpdate.m_isListing, aUpdate.m_upToRevision, InMilliseconds(aUpdate.m_age),
                  InMilliseconds(aUpdate.m_sinceOutage), InMilliseconds(aUpdate.m_sinceStoreAnswer),
-                 std::move(keys)});
+                 std::move(keys), aUpdate.m_outageRevision});
   return EncodeMessagePack(document);
 }
 
@@ -145,6 +145,8 @@
     update.m_age = Milliseconds(aDocument.at(2).get<std::int64_t>());
     update.m_sinceOutage = Milliseconds(aDocument.at(3).get<std::int64_t>());
     update.m_sinceStoreAnswer = Milliseconds(aDocument.at(4).get<std::int64_t>());
+    // Entries of earlier releases do not send it.
+    update.m_outageRevision = aDocument.size() > 6 ? aDocument.at(6).get<Revision>() : 0;
     for (const json& row : aDocument.at(5)) {
       update.m_keys.push_back({.m_key = row.at(0).get<std::string>(),
                                .m_value = BytesOf(row.at(1)),
--- a/Libraries/LibRouting/StoreMirror.h
+++ b/Libraries/LibRouting/StoreMirror.h
@@ -68,6 +68,8 @@
   Duration m_sinceOutage{0};
   /// Time since the sender, or a peer that it polled, last had an answer from the store.
   Duration m_sinceStoreAnswer{0};
+  /// Revision of the store when it recovered from that outage.
+  Revision m_outageRevision = 0;
   std::vector<KeyValue> m_keys;
 };
 
--- a/Services/Edge/EdgeProcess.cpp
+++ b/Services/Edge/EdgeProcess.cpp
@@ -115,8 +115,8 @@
        .m_onPeerMessage = [this](const std::string& aMessage) { OnPeerMessage(aMessage); }})
   , m_store(
       m_context,
-      [this](const std::vector<KeyValue>& aChanges, bool aAfterOutage) {
-        OnStoreChanges(aChanges, aAfterOutage);
+      [this](const std::vector<KeyValue>& aChanges, Revision aLapsedUpTo) {
+        OnStoreChanges(aChanges, aLapsedUpTo);
       },
       [this] {
         SendToPeers(kRevisionMessageType + m_context.m_settings.m_peerAddress + " " +
@@ -220,8 +220,8 @@
   return m_callers->Listen(m_context.m_settings.m_callerAddress);
 }
 
-void EdgeProcess::OnStoreChanges(const std::vector<KeyValue>& aChanges, bool aAfterOutage) {
-  m_storeView.OnStoreChanges(aChanges, aAfterOutage);
+void EdgeProcess::OnStoreChanges(const std::vector<KeyValue>& aChanges, Revision aLapsedUpTo) {
+  m_storeView.OnStoreChanges(aChanges, aLapsedUpTo);
   m_members.SetRevision(m_store.Mirror().LastChange());
   ApplyLimits();
   UpdateReadiness();
--- a/Services/Edge/EdgeProcess.h
+++ b/Services/Edge/EdgeProcess.h
@@ -38,7 +38,7 @@
 
   Result<void> Serve(const std::string& aAddress, Handler aHandler);
   Result<void> ServeCallers();
-  void OnStoreChanges(const std::vector<KeyValue>& aChanges, bool aAfterOutage);
+  void OnStoreChanges(const std::vector<KeyValue>& aChanges, Revision aLapsedUpTo);
   void OnMembersChanged();
   void OnPeerMessage(const std::string& aMessage);
   /// Schedules sending of the pending messages to the other entries, so that they are batched.
--- a/Services/Edge/StoreClient.cpp
+++ b/Services/Edge/StoreClient.cpp
@@ -145,7 +145,10 @@
   if (m_source.IsStoreFailing()) {
     LogSource("dependency-regained", aChoice);
     const Time now = m_context.m_loop.Now();
-    m_outageEnded = now - m_storeContactAt >= kMinOutage ? now : m_outageEnded;
+    if (now - m_storeContactAt >= kMinOutage) {
+      m_outageEnded = now;
+      m_outageRevision = aReply.m_revision;
+    }
   }
   m_storeContactAt = m_context.m_loop.Now();
   m_source.OnAnswer(aChoice, m_context.m_loop.Now());
@@ -155,7 +158,7 @@
     // The watch has just returned, so its result is current as of now.
     const Time now = m_context.m_loop.Now();
     const std::vector<KeyValue> changedKeys = m_mirror.Apply(aReply.m_keys, aReply.m_revision, now);
-    PublishChanges(changedKeys, now - m_outageEnded);
+    PublishChanges(changedKeys, now - m_outageEnded, m_outageRevision);
     // Tells the other entries that they need not replace the failed watcher as well.
     if (!changedKeys.empty() || aChoice.m_isFallback) {
       m_onWatchResult();
@@ -177,7 +180,7 @@
   m_pageAfter.clear();
   const std::vector<KeyValue> pages = std::exchange(m_pages, {});
   PublishChanges(m_mirror.ApplyListing(pages, m_pagesAsOf, aSent),
-                 m_context.m_loop.Now() - m_outageEnded);
+                 m_context.m_loop.Now() - m_outageEnded, m_outageRevision);
 }
 
 void StoreClient::SyncWithPeer(const MirrorSource::Choice& aChoice) {
@@ -216,7 +219,7 @@
   PublishChanges(aUpdate.m_isListing
                    ? m_mirror.ApplyListing(aUpdate.m_keys, aUpdate.m_upToRevision, confirmedAt)
                    : m_mirror.Apply(aUpdate.m_keys, aUpdate.m_upToRevision, confirmedAt),
-                 aUpdate.m_sinceOutage);
+                 aUpdate.m_sinceOutage, aUpdate.m_outageRevision);
 }
 
 void StoreClient::OnPeerRevision(const std::string& aPeer, Revision aRevision) {
@@ -255,10 +258,11 @@
        });
 }
 
-void StoreClient::PublishChanges(const std::vector<KeyValue>& aChanges, Duration aSinceOutage) {
+void StoreClient::PublishChanges(const std::vector<KeyValue>& aChanges, Duration aSinceOutage,
+                                 Revision aOutageRevision) {
   m_context.m_storeConfirmedAt = m_mirror.ConfirmedAt();
   if (!aChanges.empty()) {
-    m_onStoreChanges(aChanges, aSinceOutage < kReregistrationWindow);
+    m_onStoreChanges(aChanges, aSinceOutage < kReregistrationWindow ? aOutageRevision : 0);
     AnswerWaitingPeers();
   }
 }
@@ -268,7 +272,8 @@
   MirrorUpdate update{.m_upToRevision = m_mirror.AsOf(),
                       .m_age = now - m_mirror.ConfirmedAt(),
                       .m_sinceOutage = now - m_outageEnded,
-                      .m_sinceStoreAnswer = now - m_storeContactAt};
+                      .m_sinceStoreAnswer = now - m_storeContactAt,
+                      .m_outageRevision = m_outageRevision};
   std::optional<std::vector<KeyValue>> changes = m_mirror.ChangesSince(aAfter);
   update.m_isListing = !changes;
   update.m_keys = changes ? std::move(*changes) : m_mirror.Listing();
--- a/Services/Edge/StoreClient.h
+++ b/Services/Edge/StoreClient.h
@@ -18,9 +18,9 @@
 /// the store and serves the mirror to peers. The only client of the store in this process.
 class StoreClient {
 public:
-  /// Called with changed keys. aAfterOutage: the store recovered recently, so a missing key may
-  /// only have expired.
-  using OnStoreChanges = std::function<void(const std::vector<KeyValue>&, bool aAfterOutage)>;
+  /// Called with changed keys. aLapsedUpTo: keys removed up to this revision may only have expired
+  /// in an outage of the store that has just ended.
+  using OnStoreChanges = std::function<void(const std::vector<KeyValue>&, Revision aLapsedUpTo)>;
   using OnReply = std::function<void(const PlatformReply&)>;
 
   /// aOnWatchResult: called after the store itself reported changes, which peers may not know yet,
@@ -71,7 +71,8 @@
                     Time aSent);
   void FetchFromPeer(const std::string& aPeer);
   void ApplyPeerChanges(const MirrorUpdate& aUpdate, Time aSent);
-  void PublishChanges(const std::vector<KeyValue>& aChanges, Duration aSinceOutage);
+  void PublishChanges(const std::vector<KeyValue>& aChanges, Duration aSinceOutage,
+                      Revision aOutageRevision);
   void AnswerWaitingPeers();
   std::string EncodeChangesSince(Revision aAfter) const;
   ConnectionPool& PoolOf(const std::string& aAddress);
@@ -100,6 +101,8 @@
   Time m_storeContactAt{};
   /// When the last store outage ended.
   Time m_outageEnded{};
+  /// Revision of the store at that moment.
+  Revision m_outageRevision = 0;
   std::string m_lastSource;
 };
 
--- a/Services/Edge/StoreView.cpp
+++ b/Services/Edge/StoreView.cpp
@@ -17,7 +17,7 @@
 
 } // namespace
 
-void StoreView::OnStoreChanges(const std::vector<KeyValue>& aChanges, bool aAfterOutage) {
+void StoreView::OnStoreChanges(const std::vector<KeyValue>& aChanges, Revision aLapsedUpTo) {
   for (const KeyValue& key : aChanges) {
     const platform::StoreKey name = platform::ParseKey(key.m_key);
     switch (name.m_kind) {
@@ -25,7 +25,7 @@
         ApplyConfiguration(key);
         break;
       case platform::KeyKind::Replica:
-        ApplyReplica(name.m_name, key, aAfterOutage);
+        ApplyReplica(name.m_name, key, aLapsedUpTo);
         break;
       case platform::KeyKind::RolloutOrder:
         ApplyOrder(name.m_name, key);
@@ -71,13 +71,14 @@
   }
 }
 
-void StoreView::ApplyReplica(const std::string& aId, const KeyValue& aKey, bool aAfterOutage) {
+void StoreView::ApplyReplica(const std::string& aId, const KeyValue& aKey, Revision aLapsedUpTo) {
   const Time now = m_context.m_loop.Now();
   LogLine line("backend");
   line.Text("backend", aId).Count("revision", aKey.m_revision);
   if (aKey.m_removed) {
     const std::shared_ptr<BackendLink> known = m_context.m_backends.Find(aId);
-    const bool mayReturn = aAfterOutage && known && known->m_record.m_state == ReplicaState::Ready;
+    const bool mayReturn =
+      aKey.m_revision <= aLapsedUpTo && known && known->m_record.m_state == ReplicaState::Ready;
     line.Text("state", mayReturn ? "lapsed" : "gone");
     if (mayReturn) {
       m_context.m_backends.SetExpiry(aId, now + kReregistrationGrace);
--- a/Services/Edge/StoreView.h
+++ b/Services/Edge/StoreView.h
@@ -18,7 +18,7 @@
   explicit StoreView(EdgeContext& aContext)
     : m_context(aContext) {}
 
-  void OnStoreChanges(const std::vector<KeyValue>& aChanges, bool aAfterOutage);
+  void OnStoreChanges(const std::vector<KeyValue>& aChanges, Revision aLapsedUpTo);
 
   const std::map<std::string, RolloutOrder>& Orders() const { return m_orders; }
   /// Rollout progress by service.
@@ -26,7 +26,7 @@
 
 private:
   void ApplyConfiguration(const KeyValue& aKey);
-  void ApplyReplica(const std::string& aId, const KeyValue& aKey, bool aAfterOutage);
+  void ApplyReplica(const std::string& aId, const KeyValue& aKey, Revision aLapsedUpTo);
   void ApplyOrder(const std::string& aService, const KeyValue& aKey);
   void ApplyRecord(const std::string& aService, const KeyValue& aKey);
   void ApplyCrashRecord(const std::string& aFingerprint, const KeyValue& aKey);
--- a/Tests/Edge/edge_process.py
+++ b/Tests/Edge/edge_process.py
@@ -197,6 +197,44 @@
             self.assertEqual(leaving.runs, [])
             self.assertEqual(len(other.runs), 8)
 
+    async def test_a_server_that_leaves_after_the_end_of_an_outage_gets_no_new_requests(self):
+        async with Fleet(entries=2, app=3) as fleet:
+            await fleet.until_members_known()
+            fleet.store.mode = "busy"
+            await wait_until(lambda: fleet.entries[0].lines("dependency-lost"))
+            lost_at = time.monotonic()
+            await wait_until(lambda: time.monotonic() > lost_at + 2.5)
+            fleet.store.mode = "up"
+            await wait_until(lambda: fleet.entries[0].lines("dependency-regained"))
+            leaving = fleet.of("app")[0]
+            leaving.leave()
+            for entry in fleet.entries:
+                await wait_until(lambda e=entry: e.lines("backend")[-1]["backend"] == leaving.name)
+                self.assertEqual(entry.lines("backend")[-1]["state"], "gone")
+                for number in range(6):
+                    answer = await call(entry.address("front"), "/plain/", f"{entry.name}-{number}")
+                    self.assertEqual(answer.status, 200)
+            self.assertEqual(leaving.runs, [])
+
+    async def test_a_server_whose_entry_expired_in_an_outage_is_used_until_it_should_be_back(self):
+        async with Fleet(app=1) as fleet:
+            entry, server = fleet.entries[0], fleet.of("app")[0]
+            fleet.store.mode = "busy"
+            await wait_until(lambda: entry.lines("dependency-lost"))
+            lost_at = time.monotonic()
+            await wait_until(lambda: time.monotonic() > lost_at + 2.5)
+            fleet.store.delete(f"servers/{server.name}")
+            fleet.store.mode = "up"
+            await wait_until(lambda: entry.lines("backend")[-1]["state"] == "lapsed")
+            returned_at = time.monotonic()
+            self.assertEqual((await call(fleet.front, "/plain/", "r1")).status, 200)
+            # The operators state two seconds.
+            await wait_until(lambda: time.monotonic() > returned_at + 2.0)
+            self.assertEqual((await call(fleet.front, "/plain/", "r2")).status, 503)
+            server.register()
+            await wait_until(lambda: entry.lines("backend")[-1]["state"] == "ready")
+            self.assertEqual((await call(fleet.front, "/plain/", "r3")).status, 200)
+
     async def test_unreadable_store_values_are_logged_and_ignored(self):
         async with Fleet() as fleet:
             fleet.store.put("servers/i-odd", b"\xff\xfe")
--- a/Tests/LibRouting/TestStoreMirror.cpp
+++ b/Tests/LibRouting/TestStoreMirror.cpp
@@ -86,12 +86,14 @@
 
 TEST_CASE("updates keep arbitrary bytes in values, and malformed updates are rejected") {
   const std::string bytes("\xff\x00\x80", 3);
-  MirrorUpdate news{.m_isListing = true, .m_upToRevision = 5, .m_age = Milliseconds(20)};
+  MirrorUpdate news{
+    .m_isListing = true, .m_upToRevision = 5, .m_age = Milliseconds(20), .m_outageRevision = 4};
   news.m_keys = {Put("a", bytes, 4)};
   const Result<MirrorUpdate> read = DecodeMirrorUpdate(EncodeMirrorUpdate(news));
   REQUIRE(!read.IsError());
   CHECK(read.Get().m_keys[0].m_value == bytes);
   CHECK(read.Get().m_upToRevision == 5);
+  CHECK(read.Get().m_outageRevision == 4);
   CHECK(DecodeMirrorUpdate("").IsError());
   CHECK(DecodeMirrorUpdate("no news").IsError());
 }
