Log the limits on requests that servers name, and values that cannot be read

An entry now reads the header and logs each change of it once, by server, and a value that cannot be read once. Nothing is decided by it yet.

--- a/Libraries/LibRouting/RequestMetadata.h
+++ b/Libraries/LibRouting/RequestMetadata.h
@@ -54,6 +54,11 @@
   bool m_isEncoded = false;
   /// The model's rough confidence in its answer, 0 to 100.
   std::optional<int> m_confidence;
+  /// Requests per second that the server takes from all entries together; none if it names no
+  /// limit.
+  std::optional<double> m_requestLimit;
+  /// The value of a limit that cannot be read; empty if there is none.
+  std::string m_unreadableRequestLimit;
   /// The replica that answered, if reported.
   std::string m_replica;
 };
--- a/Services/Edge/BackendTable.h
+++ b/Services/Edge/BackendTable.h
@@ -5,6 +5,7 @@
 #include "LibRouting/RecentPrefixes.h"
 #include "LibRouting/ReplicaHealth.h"
 #include "LibRouting/ReplicaRecord.h"
+#include "LibRouting/RequestLimit.h"
 
 #include <cstdint>
 #include <map>
@@ -35,6 +36,9 @@
   /// Those of them that ran on servers that crashed.
   int m_runningSuspects = 0;
   PrefillLoad m_prefillLoad;
+  RequestLimit m_limit;
+  /// An unreadable limit of this server has been logged.
+  bool m_loggedUnreadableLimit = false;
   /// When response bytes of any request were last received from it.
   Time m_lastReceivedAt{};
 
--- a/Services/Edge/RequestRelay.h
+++ b/Services/Edge/RequestRelay.h
@@ -92,6 +92,8 @@
   void OnCallerGone();
   void OnDeadline();
   void OnStall();
+  /// Learns whether the server that gave this answer limits requests.
+  void LearnRequestLimit(const ResponseMetadata& aMetadata);
   bool IsLowConfidence() const;
   double MeanPrefillMs() const;
   bool TryReplaceRun(int aReservedAttempts);
--- a/Tests/Edge/standin.py
+++ b/Tests/Edge/standin.py
@@ -278,6 +278,8 @@
         self.random = None
         self.public_address = None
         self.confidence = 100
+        # Values of the header Server-Limit in each answer.
+        self.limits = []
         # Contents of requests under which the server crashes once it begins to run them.
         self.crash_bodies = frozenset()
         self.crash_times = []
@@ -317,8 +319,9 @@
             writer.transport.abort()
             return
         if fault == "shed":
-            self.refused.append(request)
-            writer.write(encode_response(503, headers=[("Fennelline-Not-Executed", "1")]))
+            self.refused.append({"id": request, "at": time.monotonic()})
+            writer.write(encode_response(
+                503, headers=[("Fennelline-Not-Executed", "1")] + self.limit_headers()))
             return
         run = {"id": request, "at": time.monotonic(), "method": method, "target": target,
                "body": body, "headers": headers, "first": int(headers.get("last-event-id", 0)) + 1,
@@ -335,6 +338,10 @@
             return
         await asyncio.sleep(self.work_s)
         seal = [("Fennelline-Request-Id", request), ("Fennelline-Response-Seal", f"seal-{self.name}")]
+        seal += self.limit_headers()
+        if fault == "unsealed":
+            writer.write(encode_response(200, self.body_of(request), self.limit_headers()))
+            return
         if fault == "stray":
             other = [("Fennelline-Request-Id", "other"), ("Fennelline-Response-Seal", "other")]
             writer.write(encode_response(200, b"another's answer", other))
@@ -351,6 +358,9 @@
         else:
             writer.write(encode_response(200, self.body_of(request), seal))
 
+    def limit_headers(self):
+        return [("Server-Limit", str(limit)) for limit in self.limits]
+
     @staticmethod
     def body_of(request):
         return f"the answer to {request}".encode()
