Let the test of a server that leaves after an outage wait until every entry knows of its end

The second entry may hear of the store's return up to a second after the first; a leaving in between is an expiry for all that it can know, and the platform's rule binds only from the contact time after the return. The check is as before.

--- a/Tests/Edge/edge_process.py
+++ b/Tests/Edge/edge_process.py
@@ -206,6 +206,8 @@
             await wait_until(lambda: time.monotonic() > lost_at + 2.5)
             fleet.store.mode = "up"
             await wait_until(lambda: fleet.entries[0].lines("dependency-regained"))
+            fleet.store.put("op/config", configuration(2))
+            await fleet.until_version(2)
             leaving = fleet.of("app")[0]
             leaving.leave()
             for entry in fleet.entries:
