Keep to the limit on requests that a server names, all entries together

What callers saw: nothing yet; a server in need got 3 to 5 times what it had asked for, and failed them later. Change: an answer's limit is believed until an answer to a later request names none, and told to the other entries. One live entry issues the permits of a server (rendezvous hashing): a token bucket at the rate of the limit, which leaves some permits to more urgent requests; after entries were lost it issues their part less for 10 s, since they may be cut off rather than dead. Every sending asks for a permit: first ones, retries, resumed streams, escalations. A stalled or doubtful run is replaced only where a server without a limit can take it. Placement spares limited servers while another one is not much slower. What gets no permit goes to another server, or is refused at once as not run, with a Retry-After by when a permit is likely. A server that is not heard of for 2 s is asked again. Not solved: an entry cut off for longer than 10 s counts the others as dead and issues the whole limit.

--- a/Libraries/LibRouting/Placement.cpp
+++ b/Libraries/LibRouting/Placement.cpp
@@ -36,6 +36,9 @@
 /// A request has to wait if all slots are taken.
 constexpr double kFullMs = 400.0;
 
+/// A server that limits requests is spared while another one is not much slower.
+constexpr double kLimitedMs = 1000.0;
+
 /// Larger than all other costs, so that these servers are used only as a last resort.
 constexpr double kAvoidedMs = 100'000.0;
 
@@ -66,7 +69,7 @@
     const PlacementCandidate& candidate = aCandidates[index];
     const std::uint64_t rank = Mix(aQuery.m_prefix ^ candidate.m_identity);
     const bool matchesReservation = !hasReserved || candidate.m_isReserved == aQuery.m_isLong;
-    if (matchesReservation && !candidate.m_isAvoided && rank >= highest) {
+    if (matchesReservation && !candidate.m_isAvoided && !candidate.m_isLimited && rank >= highest) {
       highest = rank;
       preferred = index;
     }
@@ -108,6 +111,7 @@
     cost += MixingCost(aQuery, candidate);
     cost += hasPrefix ? 0.0 : static_cast<double>(aQuery.m_prefixTokens) * kRecomputeMsPerToken;
     cost += candidate.m_isNear ? 0.0 : kFarMs + aQuery.m_bytes * kFarMsPerByte;
+    cost += candidate.m_isLimited ? kLimitedMs : 0.0;
     cost += candidate.m_failureRate * kFailureMs;
     cost += candidate.m_isAvoided ? kAvoidedMs : 0.0;
     if (index == 0 || cost < leastCost) {
--- a/Libraries/LibRouting/Placement.h
+++ b/Libraries/LibRouting/Placement.h
@@ -27,6 +27,8 @@
   bool m_isReserved = false;
   /// It is currently processing a long prompt or generating the answer to one.
   bool m_isServingLongPrompt = false;
+  /// It limits requests, because it is in need.
+  bool m_isLimited = false;
   double m_failureRate = 0.0;
   /// Used only as a last resort: unreachable recently, or it already failed this request.
   bool m_isAvoided = false;
--- a/Services/Edge/BackendTable.h
+++ b/Services/Edge/BackendTable.h
@@ -6,7 +6,9 @@
 #include "LibRouting/ReplicaHealth.h"
 #include "LibRouting/ReplicaRecord.h"
 #include "LibRouting/RequestLimit.h"
+#include "LibRouting/RequestPermits.h"
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -37,6 +39,12 @@
   int m_runningSuspects = 0;
   PrefillLoad m_prefillLoad;
   RequestLimit m_limit;
+  /// When a request was last sent only to learn whether the server still limits requests.
+  Time m_limitCheckedAt{};
+  /// By urgency: no permit is to be had from its issuer before.
+  std::array<Time, kUrgencyLevels> m_nextPermit{};
+  /// When a permit is likely for a caller that comes back.
+  Time m_likelyPermit{};
   /// An unreadable limit of this server has been logged.
   bool m_loggedUnreadableLimit = false;
   /// When response bytes of any request were last received from it.
--- a/Services/Edge/EdgeContext.h
+++ b/Services/Edge/EdgeContext.h
@@ -23,6 +23,7 @@
 namespace fennelline {
 
 class CrashWatch;
+class ServerPermits;
 
 /// Outcome of one request on a software version, used as rollout evidence.
 struct VersionEvidenceEvent {
@@ -67,6 +68,7 @@
   std::function<void(const LoadUpdate&)> m_onLoad;
   /// Set before the first request.
   CrashWatch* m_crashWatch = nullptr;
+  ServerPermits* m_permits = nullptr;
 
   RetryLimits RetryPlan() const {
     return {.m_ratio = m_settings.m_maxRetryRatio,
--- a/Services/Edge/EdgeMetrics.cpp
+++ b/Services/Edge/EdgeMetrics.cpp
@@ -68,11 +68,18 @@
        .Help("Requests that were not sent (again) because their content crashes servers.")
        .Register(*m_registry)
        .Add({});
+  prometheus::Family<prometheus::Counter>& permits =
+    prometheus::BuildCounter()
+      .Name("fennelline_permits_total")
+      .Help("Permits asked for, for requests to servers that limit requests.")
+      .Register(*m_registry);
+  m_permits = {&permits.Add({{"outcome", "refused"}}), &permits.Add({{"outcome", "granted"}})};
   const auto gauge = [this](const char* aName, const char* aHelp) {
     return &prometheus::BuildGauge().Name(aName).Help(aHelp).Register(*m_registry).Add({});
   };
   m_refusedContents =
     gauge("fennelline_refused_contents", "Contents known to crash backend servers.");
+  m_limitedServers = gauge("fennelline_limited_servers", "Backend servers that limit requests.");
   m_callerChannels = gauge("fennelline_caller_channels", "Open connections of callers.");
   m_serverChannels = gauge("fennelline_server_channels", "Open connections to backend servers.");
   m_members = gauge("fennelline_members", "Entries known to be alive, this one included.");
@@ -114,6 +121,14 @@
   m_refusedContents->Set(static_cast<double>(aCount));
 }
 
+void EdgeMetrics::OnPermit(bool aIsGranted) {
+  m_permits[aIsGranted ? 1 : 0]->Increment();
+}
+
+void EdgeMetrics::SetLimitedServers(std::size_t aCount) {
+  m_limitedServers->Set(static_cast<double>(aCount));
+}
+
 void EdgeMetrics::SetGauges(std::size_t aCallerChannels, std::size_t aServerChannels,
                             std::size_t aMembers, std::int64_t aConfigurationVersion,
                             Duration aStoreStateAge) {
--- a/Services/Edge/EdgeMetrics.h
+++ b/Services/Edge/EdgeMetrics.h
@@ -59,6 +59,9 @@
   /// A request was not sent, or not sent again, because its content crashes servers.
   void OnContentRefused();
   void SetRefusedContents(std::size_t aCount);
+  /// A permit for a request to a server that limits requests was asked for.
+  void OnPermit(bool aIsGranted);
+  void SetLimitedServers(std::size_t aCount);
   void SetGauges(std::size_t aCallerChannels, std::size_t aServerChannels, std::size_t aMembers,
                  std::int64_t aConfigurationVersion, Duration aStoreStateAge);
   /// Returns the metrics in the Prometheus text format.
@@ -79,6 +82,8 @@
   std::array<prometheus::Counter*, kReachabilities> m_serverChecks{};
   prometheus::Counter* m_contentRefusals = nullptr;
   prometheus::Gauge* m_refusedContents = nullptr;
+  std::array<prometheus::Counter*, 2> m_permits{};
+  prometheus::Gauge* m_limitedServers = nullptr;
   prometheus::Gauge* m_callerChannels = nullptr;
   prometheus::Gauge* m_serverChannels = nullptr;
   prometheus::Gauge* m_members = nullptr;
--- a/Services/Edge/EdgeProcess.cpp
+++ b/Services/Edge/EdgeProcess.cpp
@@ -126,8 +126,10 @@
   , m_crashWatch(m_context, m_members, m_store,
                  [this](const std::string& aAddress, const std::string& aMessage) {
                    m_members.SendPeerMessage(aAddress, kCrashMessageType + aMessage);
-                 }) {
+                 })
+  , m_permits(m_context, m_members) {
   m_context.m_crashWatch = &m_crashWatch;
+  m_context.m_permits = &m_permits;
   m_rollouts.SetSend([this](const std::string& aAddress, const RolloutReport& aReport) {
     m_members.SendPeerMessage(aAddress, kRolloutMessageType + EncodeRolloutReport(aReport));
   });
@@ -171,6 +173,7 @@
   m_store.Start(settings.m_isFirstStart ? kFirstStartDelay : kRestartDelay);
   m_rollouts.Start();
   m_crashWatch.Start();
+  m_permits.Start();
   m_loop.Every(kLogFlushInterval, [this] { m_log.Flush(); });
   m_loop.Every(Seconds(1), [this] { OnSecondTimer(); });
   return {};
@@ -285,6 +288,7 @@
   }
   m_store.SetPeers(watchesStore, std::move(near), std::move(others));
   m_crashWatch.OnMembersChanged();
+  m_permits.OnMembersChanged();
 }
 
 void EdgeProcess::OnPeerMessage(const std::string& aMessage) {
@@ -292,6 +296,9 @@
     m_crashWatch.OnPeerMessage(aMessage.substr(1));
     return;
   }
+  if (m_permits.OnPeerMessage(aMessage)) {
+    return;
+  }
   const Time now = m_loop.Now();
   const Result<std::vector<LoadUpdate>> loads = aMessage.starts_with(kLoadMessageType)
                                                   ? DecodeLoadUpdates(aMessage.substr(1))
@@ -399,6 +406,7 @@
                       m_context.m_entries, m_context.m_routes ? m_context.m_routes->Version() : 0,
                       m_loop.Now() - m_context.m_storeConfirmedAt);
   m_metrics.SetRefusedContents(m_crashWatch.CountRefused());
+  m_metrics.SetLimitedServers(m_permits.CountLimited());
   ResponseHead head{.m_status = kOk, .m_headers = {}};
   head.m_headers.Add("Content-Type", "text/plain; version=0.0.4");
   aCaller->SendResponse(head, m_metrics.Text());
--- a/Services/Edge/EdgeProcess.h
+++ b/Services/Edge/EdgeProcess.h
@@ -5,6 +5,7 @@
 #include "Services/Edge/EdgeContext.h"
 #include "Services/Edge/Members.h"
 #include "Services/Edge/RolloutDriver.h"
+#include "Services/Edge/ServerPermits.h"
 #include "Services/Edge/StoreClient.h"
 #include "Services/Edge/StoreView.h"
 
@@ -67,6 +68,7 @@
   StoreClient m_store;
   RolloutDriver m_rollouts;
   CrashWatch m_crashWatch;
+  ServerPermits m_permits;
   std::unique_ptr<HttpServer> m_callers;
   std::vector<std::unique_ptr<HttpServer>> m_servers;
   std::vector<LoadUpdate> m_pendingLoads;
--- a/Services/Edge/RelayAnswer.cpp
+++ b/Services/Edge/RelayAnswer.cpp
@@ -3,6 +3,7 @@
 #include "LibRouting/EscalationPolicy.h"
 #include "Services/Edge/CrashWatch.h"
 #include "Services/Edge/RequestRelay.h"
+#include "Services/Edge/ServerPermits.h"
 #include "platform/RequestCodec.h"
 
 namespace fennelline {
@@ -75,7 +76,8 @@
   if (m_answerBegun && !m_attempt->m_isStream) {
     // Part of another response was already sent to the caller, and this one cannot continue it.
     EndAttempt(AttemptOutcome::Failed);
-  } else if (IsLowConfidence() && MayRun() && TryReplaceRun(kAttemptsReservedForFailures)) {
+  } else if (IsLowConfidence() && MayRun() && HasUnlimitedServer() &&
+             TryReplaceRun(kAttemptsReservedForFailures)) {
     Escalate();
   }
   return HeadAction::Accept;
@@ -101,6 +103,7 @@
     line.Flag("limited", aMetadata.m_requestLimit.has_value());
     line.Real("per-second", aMetadata.m_requestLimit.value_or(0.0));
     m_context.Log(LogPriority::Notable, line);
+    m_context.m_permits->OnLimitChanged(backend);
   }
 }
 
@@ -387,7 +390,7 @@
     return;
   }
   // A suspect may be about to crash this server, and would be given a second one.
-  if (IsSuspect() || !MayRun() || !TryReplaceRun(0)) {
+  if (IsSuspect() || !MayRun() || !HasUnlimitedServer() || !TryReplaceRun(0)) {
     return;
   }
   m_context.m_crashWatch->OnSilent(*m_attempt->m_backend, Fingerprint(), m_attempt->m_sentAt);
--- a/Services/Edge/RelayPlacement.cpp
+++ b/Services/Edge/RelayPlacement.cpp
@@ -4,6 +4,7 @@
 #include "LibRouting/LongPromptServers.h"
 #include "Services/Edge/Hash.h"
 #include "Services/Edge/RequestRelay.h"
+#include "Services/Edge/ServerPermits.h"
 
 #include <algorithm>
 #include <cmath>
@@ -29,6 +30,10 @@
 constexpr double kTypicalResponseBytes = 2'000.0;
 constexpr double kBytesPerOutputToken = 12.0;
 
+/// Bounds of the wait for a permit that callers are told.
+constexpr double kMinLimitPerSecond = 0.25;
+constexpr Duration kMaxPermitWait = Seconds(30);
+
 /// Servers in addition to the trial share, so that placement has a choice among them.
 constexpr std::size_t kSpareTrialServers = 1;
 
@@ -59,7 +64,12 @@
   for (const std::shared_ptr<BackendLink>& backend : m_context.m_backends.OfService(m_service)) {
     const bool wasTried = std::find(m_triedBackends.begin(), m_triedBackends.end(),
                                     backend->m_record.m_id) != m_triedBackends.end();
-    if (!wasTried && backend->TakesRequests(now)) {
+    const bool isLimited = backend->m_limit.PerSecond().has_value();
+    const bool hasNoPermit =
+      isLimited && (now < backend->m_nextPermit[static_cast<std::size_t>(Urgency())] ||
+                    std::find(m_withoutPermit.begin(), m_withoutPermit.end(),
+                              backend->m_record.m_id) != m_withoutPermit.end());
+    if (!wasTried && !hasNoPermit && backend->TakesRequests(now)) {
       const bool isOfVersion = rule.m_preference != VersionPreference::Any &&
                                backend->m_record.m_version == rule.m_version;
       (isOfVersion ? ofVersion : others).push_back(backend);
@@ -147,7 +157,36 @@
   }
 }
 
-std::shared_ptr<BackendLink> RequestRelay::ChooseBackend() {
+std::optional<Duration> RequestRelay::TakeLikelyPermit() const {
+  const Time now = m_context.m_loop.Now();
+  std::shared_ptr<BackendLink> earliest;
+  for (const std::shared_ptr<BackendLink>& backend : m_context.m_backends.OfService(m_service)) {
+    const bool isLimited = backend->m_limit.PerSecond() && backend->TakesRequests(now);
+    if (isLimited && (!earliest || backend->m_likelyPermit < earliest->m_likelyPermit)) {
+      earliest = backend;
+    }
+  }
+  if (!earliest) {
+    return std::nullopt;
+  }
+  const Time likely = std::max(now, earliest->m_likelyPermit);
+  // The other entries refuse about as many requests, which come back too.
+  const double untilNext = static_cast<double>(m_context.m_entries) /
+                           std::max(kMinLimitPerSecond, *earliest->m_limit.PerSecond());
+  earliest->m_likelyPermit = std::min(
+    now + kMaxPermitWait,
+    likely + std::chrono::duration_cast<Duration>(std::chrono::duration<double>(untilNext)));
+  return likely - now;
+}
+
+bool RequestRelay::HasUnlimitedServer() const {
+  const std::vector<std::shared_ptr<BackendLink>> eligible = Eligible();
+  return std::any_of(
+    eligible.begin(), eligible.end(),
+    [](const std::shared_ptr<BackendLink>& aServer) { return !aServer->m_limit.PerSecond(); });
+}
+
+std::optional<RequestRelay::Choice> RequestRelay::ChooseBackend() {
   const std::vector<std::shared_ptr<BackendLink>> eligible = Eligible();
   const Time now = m_context.m_loop.Now();
   const Service* service = m_routes->FindService(m_service);
@@ -155,6 +194,8 @@
   const double entries = static_cast<double>(m_context.m_entries);
   const PlacementQuery query = MakeQuery(service);
   const bool isSuspect = IsSuspect();
+  // Another server can run it if the limited one answers too late.
+  const bool mayCheckLimit = m_retryPolicy.Promise().MayRepeat() && !isSuspect;
   const double maxChannels =
     service == nullptr || service->m_mostChannels == 0
       ? static_cast<double>(m_context.m_settings.m_maxDescriptors)
@@ -184,18 +225,20 @@
        .m_holdsPrefix = backend->m_prefixes.Holds(query.m_prefix, now),
        .m_isReserved = isForLongPrompts[index],
        .m_isServingLongPrompt = prefillLoad.IsServingLongPrompt(now),
+       .m_isLimited = backend->m_limit.PerSecond().has_value() &&
+                      !(mayCheckLimit && m_context.m_permits->IsDueForCheck(*backend)),
        .m_failureRate = backend->m_health.FailureRate(now),
        .m_isAvoided = isFull || backend->m_health.IsAvoided(now) ||
                       (isSuspect && backend->m_runningSuspects > 0)});
   }
   const std::optional<std::size_t> chosen = ChoosePlacement(query, candidates, m_context.m_random);
   if (!chosen) {
-    return nullptr;
-  }
-  if (isEngine) {
-    RecordPrefill(*eligible[*chosen], query, candidates[*chosen].m_holdsPrefix);
+    return std::nullopt;
   }
-  return eligible[*chosen];
+  return Choice{.m_backend = eligible[*chosen],
+                .m_query = query,
+                .m_isPrefixCached = candidates[*chosen].m_holdsPrefix,
+                .m_isEngine = isEngine};
 }
 
 } // namespace fennelline
--- a/Services/Edge/RequestRelay.cpp
+++ b/Services/Edge/RequestRelay.cpp
@@ -4,6 +4,7 @@
 #include "LibRouting/ShutdownPolicy.h"
 #include "Services/Edge/CrashWatch.h"
 #include "Services/Edge/Hash.h"
+#include "Services/Edge/ServerPermits.h"
 #include "platform/RequestCodec.h"
 
 #include <algorithm>
@@ -216,9 +217,7 @@
   forward.m_model = aModel;
   forward.m_lastEvent = m_framer.LastEvent();
   if (m_route->m_kind == RouteKind::Streaming) {
-    const int priority =
-      m_account != nullptr && m_account->m_priority ? *m_account->m_priority : m_route->m_priority;
-    forward.m_priority = std::min(kMostUrgentPriority + priority, kLeastUrgentPriority);
+    forward.m_priority = std::min(kMostUrgentPriority + Priority(), kLeastUrgentPriority);
   }
   return WriteRequest(m_request.m_head.m_method, m_request.m_head.m_target,
                       platform::EncodeForward(m_request.m_head.m_headers, forward),
@@ -230,11 +229,68 @@
     EndAsCrashing();
     return;
   }
-  const std::shared_ptr<BackendLink> backend = ChooseBackend();
-  if (!backend) {
+  const std::optional<Choice> choice = ChooseBackend();
+  if (!choice) {
     ExecuteAction(m_retryPolicy.OnGivenUp(m_answerBegun));
+  } else if (choice->m_backend->m_limit.PerSecond()) {
+    AskPermit(*choice);
+  } else {
+    Send(*choice);
+  }
+}
+
+int RequestRelay::Priority() const {
+  return m_account != nullptr && m_account->m_priority ? *m_account->m_priority
+                                                       : m_route->m_priority;
+}
+
+int RequestRelay::Urgency() const {
+  return std::clamp(Priority(), 0, kUrgencyLevels - 1);
+}
+
+void RequestRelay::AskPermit(const Choice& aChoice) {
+  aChoice.m_backend->m_limitCheckedAt = m_context.m_loop.Now();
+  m_context.m_permits->Ask(*aChoice.m_backend, Urgency(),
+                           [self = shared_from_this(), aChoice](const PermitDecision& aDecision) {
+                             self->OnPermit(aChoice, aDecision);
+                           });
+}
+
+void RequestRelay::OnPermit(const Choice& aChoice, const PermitDecision& aDecision) {
+  BackendLink& backend = *aChoice.m_backend;
+  const Time now = m_context.m_loop.Now();
+  m_context.m_metrics.OnPermit(aDecision.m_isGranted);
+  LogLine line("permit");
+  line.Text("id", m_metadata.m_requestId).Text("backend", backend.m_record.m_id);
+  line.Flag("granted", aDecision.m_isGranted).Count("urgency", Urgency());
+  line.Real("per-second", backend.m_limit.PerSecond().value_or(0.0));
+  line.Ms("next", aDecision.m_nextPermit).Ms("likely", aDecision.m_likelyWait);
+  m_context.Log(LogPriority::Routine, line);
+  if (!aDecision.m_isGranted) {
+    backend.m_nextPermit[static_cast<std::size_t>(Urgency())] = now + aDecision.m_nextPermit;
+    backend.m_likelyPermit = std::max(backend.m_likelyPermit, now + aDecision.m_likelyWait);
+  }
+  if (m_ended) {
     return;
   }
+  // The server may have begun to leave, and the content been refused, since the permit was asked
+  // for.
+  if (!aDecision.m_isGranted || !backend.TakesRequests(now)) {
+    m_withoutPermit.push_back(backend.m_record.m_id);
+    Dispatch();
+  } else if (!MayRun()) {
+    EndAsCrashing();
+  } else {
+    Send(aChoice);
+  }
+}
+
+void RequestRelay::Send(const Choice& aChoice) {
+  const std::shared_ptr<BackendLink>& backend = aChoice.m_backend;
+  m_withoutPermit.clear();
+  if (aChoice.m_isEngine) {
+    RecordPrefill(*backend, aChoice.m_query, aChoice.m_isPrefixCached);
+  }
   Attempt attempt;
   attempt.m_backend = backend;
   attempt.m_model = ChooseModel();
@@ -317,7 +373,11 @@
       Dispatch();
       return;
     case NextAction::Refuse:
-      Refuse("no backend server can take it", RetryAfter());
+      if (const std::optional<Duration> wait = TakeLikelyPermit()) {
+        Refuse("the backend servers limit requests", *wait + RetryAfter());
+      } else {
+        Refuse("no backend server can take it", RetryAfter());
+      }
       return;
     case NextAction::ForwardFailure:
       ForwardFailure();
--- a/Services/Edge/RequestRelay.h
+++ b/Services/Edge/RequestRelay.h
@@ -51,6 +51,13 @@
       return m_failure == CallFailure::NoResponse || m_failure == CallFailure::TruncatedResponse;
     }
   };
+  /// A server chosen for the next attempt.
+  struct Choice {
+    std::shared_ptr<BackendLink> m_backend;
+    PlacementQuery m_query;
+    bool m_isPrefixCached = false;
+    bool m_isEngine = false;
+  };
   /// A backend server's error response, forwarded if all further attempts fail too.
   struct FailureAnswer {
     MessageHead m_head;
@@ -62,7 +69,20 @@
   bool FindRoute();
   void Reject(int aStatus, std::string_view aReason);
   void Dispatch();
-  std::shared_ptr<BackendLink> ChooseBackend();
+  std::optional<Choice> ChooseBackend();
+  /// Sends the request to the server, for which a permit has been issued if it limits requests.
+  void Send(const Choice& aChoice);
+  void AskPermit(const Choice& aChoice);
+  void OnPermit(const Choice& aChoice, const PermitDecision& aDecision);
+  /// Priority of the account or else of the route; 0 is the highest.
+  int Priority() const;
+  /// From 0 for the most urgent, for servers that limit requests.
+  int Urgency() const;
+  /// How long until a permit is likely for this request, counting it among those that come back;
+  /// none if no server limits requests.
+  std::optional<Duration> TakeLikelyPermit() const;
+  /// Whether a server without a limit could run it now.
+  bool HasUnlimitedServer() const;
   PlacementQuery MakeQuery(const Service* aService) const;
   /// Whether the prefill of long prompts on the route's largest model delays the events of other
   /// streams past the route's objective.
@@ -128,6 +148,8 @@
   std::optional<FailureAnswer> m_failure;
   /// Ids of backend servers that this request is not sent to again.
   std::vector<std::string> m_triedBackends;
+  /// Ids of limited servers for which no permit was issued since the last sending.
+  std::vector<std::string> m_withoutPermit;
   std::uint64_t m_hash = 0;
   /// See Fingerprint(); empty until it is needed.
   std::string m_fingerprint;
--- a/Tests/LibRouting/TestPlacement.cpp
+++ b/Tests/LibRouting/TestPlacement.cpp
@@ -40,6 +40,21 @@
   }
 }
 
+TEST_CASE(
+  "a server that limits requests is spared, also by the sessions and prefixes that it holds") {
+  std::vector<PlacementCandidate> servers = Servers(3);
+  servers[1].m_isLimited = true;
+  servers[1].m_holdsPrefix = true;
+  servers[0].m_load = servers[2].m_load = 50.0;
+  for (std::uint64_t prefix = 1; prefix < 40; ++prefix) {
+    Random random(prefix);
+    CHECK(ChoosePlacement(LongPrompt(prefix), servers, random) != 1U);
+  }
+  servers[0].m_isAvoided = servers[2].m_isAvoided = true;
+  Random random(1);
+  CHECK(ChoosePlacement(LongPrompt(1), servers, random) == 1U);
+}
+
 TEST_CASE("prefixes are spread over the servers") {
   const std::vector<PlacementCandidate> servers = Servers(9);
   std::map<std::size_t, int> counts;
--- a/Tests/Platform/TestCodecs.cpp
+++ b/Tests/Platform/TestCodecs.cpp
@@ -104,6 +104,38 @@
   CHECK(platform::DecodeAnswer(misdirected).m_notRun);
 }
 
+TEST_CASE(
+  "a server's limit is read, the lowest of several, and values that are no limit are reported") {
+  struct Case {
+    std::vector<std::string> m_values;
+    std::optional<double> m_limit;
+    std::string m_unreadable;
+  };
+  const std::vector<Case> cases = {
+    {{}, std::nullopt, ""},
+    {{"1.9"}, 1.9, ""},
+    {{"0"}, 0.0, ""},
+    {{"1e300"}, 1e6, ""},
+    {{"4", "2.5"}, 2.5, ""},
+    {{"many", "3"}, 3.0, "many"},
+    {{"-1"}, std::nullopt, "-1"},
+    {{"nan"}, std::nullopt, "nan"},
+    {{"inf"}, std::nullopt, "inf"},
+    {{"1e999"}, std::nullopt, "1e999"},
+    {{"3 "}, std::nullopt, "3 "},
+    {{"0x10"}, std::nullopt, "0x10"},
+  };
+  for (const Case& expected : cases) {
+    MessageHead head;
+    for (const std::string& value : expected.m_values) {
+      head.m_headers.Add("server-limit", value);
+    }
+    const ResponseMetadata metadata = platform::DecodeAnswer(head);
+    CHECK(metadata.m_requestLimit == expected.m_limit);
+    CHECK(metadata.m_unreadableRequestLimit == expected.m_unreadable);
+  }
+}
+
 TEST_CASE("DecodeConfiguration maps the platform's names and names an invalid field") {
   const std::string text = R"({"version":7,"routes":[{"name":"r","hostname":"a.example",
     "path-prefix":"/x/","route-type":"streaming","timeout-ms":25000,"goal-ms":3000,"priority":1,
