Take a slow version's answers for evidence while they run, and unknown for unknown

Change: a stream's pace is a low quantile of the gaps between its events, known after three, and compared at each event; a stall is evidence; baselines of streams are kept by model, not by route. A long prompt slows all streams on its server at once, so slow servers count once a second, over all entries. Answers that could not be compared do not move a roll-out ahead of time or end it early; a version with few answers, most of the compared ones bad, does not get all requests, and is rolled back at the end of its time.

--- a/Libraries/LibRouting/LatencyBaseline.cpp
+++ b/Libraries/LibRouting/LatencyBaseline.cpp
@@ -28,11 +28,16 @@
   baseline.m_logDeviation += part * (std::abs(difference) - baseline.m_logDeviation);
 }
 
-bool LatencyBaseline::IsSlow(const std::string& aKind, Duration aTime) const {
+bool LatencyBaseline::Knows(const std::string& aKind) const {
   const auto found = m_kinds.find(aKind);
-  if (found == m_kinds.end() || found->second.m_count < kMinCount) {
+  return found != m_kinds.end() && found->second.m_count >= kMinCount;
+}
+
+bool LatencyBaseline::IsSlow(const std::string& aKind, Duration aTime) const {
+  if (!Knows(aKind)) {
     return false;
   }
+  const auto found = m_kinds.find(aKind);
   const double value = std::log(std::max(InSeconds(aTime), kMinSeconds));
   const double limit =
     std::max(std::log(kSlowFactor), kSlowDeviations * found->second.m_logDeviation);
--- a/Libraries/LibRouting/LatencyBaseline.h
+++ b/Libraries/LibRouting/LatencyBaseline.h
@@ -7,11 +7,13 @@
 
 namespace fennelline {
 
-/// Tracks the usual time to the first byte of an answer, by kind of request, to detect answers that
-/// are several times slower.
+/// Tracks the usual time of answers, or between events of streams, by kind of request, to detect
+/// those that are several times slower.
 class LatencyBaseline {
 public:
   void Learn(const std::string& aKind, Duration aTime);
+  /// Whether there are enough samples to compare with.
+  bool Knows(const std::string& aKind) const;
   /// Returns false until there are enough samples.
   bool IsSlow(const std::string& aKind, Duration aTime) const;
 
--- a/Libraries/LibRouting/RolloutEvaluator.cpp
+++ b/Libraries/LibRouting/RolloutEvaluator.cpp
@@ -15,9 +15,13 @@
 /// All traffic must move to the new version by this fraction, or there is no time left to move it.
 constexpr double kLatestMoveFraction = 0.62;
 
-/// Minimum number of answers from the new version before it gets all requests.
+/// Minimum number of answers from the new version, compared with the old one, before it gets all
+/// requests ahead of time.
 constexpr std::int64_t kMinTrialAnswers = 25;
 
+/// A version with few answers is doubtful if one in this many is bad.
+constexpr std::int64_t kDoubtfulDivisor = 4;
+
 /// A version that fails only under load shows it within this time of receiving all requests.
 constexpr Duration kMinMovingTime = Milliseconds(2500);
 
@@ -58,16 +62,19 @@
 std::map<std::string, RouteEvidence> RolloutEvaluator::Pool() const {
   std::map<std::string, RouteEvidence> pool;
   std::map<std::uint64_t, bool> broken;
+  std::map<std::pair<std::uint64_t, std::int64_t>, bool> slow;
   for (const auto& [entry, stored] : m_reports) {
     for (const auto& [route, row] : stored.m_report.m_routes) {
       // The empty name holds the total of all routes.
       for (RouteEvidence* sum : {&pool[route], &pool[""]}) {
         sum->m_newGood += row.m_newGood;
+        sum->m_newNotCompared += row.m_newNotCompared;
         sum->m_newBad += row.m_newBad;
         sum->m_oldGood += row.m_oldGood;
         sum->m_oldBad += row.m_oldBad;
       }
     }
+    slow.insert(stored.m_report.m_slowServers.begin(), stored.m_report.m_slowServers.end());
     broken.insert(stored.m_report.m_failedServers.begin(), stored.m_report.m_failedServers.end());
   }
   // A crashing server breaks all its answers at once, at several entries. It counts as one failure
@@ -75,6 +82,11 @@
   for (const auto& [server, isNew] : broken) {
     ++(isNew ? pool[""].m_newBad : pool[""].m_oldBad);
   }
+  // A long prompt delays all streams on its server at once. They count as one in each second, so
+  // that only a version whose streams are slow on most servers, or at most times, stands out.
+  for (const auto& [place, isNew] : slow) {
+    ++(isNew ? pool[""].m_newBad : pool[""].m_oldBad);
+  }
   return pool;
 }
 
@@ -132,15 +144,23 @@
   const double age = InSeconds(OrderAge(aNow));
   const double within = InSeconds(aOrder.m_within);
   m_reason = std::to_string(all.m_newGood) + " good and " + std::to_string(all.m_newBad) +
-             " bad answers from the new version";
+             " bad answers from the new version, " + std::to_string(all.m_newNotCompared) +
+             " not compared";
+  const std::int64_t comparedGood = all.m_newGood - all.m_newNotCompared;
+  const bool hasEnough = comparedGood + all.m_newBad >= kMinTrialAnswers;
+  const bool isLast = age >= within - InSeconds(kFinalMargin);
+  // Too few answers for a verdict, but most of those that could be compared are bad.
+  const bool hasManyBad = all.m_newBad * kDoubtfulDivisor >= all.m_newGood + all.m_newBad;
+  const bool isDoubtful = !hasEnough && hasManyBad && all.m_newBad > comparedGood;
+  if (isDoubtful && isLast) {
+    return RolloutPhase::RolledBack;
+  }
   if (aRecord.m_phase == RolloutPhase::Canary) {
-    const bool hasEnough = all.m_newGood + all.m_newBad >= kMinTrialAnswers;
     const bool isTime = age >= within * (hasEnough ? kTrialFraction : kLatestMoveFraction);
-    return isTime ? RolloutPhase::Moving : RolloutPhase::Canary;
+    return isTime && !isDoubtful ? RolloutPhase::Moving : RolloutPhase::Canary;
   }
-  const bool isLast = age >= within - InSeconds(kFinalMargin);
   const bool hasMoved = aNow - m_phaseSince >= kMinMovingTime;
-  const bool mayEnd = isLast || (hasMoved && IsOldIdle(aRecord, aEntries, aNow));
+  const bool mayEnd = isLast || (hasMoved && hasEnough && IsOldIdle(aRecord, aEntries, aNow));
   return mayEnd ? RolloutPhase::Succeeded : RolloutPhase::Moving;
 }
 
--- a/Libraries/LibRouting/RolloutEvidence.cpp
+++ b/Libraries/LibRouting/RolloutEvidence.cpp
@@ -9,20 +9,23 @@
 std::string EncodeRolloutReport(const RolloutReport& aReport) {
   json routes = json::array();
   for (const auto& [name, row] : aReport.m_routes) {
-    routes.push_back({name, row.m_newGood, row.m_newBad, row.m_oldGood, row.m_oldBad});
+    routes.push_back(
+      {name, row.m_newGood, row.m_newBad, row.m_oldGood, row.m_oldBad, row.m_newNotCompared});
   }
   json broken = json::array();
   for (const auto& [server, isNew] : aReport.m_failedServers) {
     broken.push_back({server, isNew});
   }
-  const json document = {{"entry", aReport.m_entry},
-                         {"service", aReport.m_service},
-                         {"order", aReport.m_orderRevision},
-                         {"ageMs", InMilliseconds(aReport.m_orderAge)},
-                         {"routes", std::move(routes)},
-                         {"broken", std::move(broken)},
-                         {"runningOld", aReport.m_oldVersionRunning},
-                         {"record", aReport.m_recordRevision}};
+  json slow = json::array();
+  for (const auto& [place, isNew] : aReport.m_slowServers) {
+    slow.push_back({place.first, place.second, isNew});
+  }
+  const json document = {
+    {"entry", aReport.m_entry},          {"service", aReport.m_service},
+    {"order", aReport.m_orderRevision},  {"ageMs", InMilliseconds(aReport.m_orderAge)},
+    {"routes", std::move(routes)},       {"broken", std::move(broken)},
+    {"slow", std::move(slow)},           {"runningOld", aReport.m_oldVersionRunning},
+    {"record", aReport.m_recordRevision}};
   return EncodeMessagePack(document);
 }
 
@@ -38,6 +41,7 @@
     for (const json& row : aDocument.at("routes")) {
       report.m_routes[row.at(0).get<std::string>()] = {
         .m_newGood = row.at(1).get<std::int64_t>(),
+        .m_newNotCompared = row.at(5).get<std::int64_t>(),
         .m_newBad = row.at(2).get<std::int64_t>(),
         .m_oldGood = row.at(3).get<std::int64_t>(),
         .m_oldBad = row.at(4).get<std::int64_t>(),
@@ -46,6 +50,10 @@
     for (const json& row : aDocument.at("broken")) {
       report.m_failedServers[row.at(0).get<std::uint64_t>()] = row.at(1).get<bool>();
     }
+    for (const json& row : aDocument.at("slow")) {
+      report.m_slowServers[{row.at(0).get<std::uint64_t>(), row.at(1).get<std::int64_t>()}] =
+        row.at(2).get<bool>();
+    }
     return report;
   });
 }
--- a/Libraries/LibRouting/RolloutEvidence.h
+++ b/Libraries/LibRouting/RolloutEvidence.h
@@ -6,12 +6,15 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <utility>
 
 namespace fennelline {
 
 /// Number of good and bad answers of one route, from the new and from the old version.
 struct RouteEvidence {
   std::int64_t m_newGood = 0;
+  /// Those of m_newGood whose time could not be compared with that of the old version.
+  std::int64_t m_newNotCompared = 0;
   std::int64_t m_newBad = 0;
   std::int64_t m_oldGood = 0;
   std::int64_t m_oldBad = 0;
@@ -29,6 +32,9 @@
   /// Backend servers whose connections broke while requests were in flight, by the hash of their
   /// identity, and whether they run the new version.
   std::map<std::uint64_t, bool> m_failedServers;
+  /// Backend servers with slow streams, by the hash of their identity and the second after the
+  /// order was given, and whether they run the new version.
+  std::map<std::pair<std::uint64_t, std::int64_t>, bool> m_slowServers;
   /// Number of the entry's requests still running on the old version.
   std::int64_t m_oldVersionRunning = 0;
   /// Revision of the roll-out record that the entry acts on.
--- /dev/null
+++ b/Libraries/LibRouting/StreamPace.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "LibBase/Time.h"
+
+#include <array>
+#include <cstddef>
+
+namespace fennelline {
+
+/// The time between events of one stream while nothing delays it: a low quantile over the first
+/// events. A long prompt that the server processes meanwhile delays some of them, but a slow
+/// version delays all.
+class StreamPace {
+public:
+  void OnEvent(Time aNow);
+  /// Zero until there are enough events to tell.
+  Duration Value() const;
+
+private:
+  static constexpr std::size_t kMinGaps = 3;
+  static constexpr std::size_t kMaxGaps = 16;
+  /// One gap in so many may be shorter than the quantile.
+  static constexpr std::size_t kQuantileDivisor = 4;
+
+  std::array<Duration, kMaxGaps> m_gaps{};
+  std::size_t m_count = 0;
+  Time m_lastEvent{};
+};
+
+} // namespace fennelline
--- a/Services/Edge/EdgeContext.h
+++ b/Services/Edge/EdgeContext.h
@@ -25,18 +25,29 @@
 class CrashWatch;
 class ServerPermits;
 
+enum class VersionOutcome : std::uint8_t {
+  /// It was answered, or runs and is already slow.
+  Answered,
+  Failed,
+  /// It was given up, because no event had come for too long.
+  Stalled,
+};
+
 /// Outcome of one request on a software version, used as rollout evidence.
 struct VersionEvidenceEvent {
   std::string m_service;
   std::string m_version;
   std::string m_route;
-  /// Route and model. Requests of the same kind have comparable latency.
+  /// The route, or the model of a stream. Requests of the same kind have comparable latency.
   std::string m_kind;
-  /// Latency of a plain response, or mean time between events of a stream; zero if unknown.
+  /// Latency of a plain response, or usual time between events of a stream; zero if unknown.
   Duration m_latency{0};
-  bool m_isBad = false;
-  /// Identity of the server whose connection broke during the request; zero for other outcomes.
-  std::uint64_t m_brokenServer = 0;
+  VersionOutcome m_outcome = VersionOutcome::Answered;
+  bool m_isStream = false;
+  /// Identity of the server.
+  std::uint64_t m_server = 0;
+  /// The connection to the server broke during the request.
+  bool m_isBroken = false;
 };
 
 /// State shared by the components of the edge process. Not thread-safe: one thread uses it.
@@ -59,6 +70,8 @@
   std::optional<Time> m_stopRequestedAt;
   PrefillSpeedEstimator m_prefillSpeed;
   std::function<void(const VersionEvidenceEvent&)> m_onEvidence;
+  /// Whether a latency of this kind of request is several times the usual one.
+  std::function<bool(const std::string&, Duration)> m_isSlow;
   /// Requests received before the first configuration; called once a configuration is known.
   std::vector<std::function<void()>> m_waitingForConfiguration;
   RecentSessions m_oldVersionSessions;
--- a/Services/Edge/EdgeProcess.cpp
+++ b/Services/Edge/EdgeProcess.cpp
@@ -136,6 +136,9 @@
   m_context.m_onEvidence = [this](const VersionEvidenceEvent& aEvent) {
     m_rollouts.OnEvidence(aEvent);
   };
+  m_context.m_isSlow = [this](const std::string& aKind, Duration aLatency) {
+    return m_rollouts.IsSlow(aKind, aLatency);
+  };
   m_context.m_onLoad = [this](const LoadUpdate& aLoad) {
     m_pendingLoads.push_back(aLoad);
     SchedulePeerMessages();
--- a/Services/Edge/RelayAnswer.cpp
+++ b/Services/Edge/RelayAnswer.cpp
@@ -139,7 +139,6 @@
   m_attempt->m_backend->m_health.OnSuccess(now);
   m_context.m_prefillSpeed.Learn(m_attempt->m_model, m_prefillTokens, m_expectedPrefillWait,
                                  now - m_attempt->m_sentAt);
-  ReportEvidence(false);
   m_useLargestModel = true;
   ReleaseAttempt();
   Dispatch();
@@ -192,6 +191,8 @@
   }
   m_lastEvents = now;
   m_attempt->m_events += 1;
+  m_attempt->m_pace.OnEvent(now);
+  ReportSlowStream();
   m_caller->SendBodyPart(events);
   if (m_ended || !m_attempt) {
     return;
@@ -233,7 +234,7 @@
   const int status = m_attempt->m_head.m_status;
   m_attempt->m_backend->m_health.OnSuccess(now);
   m_context.m_crashWatch->OnFinished(Fingerprint());
-  ReportEvidence(false);
+  ReportEvidence(VersionOutcome::Answered);
   if (m_answerBegun) {
     m_caller->SendBodyPart(m_attempt->m_body);
     m_caller->EndResponse();
@@ -296,7 +297,7 @@
                          aOutcome == AttemptOutcome::Failed;
   if (isFailure) {
     backend->m_health.OnFailure(now);
-    ReportEvidence(true);
+    ReportEvidence(VersionOutcome::Failed);
   }
   m_excludedFromTrial = m_excludedFromTrial || aOutcome == AttemptOutcome::Failed;
   m_triedBackends.push_back(backend->m_record.m_id);
@@ -400,6 +401,7 @@
   line.Ms("waited", now - m_attempt->m_sentAt).Count("events", m_framer.CountEvents());
   m_context.Log(LogPriority::Notable, line);
   m_attempt->m_backend->m_health.OnFailure(now);
+  ReportEvidence(VersionOutcome::Stalled);
   m_triedBackends.push_back(m_attempt->m_backend->m_record.m_id);
   m_framer.DropPartial();
   ReleaseAttempt();
@@ -409,27 +411,34 @@
 Duration RequestRelay::MeasuredLatency() const {
   // Other prompts on the server delay the first event of a stream. Only the time between later
   // events depends on the server's version.
-  if (!m_attempt->m_isStream) {
-    return m_context.m_loop.Now() - m_attempt->m_sentAt;
-  }
-  // In a shorter stream, the prefill of one long prompt on the same server would distort the mean.
-  constexpr int kMinEvents = 10;
-  return m_attempt->m_events < kMinEvents
-           ? Duration(0)
-           : (m_lastEvents - m_attempt->m_firstByte) / (m_attempt->m_events - 1);
+  return m_attempt->m_isStream ? m_attempt->m_pace.Value()
+                               : m_context.m_loop.Now() - m_attempt->m_sentAt;
 }
 
-void RequestRelay::ReportEvidence(bool aIsBad) {
-  if (m_context.m_onEvidence) {
-    m_context.m_onEvidence(
-      {.m_service = m_service,
-       .m_version = m_attempt->m_backend->m_record.m_version,
-       .m_route = m_route->m_name,
-       .m_kind = m_route->m_name + "/" + m_attempt->m_model,
-       .m_latency = MeasuredLatency(),
-       .m_isBad = aIsBad,
-       .m_brokenServer = m_attempt->IsBroken() ? m_attempt->m_backend->m_identity : 0});
+std::string RequestRelay::LatencyKind() const {
+  return m_attempt->m_isStream ? m_service + "/" + m_attempt->m_model : m_route->m_name;
+}
+
+void RequestRelay::ReportSlowStream() {
+  const Duration pace = m_attempt->m_pace.Value();
+  if (pace > Duration(0) && m_context.m_isSlow && m_context.m_isSlow(LatencyKind(), pace)) {
+    ReportEvidence(VersionOutcome::Answered);
+  }
+}
+
+void RequestRelay::ReportEvidence(VersionOutcome aOutcome) {
+  if (!m_context.m_onEvidence || std::exchange(m_attempt->m_hasReported, true)) {
+    return;
   }
+  m_context.m_onEvidence({.m_service = m_service,
+                          .m_version = m_attempt->m_backend->m_record.m_version,
+                          .m_route = m_route->m_name,
+                          .m_kind = LatencyKind(),
+                          .m_latency = MeasuredLatency(),
+                          .m_outcome = aOutcome,
+                          .m_isStream = m_attempt->m_isStream,
+                          .m_server = m_attempt->m_backend->m_identity,
+                          .m_isBroken = m_attempt->IsBroken()});
 }
 
 } // namespace fennelline
--- a/Services/Edge/RequestRelay.h
+++ b/Services/Edge/RequestRelay.h
@@ -6,6 +6,7 @@
 #include "LibRouting/Placement.h"
 #include "LibRouting/RequestMetadata.h"
 #include "LibRouting/RetryPolicy.h"
+#include "LibRouting/StreamPace.h"
 #include "Services/Edge/EdgeContext.h"
 
 #include <memory>
@@ -34,6 +35,9 @@
     Time m_sentAt{};
     Time m_firstByte{};
     int m_events = 0;
+    StreamPace m_pace;
+    /// Its evidence for or against the server's version has been reported.
+    bool m_hasReported = false;
     /// The response head; valid if m_hasHead.
     MessageHead m_head;
     ResponseMetadata m_metadata;
@@ -119,6 +123,9 @@
   bool TryReplaceRun(int aReservedAttempts);
   void Escalate();
   Duration MeasuredLatency() const;
+  /// Reports a stream that is slower than usual while it runs: it may end late, or never.
+  void ReportSlowStream();
+  std::string LatencyKind() const;
   void EndAttempt(AttemptOutcome aOutcome);
   void ReleaseAttempt();
   /// Tells the crash watch about an attempt without an answer, then takes the action.
@@ -129,7 +136,7 @@
   void Refuse(std::string_view aReason, Duration aRetryAfter);
   void End(RequestEnd aEnd, int aStatus);
   void StartStallTimer(Duration aTime);
-  void ReportEvidence(bool aIsBad);
+  void ReportEvidence(VersionOutcome aOutcome);
   Duration RetryAfter() const;
 
   EdgeContext& m_context;
--- a/Services/Edge/RolloutDriver.cpp
+++ b/Services/Edge/RolloutDriver.cpp
@@ -40,7 +40,9 @@
 }
 
 void RolloutDriver::OnEvidence(const VersionEvidenceEvent& aEvent) {
-  const bool hasLatency = !aEvent.m_isBad && aEvent.m_latency > Duration(0);
+  const bool hasLatency =
+    aEvent.m_outcome == VersionOutcome::Answered && aEvent.m_latency > Duration(0);
+  const bool isCompared = hasLatency && m_baseline.Knows(aEvent.m_kind);
   const bool isSlow = hasLatency && m_baseline.IsSlow(aEvent.m_kind, aEvent.m_latency);
   const auto order = m_storeView.Orders().find(aEvent.m_service);
   const bool isNew =
@@ -55,18 +57,24 @@
   if (local.m_report.m_orderRevision != order->second.m_revision) {
     return;
   }
-  RouteEvidence& evidence = local.m_report.m_routes[aEvent.m_route];
-  const bool isBad = aEvent.m_isBad || isSlow;
+  const bool isStalled = aEvent.m_outcome == VersionOutcome::Stalled;
+  const bool isBad = isSlow || aEvent.m_outcome != VersionOutcome::Answered;
   if (isBad) {
     LogLine line("version-evidence");
     line.Text("service", aEvent.m_service).Text("version", aEvent.m_version);
-    line.Text("kind", aEvent.m_kind).Flag("slow", isSlow).Ms("pace", aEvent.m_latency);
+    line.Text("kind", aEvent.m_kind).Flag("slow", isSlow).Flag("stalled", isStalled);
+    line.Ms("pace", aEvent.m_latency);
     m_context.Log(LogPriority::Notable, line);
   }
-  if (aEvent.m_brokenServer != 0) {
-    local.m_report.m_failedServers[aEvent.m_brokenServer] = isNew;
+  RouteEvidence& evidence = local.m_report.m_routes[aEvent.m_route];
+  if (isStalled || (isSlow && aEvent.m_isStream)) {
+    const std::int64_t second = (m_context.m_loop.Now() - local.m_orderSeen) / Seconds(1);
+    local.m_report.m_slowServers[{aEvent.m_server, second}] = isNew;
+  } else if (aEvent.m_isBroken) {
+    local.m_report.m_failedServers[aEvent.m_server] = isNew;
   } else if (isNew) {
     ++(isBad ? evidence.m_newBad : evidence.m_newGood);
+    evidence.m_newNotCompared += isBad || isCompared ? 0 : 1;
   } else {
     ++(isBad ? evidence.m_oldBad : evidence.m_oldGood);
   }
--- a/Services/Edge/RolloutDriver.h
+++ b/Services/Edge/RolloutDriver.h
@@ -26,6 +26,9 @@
   void Start();
   void OnEvidence(const VersionEvidenceEvent& aEvent);
   void OnReport(const RolloutReport& aReport);
+  bool IsSlow(const std::string& aKind, Duration aLatency) const {
+    return m_baseline.IsSlow(aKind, aLatency);
+  }
 
 private:
   struct LocalEvidence {
--- a/Tests/Edge/edge_process.py
+++ b/Tests/Edge/edge_process.py
@@ -405,6 +405,32 @@
                 if not is_good:
                     self.assertLess(exposed, 30 + 0.15 * number * 10)
 
+    async def test_a_version_whose_streams_are_slow_is_rolled_back_before_they_end(self):
+        async with Fleet(entries=2, pool=3) as fleet:
+            await fleet.until_members_known()
+            calls = []
+
+            async def send(seconds, prefix):
+                for number in range(int(seconds * 40)):
+                    entry = fleet.entries[number % 2]
+                    calls.append(asyncio.create_task(
+                        call(entry.address("front"), "/stream/", f"{prefix}-{number}", accept=EVENTS,
+                             headers=[("Session", f"{prefix}-{number}")], deadline_ms=6000)))
+                    await asyncio.sleep(1 / 40)
+
+            for replica in fleet.of("pool"):
+                replica.events, replica.work_s = 20, 0.01
+            await send(2.0, "before")
+            fleet.store.put("op/rollout/pool", {"backend": "pool", "target": "v2", "duration-s": 8})
+            new = [await fleet.add_replica(f"i-new-{n}", "pool", version="v2", events=20, work_s=0.25)
+                   for n in range(3)]
+            await send(7.5, "after")
+            state = (fleet.store.read("status/rollout/pool") or {}).get("state")
+            exposed = len({run["id"] for replica in new for run in replica.runs})
+            await asyncio.gather(*calls)
+            self.assertEqual(state, "rolled_back")
+            self.assertLess(exposed, 30 + 0.15 * 7.5 * 40)
+
     async def test_a_session_with_a_long_request_at_rollout_start_stays_on_its_version(self):
         # The first requests run longer than the time for which the rollout waits for sessions that
         # began before the order.
--- a/Tests/LibRouting/TestRolloutEvaluator.cpp
+++ b/Tests/LibRouting/TestRolloutEvaluator.cpp
@@ -62,6 +62,83 @@
   CHECK(evaluator.Evaluate(kOrder, moving, 1, now) == RolloutPhase::Succeeded);
 }
 
+TEST_CASE(
+  "answers that could not be compared with the old version do not move a roll-out ahead of time") {
+  RolloutEvaluator evaluator;
+  const Time now{Seconds(100)};
+  const RolloutRecord canary = RecordIn(RolloutPhase::Canary, 6);
+  const RouteEvidence evidence = {.m_newGood = 60, .m_newNotCompared = 40, .m_oldGood = 600};
+  evaluator.OnReport(ReportOf("a", evidence, Seconds(13)), now);
+  CHECK(evaluator.Evaluate(kOrder, canary, 1, now) == RolloutPhase::Canary);
+  // A good version must get all requests in time, also where few answers can be compared.
+  evaluator.OnReport(ReportOf("a", evidence, Seconds(15)), now);
+  CHECK(evaluator.Evaluate(kOrder, canary, 1, now) == RolloutPhase::Moving);
+  RolloutReport idle = ReportOf("a", evidence, Seconds(18));
+  idle.m_recordRevision = 7;
+  const RolloutRecord moving = RecordIn(RolloutPhase::Moving, 7);
+  evaluator.OnReport(idle, now + Seconds(3));
+  evaluator.Evaluate(kOrder, moving, 1, now);
+  CHECK(evaluator.Evaluate(kOrder, moving, 1, now + Seconds(3)) == RolloutPhase::Moving);
+  idle.m_orderAge = Seconds(23);
+  evaluator.OnReport(idle, now + Seconds(8));
+  CHECK(evaluator.Evaluate(kOrder, moving, 1, now + Seconds(8)) == RolloutPhase::Succeeded);
+}
+
+TEST_CASE(
+  "a version with few answers, most of them bad, does not get all requests and is rolled back") {
+  RolloutEvaluator evaluator;
+  const Time now{Seconds(100)};
+  const RolloutRecord canary = RecordIn(RolloutPhase::Canary, 6);
+  const RouteEvidence evidence = {.m_newBad = 2, .m_oldGood = 600};
+  evaluator.OnReport(ReportOf("a", evidence, Seconds(16)), now);
+  CHECK(evaluator.Evaluate(kOrder, canary, 1, now) == RolloutPhase::Canary);
+  evaluator.OnReport(ReportOf("a", evidence, Seconds(23)), now);
+  CHECK(evaluator.Evaluate(kOrder, canary, 1, now) == RolloutPhase::RolledBack);
+}
+
+TEST_CASE("a version without any answer is moved on in time, since nobody may have asked for it") {
+  RolloutEvaluator evaluator;
+  const Time now{Seconds(100)};
+  evaluator.OnReport(ReportOf("a", {.m_oldGood = 10}, Seconds(15)), now);
+  CHECK(evaluator.Evaluate(kOrder, RecordIn(RolloutPhase::Canary, 6), 1, now) ==
+        RolloutPhase::Moving);
+}
+
+TEST_CASE("streams that are slow on one server at one time count once, on most servers they show a "
+          "bad version") {
+  RolloutEvaluator evaluator;
+  const Time now{Seconds(100)};
+  const RolloutRecord moving = RecordIn(RolloutPhase::Moving, 7);
+  RolloutReport one = ReportOf("a", {.m_newGood = 40, .m_oldGood = 600}, Seconds(16));
+  RolloutReport other = ReportOf("b", {.m_newGood = 40, .m_oldGood = 600}, Seconds(16));
+  for (std::uint64_t server = 1; server <= 3; ++server) {
+    one.m_slowServers[{server, 15}] = true;
+    other.m_slowServers[{server, 15}] = true;
+  }
+  evaluator.OnReport(one, now);
+  evaluator.OnReport(other, now);
+  CHECK(evaluator.Evaluate(kOrder, moving, 2, now) == RolloutPhase::Moving);
+  for (std::uint64_t server = 1; server <= 9; ++server) {
+    one.m_slowServers[{server, 16}] = true;
+    other.m_slowServers[{server, 17}] = true;
+  }
+  evaluator.OnReport(one, now);
+  evaluator.OnReport(other, now);
+  CHECK(evaluator.Evaluate(kOrder, moving, 2, now) == RolloutPhase::RolledBack);
+}
+
+TEST_CASE("a report survives the wire") {
+  RolloutReport report = ReportOf("a", {.m_newGood = 9, .m_newNotCompared = 4}, Seconds(16));
+  report.m_slowServers[{~0ULL, 3}] = true;
+  report.m_failedServers[7] = false;
+  const Result<RolloutReport> read = DecodeRolloutReport(EncodeRolloutReport(report));
+  REQUIRE(!read.IsError());
+  CHECK(read.Get().m_routes.at("r").m_newNotCompared == 4);
+  CHECK(read.Get().m_slowServers == report.m_slowServers);
+  CHECK(read.Get().m_failedServers == report.m_failedServers);
+  CHECK(DecodeRolloutReport("").IsError());
+}
+
 TEST_CASE("an order's age is that of the entry that has known it longest") {
   RolloutEvaluator evaluator;
   const Time now{Seconds(100)};
--- a/Tests/LibRouting/TestSmallParts.cpp
+++ b/Tests/LibRouting/TestSmallParts.cpp
@@ -9,6 +9,7 @@
 #include "LibRouting/RecentSessions.h"
 #include "LibRouting/ReplicaHealth.h"
 #include "LibRouting/ShutdownPolicy.h"
+#include "LibRouting/StreamPace.h"
 #include "LibRouting/VersionRule.h"
 
 #include "LibBase/Random.h"
@@ -184,3 +185,29 @@
     CHECK(ParseCrashRecord(text).IsError());
   }
 }
+
+TEST_CASE(
+  "a stream's pace is known after three gaps, and a long prompt beside it hardly changes it") {
+  StreamPace pace;
+  Time now{Seconds(10)};
+  for (const int milliseconds : {0, 40, 35}) {
+    now += Milliseconds(milliseconds);
+    pace.OnEvent(now);
+  }
+  CHECK(pace.Value() == Duration(0));
+  for (const int milliseconds : {1200, 1200, 1200, 38, 1200, 1200}) {
+    now += Milliseconds(milliseconds);
+    pace.OnEvent(now);
+  }
+  CHECK(pace.Value() == Milliseconds(40));
+}
+
+TEST_CASE("the pace of a stream whose events are all slow is slow") {
+  StreamPace pace;
+  Time now{Seconds(10)};
+  for (int events = 0; events < 100; ++events) {
+    now += Milliseconds(400);
+    pace.OnEvent(now);
+    CHECK(pace.Value() == (events < 3 ? Duration(0) : Milliseconds(400)));
+  }
+}
