--- a/Libraries/LibRouting/RequestPermits.cpp
+++ b/Libraries/LibRouting/RequestPermits.cpp
@@ -98,9 +98,10 @@
 }
 
 double IssuableShare::At(Time aNow) const {
-  const std::ptrdiff_t lost =
-    std::count_if(m_lost.begin(), m_lost.end(),
-                  [aNow](const auto& aItem) { return aNow - aItem.second <= kLostMemory; });
+  const std::ptrdiff_t lost = std::count_if(
+    m_lost.begin(), m_lost.end(), [aNow](const std::pair<const std::string, Time>& aItem) {
+      return aNow - aItem.second <= kLostMemory;
+    });
   const double live = static_cast<double>(std::max<std::size_t>(1, m_live.size()));
   return live / (live + static_cast<double>(lost));
 }
--- a/Libraries/LibRouting/RequestPermits.h
+++ b/Libraries/LibRouting/RequestPermits.h
@@ -50,7 +50,6 @@
                       Time aNow);
   /// Drops the buckets that were not used lately.
   void Expire(Time aNow);
-  std::size_t CountServers() const { return m_buckets.size(); }
 
 private:
   struct UsedBucket {
