Let a canary precede the move of all requests also in short orders

Cause: the canary waits for sessions from before the order (9 s there), and all requests moved at 62% of the order's time (8.5 s of 13.7 s), with '0 good and 0 bad answers'. Same class: unknown is taken for good. Change: the canary begins at half of the order's time at the latest, from when sessions may change their version; without enough answers all requests move only as late as there is time left for it.

--- a/Libraries/LibRouting/RolloutEvaluator.cpp
+++ b/Libraries/LibRouting/RolloutEvaluator.cpp
@@ -12,7 +12,8 @@
 /// Fraction of the order's time for the canary phase. Sessions that started before the order stay
 /// on their version for the first half of it.
 constexpr double kTrialFraction = 0.52;
-/// All traffic must move to the new version by this fraction, or there is no time left to move it.
+/// Without enough answers, all traffic moves to the new version at this fraction, or as late as
+/// there is time left to move it.
 constexpr double kLatestMoveFraction = 0.62;
 
 /// Minimum number of answers from the new version, compared with the old one, before it gets all
@@ -29,6 +30,9 @@
 /// waited for, but not past the order's deadline.
 constexpr Duration kFinalMargin = Milliseconds(1200);
 
+/// Time for a decision to reach all entries.
+constexpr Duration kMoveMargin = Milliseconds(800);
+
 /// Older reports say nothing about what is still running.
 constexpr Duration kReportLifetime = Milliseconds(1500);
 
@@ -156,7 +160,9 @@
     return RolloutPhase::RolledBack;
   }
   if (aRecord.m_phase == RolloutPhase::Canary) {
-    const bool isTime = age >= within * (hasEnough ? kTrialFraction : kLatestMoveFraction);
+    const double latest = std::max(within * kLatestMoveFraction,
+                                   within - InSeconds(kMinMovingTime + kFinalMargin + kMoveMargin));
+    const bool isTime = age >= (hasEnough ? within * kTrialFraction : latest);
     return isTime && !isDoubtful ? RolloutPhase::Moving : RolloutPhase::Canary;
   }
   const bool hasMoved = aNow - m_phaseSince >= kMinMovingTime;
--- a/Services/Edge/StoreView.cpp
+++ b/Services/Edge/StoreView.cpp
@@ -7,6 +7,8 @@
 #include "platform/RolloutCodec.h"
 #include "platform/StoreCodec.h"
 
+#include <algorithm>
+
 namespace fennelline {
 
 namespace {
@@ -137,8 +139,11 @@
   // A session stays alive while its requests follow each other within the session time. Its last
   // request may still be in transit.
   constexpr Duration kTransitTime = Milliseconds(500);
-  m_context.m_versions[aService].m_trialFrom =
-    m_context.m_loop.Now() + m_context.m_settings.m_sessionTime + kTransitTime;
+  // In the second half of a short order, sessions may change their version, and a canary must come
+  // before all requests move.
+  const Duration untilTrial =
+    std::min(m_context.m_settings.m_sessionTime, order.Get().m_within / 2) + kTransitTime;
+  m_context.m_versions[aService].m_trialFrom = m_context.m_loop.Now() + untilTrial;
   m_orders[aService] = order.Take();
   UpdateRule(aService);
 }
--- a/Tests/LibRouting/TestRolloutEvaluator.cpp
+++ b/Tests/LibRouting/TestRolloutEvaluator.cpp
@@ -70,10 +70,12 @@
   const RouteEvidence evidence = {.m_newGood = 60, .m_newNotCompared = 40, .m_oldGood = 600};
   evaluator.OnReport(ReportOf("a", evidence, Seconds(13)), now);
   CHECK(evaluator.Evaluate(kOrder, canary, 1, now) == RolloutPhase::Canary);
+  evaluator.OnReport(ReportOf("a", evidence, Seconds(19)), now);
+  CHECK(evaluator.Evaluate(kOrder, canary, 1, now) == RolloutPhase::Canary);
   // A good version must get all requests in time, also where few answers can be compared.
-  evaluator.OnReport(ReportOf("a", evidence, Seconds(15)), now);
+  evaluator.OnReport(ReportOf("a", evidence, Seconds(20)), now);
   CHECK(evaluator.Evaluate(kOrder, canary, 1, now) == RolloutPhase::Moving);
-  RolloutReport idle = ReportOf("a", evidence, Seconds(18));
+  RolloutReport idle = ReportOf("a", evidence, Seconds(20));
   idle.m_recordRevision = 7;
   const RolloutRecord moving = RecordIn(RolloutPhase::Moving, 7);
   evaluator.OnReport(idle, now + Seconds(3));
@@ -90,7 +92,7 @@
   const Time now{Seconds(100)};
   const RolloutRecord canary = RecordIn(RolloutPhase::Canary, 6);
   const RouteEvidence evidence = {.m_newBad = 2, .m_oldGood = 600};
-  evaluator.OnReport(ReportOf("a", evidence, Seconds(16)), now);
+  evaluator.OnReport(ReportOf("a", evidence, Seconds(20)), now);
   CHECK(evaluator.Evaluate(kOrder, canary, 1, now) == RolloutPhase::Canary);
   evaluator.OnReport(ReportOf("a", evidence, Seconds(23)), now);
   CHECK(evaluator.Evaluate(kOrder, canary, 1, now) == RolloutPhase::RolledBack);
@@ -99,7 +101,7 @@
 TEST_CASE("a version without any answer is moved on in time, since nobody may have asked for it") {
   RolloutEvaluator evaluator;
   const Time now{Seconds(100)};
-  evaluator.OnReport(ReportOf("a", {.m_oldGood = 10}, Seconds(15)), now);
+  evaluator.OnReport(ReportOf("a", {.m_oldGood = 10}, Seconds(20)), now);
   CHECK(evaluator.Evaluate(kOrder, RecordIn(RolloutPhase::Canary, 6), 1, now) ==
         RolloutPhase::Moving);
 }
