State the bounds of permits once, and drop a time that nothing reads

Found by reading the whole diff: the least rate and the longest wait stood in RequestPermits.cpp and RelayPlacement.cpp; an attempt's time of its first byte was no longer read since a stream's pace replaced the mean; a comment on the time of a permit's asking was wrong. No change of behaviour.

--- a/Libraries/LibRouting/RequestPermits.cpp
+++ b/Libraries/LibRouting/RequestPermits.cpp
@@ -15,11 +15,6 @@
 /// what the rate does.
 constexpr double kMaxPermits = 3.0;
 
-/// Least rate, so that a server that takes no requests is asked whether it still says so.
-constexpr double kMinPerSecond = 0.25;
-
-/// Longest wait that is announced.
-constexpr double kMaxWaitSeconds = 30.0;
 /// Number of refused requests that are expected to come back, in seconds of the rate.
 constexpr double kMaxRefusedSeconds = 10.0;
 
@@ -46,7 +41,7 @@
 }
 
 PermitDecision PermitBucket::Take(double aPerSecond, double aShare, int aUrgency, Time aNow) {
-  const double rate = std::max(kMinPerSecond, aPerSecond * aShare);
+  const double rate = std::max(kMinPermitsPerSecond, aPerSecond * aShare);
   Refill(rate, aNow);
   const double needed = 1.0 + kReservedPerLevel * std::clamp(aUrgency, 0, kUrgencyLevels - 1);
   if (m_permits >= needed) {
@@ -54,7 +49,7 @@
     return {.m_isGranted = true};
   }
   const double next = (needed - m_permits) / rate;
-  const double likely = std::min(next + m_refused / rate, kMaxWaitSeconds);
+  const double likely = std::min(next + m_refused / rate, InSeconds(kMaxPermitWait));
   m_refused = std::min(m_refused + 1.0, rate * kMaxRefusedSeconds);
   return {.m_nextPermit = FromSeconds(next), .m_likelyWait = FromSeconds(likely)};
 }
--- a/Libraries/LibRouting/RequestPermits.h
+++ b/Libraries/LibRouting/RequestPermits.h
@@ -17,6 +17,12 @@
 /// How urgent a request is for a server that limits requests, from 0 for the most urgent.
 constexpr int kUrgencyLevels = 3;
 
+/// Least rate of permits, so that a server that takes no requests is asked whether it still says
+/// so.
+constexpr double kMinPermitsPerSecond = 0.25;
+/// Longest wait for a permit that is announced.
+constexpr Duration kMaxPermitWait = Seconds(30);
+
 /// The answer to an entry that wants to send a request to a server that limits requests.
 struct PermitDecision {
   bool m_isGranted = false;
--- a/Services/Edge/BackendTable.h
+++ b/Services/Edge/BackendTable.h
@@ -39,7 +39,7 @@
   int m_runningSuspects = 0;
   PrefillLoad m_prefillLoad;
   RequestLimit m_limit;
-  /// When a request was last sent only to learn whether the server still limits requests.
+  /// When this entry last asked for a permit.
   Time m_limitCheckedAt{};
   /// By urgency: no permit is to be had from its issuer before.
   std::array<Time, kUrgencyLevels> m_nextPermit{};
--- a/Services/Edge/RelayAnswer.cpp
+++ b/Services/Edge/RelayAnswer.cpp
@@ -68,7 +68,6 @@
     return HeadAction::Accept;
   }
   LearnRequestLimit(metadata);
-  m_attempt->m_firstByte = m_context.m_loop.Now();
   m_attempt->m_head = aHead;
   m_attempt->m_metadata = metadata;
   m_attempt->m_hasHead = true;
--- a/Services/Edge/RelayPlacement.cpp
+++ b/Services/Edge/RelayPlacement.cpp
@@ -30,10 +30,6 @@
 constexpr double kTypicalResponseBytes = 2'000.0;
 constexpr double kBytesPerOutputToken = 12.0;
 
-/// Bounds of the wait for a permit that callers are told.
-constexpr double kMinLimitPerSecond = 0.25;
-constexpr Duration kMaxPermitWait = Seconds(30);
-
 /// Servers in addition to the trial share, so that placement has a choice among them.
 constexpr std::size_t kSpareTrialServers = 1;
 
@@ -172,7 +168,7 @@
   const Time likely = std::max(now, earliest->m_likelyPermit);
   // The other entries refuse about as many requests, which come back too.
   const double untilNext = static_cast<double>(m_context.m_entries) /
-                           std::max(kMinLimitPerSecond, *earliest->m_limit.PerSecond());
+                           std::max(kMinPermitsPerSecond, *earliest->m_limit.PerSecond());
   earliest->m_likelyPermit = std::min(
     now + kMaxPermitWait,
     likely + std::chrono::duration_cast<Duration>(std::chrono::duration<double>(untilNext)));
--- a/Services/Edge/RequestRelay.h
+++ b/Services/Edge/RequestRelay.h
@@ -33,7 +33,6 @@
     std::shared_ptr<ClientConnection> m_channel;
     std::string m_model;
     Time m_sentAt{};
-    Time m_firstByte{};
     int m_events = 0;
     StreamPace m_pace;
     /// Its evidence for or against the server's version has been reported.
