Log what ran on a server when it crashed

One content a crash was named, neither the parts of its prompt nor whether its answer had begun. No logic changed.

--- a/Libraries/LibRouting/ContentFingerprint.cpp
+++ b/Libraries/LibRouting/ContentFingerprint.cpp
@@ -2,6 +2,9 @@
 
 #include "LibBase/Sha256.h"
 
+#include <algorithm>
+#include <spdlog/fmt/fmt.h>
+
 namespace fennelline {
 
 namespace {
@@ -21,4 +24,16 @@
   return Sha256Hex(content).substr(0, kFingerprintDigits);
 }
 
+std::vector<std::string> SharedPartFingerprints(const std::vector<PromptPart>& aParts) {
+  std::vector<std::string> fingerprints;
+  const std::size_t shared = aParts.empty() ? 0 : aParts.size() - 1;
+  for (std::size_t index = 0; index < std::min(shared, kMaxFingerprintedParts); ++index) {
+    std::string fingerprint = fmt::format("part-{:x}", aParts[index].m_id);
+    if (std::find(fingerprints.begin(), fingerprints.end(), fingerprint) == fingerprints.end()) {
+      fingerprints.push_back(std::move(fingerprint));
+    }
+  }
+  return fingerprints;
+}
+
 } // namespace fennelline
--- a/Libraries/LibRouting/ContentFingerprint.h
+++ b/Libraries/LibRouting/ContentFingerprint.h
@@ -1,7 +1,10 @@
 #pragma once
 
+#include "LibRouting/RequestMetadata.h"
+
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace fennelline {
 
@@ -11,4 +14,11 @@
 std::string ContentFingerprint(std::string_view aAccount, std::string_view aMethod,
                                std::string_view aTarget, std::string_view aBody);
 
+/// Identifies the parts of a prompt that other requests may have too: all but the last. At most
+/// kMaxFingerprintedParts; further ones are left out.
+std::vector<std::string> SharedPartFingerprints(const std::vector<PromptPart>& aParts);
+
+/// Bounds the memory and time that a request with many small parts takes.
+constexpr std::size_t kMaxFingerprintedParts = 32;
+
 } // namespace fennelline
--- a/Services/Edge/CrashWatch.cpp
+++ b/Services/Edge/CrashWatch.cpp
@@ -5,6 +5,7 @@
 #include "platform/StoreCodec.h"
 
 #include <algorithm>
+#include <spdlog/fmt/fmt.h>
 #include <utility>
 
 namespace fennelline {
@@ -91,8 +92,7 @@
   return m_history.IsSuspect(aFingerprint, m_context.m_loop.Now());
 }
 
-void CrashWatch::OnBroken(const std::shared_ptr<BackendLink>& aBackend,
-                          const std::string& aFingerprint, Time aSentAt,
+void CrashWatch::OnBroken(const std::shared_ptr<BackendLink>& aBackend, ServerRun aRun,
                           std::function<void()> aOnChecked) {
   const Time now = m_context.m_loop.Now();
   // The server may have been started again between the choice of it and the sending.
@@ -103,8 +103,10 @@
     aOnChecked();
     return;
   }
-  m_suspects.Add(
-    {.m_fingerprint = aFingerprint, .m_server = IdOf(*current), .m_sentAt = aSentAt, .m_at = now});
+  m_suspects.Add({.m_fingerprint = aRun.m_content,
+                  .m_server = IdOf(*current),
+                  .m_run = std::move(aRun),
+                  .m_at = now});
   const auto [check, isNew] = m_checks.try_emplace(current->m_identity);
   check->second.m_waiting.push_back(std::move(aOnChecked));
   if (isNew) {
@@ -158,11 +160,10 @@
   m_checks.erase(identity);
 }
 
-void CrashWatch::OnSilent(const BackendLink& aBackend, const std::string& aFingerprint,
-                          Time aSentAt) {
-  m_suspects.Add({.m_fingerprint = aFingerprint,
+void CrashWatch::OnSilent(const BackendLink& aBackend, ServerRun aRun) {
+  m_suspects.Add({.m_fingerprint = aRun.m_content,
                   .m_server = IdOf(aBackend),
-                  .m_sentAt = aSentAt,
+                  .m_run = std::move(aRun),
                   .m_at = m_context.m_loop.Now()});
 }
 
@@ -175,7 +176,9 @@
   }
   std::vector<CrashedRun> runs;
   for (const Suspicion& suspicion : m_suspects.Confirm(IdOf(aBackend), now)) {
-    runs.push_back({.m_fingerprint = suspicion.m_fingerprint, .m_sentAt = suspicion.m_sentAt});
+    LogSuspect(aBackend, suspicion);
+    runs.push_back(
+      {.m_fingerprint = suspicion.m_fingerprint, .m_sentAt = suspicion.m_run.m_sentAt});
   }
   if (runs.empty()) {
     return;
@@ -188,6 +191,22 @@
   ApplyOwn(m_history.OnCrashes(runs, IdOf(aBackend), now));
 }
 
+void CrashWatch::LogSuspect(const BackendLink& aBackend, const Suspicion& aSuspicion) const {
+  const ServerRun& run = aSuspicion.m_run;
+  LogLine line("crash-suspect");
+  line.Text("id", run.m_requestId).Text("backend", aBackend.m_record.m_id);
+  line.Text("content", run.m_content);
+  line.Text("parts", fmt::format("{}", fmt::join(run.m_parts, ",")));
+  line.Ms("sent", aSuspicion.m_at - run.m_sentAt);
+  if (run.m_headAt) {
+    line.Ms("head", aSuspicion.m_at - *run.m_headAt);
+  }
+  if (run.m_firstEventAt) {
+    line.Ms("first-event", aSuspicion.m_at - *run.m_firstEventAt);
+  }
+  m_context.Log(LogPriority::Notable, line);
+}
+
 void CrashWatch::OnFinished(const std::string& aFingerprint) {
   m_suspects.RefuteRequest(aFingerprint);
   ApplyOwn(m_history.OnFinished(aFingerprint, m_context.m_loop.Now()));
--- a/Services/Edge/CrashWatch.h
+++ b/Services/Edge/CrashWatch.h
@@ -9,11 +9,25 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
 namespace fennelline {
 
+/// A request on a backend server that has not answered it completely.
+struct ServerRun {
+  std::string m_requestId;
+  /// See ContentFingerprint().
+  std::string m_content;
+  /// See SharedPartFingerprints().
+  std::vector<std::string> m_parts;
+  Time m_sentAt{};
+  /// When the head of the answer and its first event were received.
+  std::optional<Time> m_headAt;
+  std::optional<Time> m_firstEventAt;
+};
+
 /// Finds out which requests crash backend servers, together with the other entries, so that they
 /// are no longer sent. CrashHistory decides; this class checks whether servers have crashed and
 /// exchanges what is known with the other entries and the store.
@@ -37,10 +51,10 @@
 
   /// The connection broke while the server had the request. Calls aOnChecked once it is known
   /// whether the server has crashed, or cannot be found out in time.
-  void OnBroken(const std::shared_ptr<BackendLink>& aBackend, const std::string& aFingerprint,
-                Time aSentAt, std::function<void()> aOnChecked);
+  void OnBroken(const std::shared_ptr<BackendLink>& aBackend, ServerRun aRun,
+                std::function<void()> aOnChecked);
   /// The server had the request and stayed silent.
-  void OnSilent(const BackendLink& aBackend, const std::string& aFingerprint, Time aSentAt);
+  void OnSilent(const BackendLink& aBackend, ServerRun aRun);
   /// Nothing listens at the server's address, or it was started again.
   void OnCrashed(BackendLink& aBackend);
   /// A server has run a request with this content to its end.
@@ -55,7 +69,8 @@
   struct Suspicion {
     std::string m_fingerprint;
     BackendServerId m_server;
-    Time m_sentAt{};
+    ServerRun m_run;
+    /// When its connection broke, or it was given up.
     Time m_at{};
   };
   struct Check {
@@ -67,6 +82,7 @@
   void StartCheck(const std::shared_ptr<BackendLink>& aBackend);
   void OnCheckResult(const std::shared_ptr<BackendLink>& aBackend, Reachability aResult);
   void ReleaseWaiting(std::uint64_t aIdentity);
+  void LogSuspect(const BackendLink& aBackend, const Suspicion& aSuspicion) const;
   void Apply(const Step<VerdictChanged>& aStep);
   /// Also keeps in the store what this entry found out.
   void ApplyOwn(const Step<VerdictChanged>& aStep);
--- a/Services/Edge/RelayAnswer.cpp
+++ b/Services/Edge/RelayAnswer.cpp
@@ -68,6 +68,7 @@
     return HeadAction::Accept;
   }
   LearnRequestLimit(metadata);
+  m_attempt->m_headAt = m_context.m_loop.Now();
   m_attempt->m_head = aHead;
   m_attempt->m_metadata = metadata;
   m_attempt->m_hasHead = true;
@@ -175,6 +176,7 @@
   }
   const Time now = m_context.m_loop.Now();
   if (m_attempt->m_events == 0) {
+    m_attempt->m_firstEventAt = now;
     m_context.m_prefillSpeed.Learn(m_attempt->m_model, m_prefillTokens, m_expectedPrefillWait,
                                    now - m_attempt->m_sentAt);
   }
@@ -303,6 +305,7 @@
   m_framer.DropPartial();
   // Stop the work on the previous server before the request runs on another one.
   const Time sentAt = m_attempt->m_sentAt;
+  ServerRun run = aOutcome == AttemptOutcome::Lost ? CurrentRun() : ServerRun{};
   const std::optional<CallFailure> failure = m_attempt->m_failure;
   const bool isBroken = m_attempt->IsBroken();
   m_wasBroken = m_wasBroken || isBroken;
@@ -327,27 +330,26 @@
     m_context.m_crashWatch->OnCrashed(*backend);
   }
   if (aOutcome == AttemptOutcome::Lost) {
-    ReportUnanswered(backend, sentAt, isBroken, action);
+    ReportUnanswered(backend, std::move(run), isBroken, action);
   } else {
     ExecuteAction(action);
   }
 }
 
-void RequestRelay::ReportUnanswered(const std::shared_ptr<BackendLink>& aBackend, Time aSentAt,
+void RequestRelay::ReportUnanswered(const std::shared_ptr<BackendLink>& aBackend, ServerRun aRun,
                                     bool aIsBroken, NextAction aAction) {
   if (!aIsBroken) {
-    m_context.m_crashWatch->OnSilent(*aBackend, Fingerprint(), aSentAt);
+    m_context.m_crashWatch->OnSilent(*aBackend, std::move(aRun));
     ExecuteAction(aAction);
     return;
   }
   // Another server gets the request only after it is known whether this one crashed under it.
   const bool waits = aAction == NextAction::Send;
-  m_context.m_crashWatch->OnBroken(aBackend, Fingerprint(), aSentAt,
-                                   [self = shared_from_this(), waits] {
-                                     if (waits && !self->m_ended) {
-                                       self->Dispatch();
-                                     }
-                                   });
+  m_context.m_crashWatch->OnBroken(aBackend, std::move(aRun), [self = shared_from_this(), waits] {
+    if (waits && !self->m_ended) {
+      self->Dispatch();
+    }
+  });
   if (!waits) {
     ExecuteAction(aAction);
   }
@@ -393,7 +395,7 @@
   if (IsSuspect() || !MayRun() || !HasUnlimitedServer() || !TryReplaceRun(0)) {
     return;
   }
-  m_context.m_crashWatch->OnSilent(*m_attempt->m_backend, Fingerprint(), m_attempt->m_sentAt);
+  m_context.m_crashWatch->OnSilent(*m_attempt->m_backend, CurrentRun());
   const Time now = m_context.m_loop.Now();
   LogLine line("stalled");
   line.Text("id", m_metadata.m_requestId).Text("backend", m_attempt->m_backend->m_record.m_id);
--- a/Services/Edge/RequestRelay.cpp
+++ b/Services/Edge/RequestRelay.cpp
@@ -163,6 +163,15 @@
   return m_fingerprint;
 }
 
+ServerRun RequestRelay::CurrentRun() {
+  return {.m_requestId = m_metadata.m_requestId,
+          .m_content = Fingerprint(),
+          .m_parts = SharedPartFingerprints(m_metadata.m_promptParts),
+          .m_sentAt = m_attempt->m_sentAt,
+          .m_headAt = m_attempt->m_headAt,
+          .m_firstEventAt = m_attempt->m_firstEventAt};
+}
+
 bool RequestRelay::MayRun() {
   CrashWatch& crashWatch = *m_context.m_crashWatch;
   return crashWatch.IsEmpty() || crashWatch.MayRun(Fingerprint(), m_crashTrial);
--- a/Services/Edge/RequestRelay.h
+++ b/Services/Edge/RequestRelay.h
@@ -16,6 +16,8 @@
 
 namespace fennelline {
 
+struct ServerRun;
+
 /// Forwards one request to backend servers and the response to the caller. RetryPolicy decides on
 /// retries and Placement on the server; this class performs the I/O.
 class RequestRelay : public std::enable_shared_from_this<RequestRelay> {
@@ -33,6 +35,8 @@
     std::shared_ptr<ClientConnection> m_channel;
     std::string m_model;
     Time m_sentAt{};
+    std::optional<Time> m_headAt;
+    std::optional<Time> m_firstEventAt;
     int m_events = 0;
     StreamPace m_pace;
     /// Its evidence for or against the server's version has been reported.
@@ -96,6 +100,8 @@
   std::vector<std::shared_ptr<BackendLink>> Eligible() const;
   VersionRule RuleForRequest() const;
   const std::string& Fingerprint();
+  /// The current attempt, for the crash watch.
+  ServerRun CurrentRun();
   /// Whether the request may be sent to a server. False if its content crashes servers.
   bool MayRun();
   void EndAsCrashing();
@@ -128,8 +134,8 @@
   void EndAttempt(AttemptOutcome aOutcome);
   void ReleaseAttempt();
   /// Tells the crash watch about an attempt without an answer, then takes the action.
-  void ReportUnanswered(const std::shared_ptr<BackendLink>& aBackend, Time aSentAt, bool aIsBroken,
-                        NextAction aAction);
+  void ReportUnanswered(const std::shared_ptr<BackendLink>& aBackend, ServerRun aRun,
+                        bool aIsBroken, NextAction aAction);
   void ExecuteAction(NextAction aAction);
   void ForwardFailure();
   void Refuse(std::string_view aReason, Duration aRetryAfter);
--- a/Tests/Edge/standin.py
+++ b/Tests/Edge/standin.py
@@ -258,6 +258,12 @@
             writer.transport.abort()
 
 
+def shared_parts(headers):
+    """Ids of the parts of a request's prompt that other requests may have too."""
+    parts = headers.get("fennelline-prompt-prefix", "").split(",")
+    return [part.partition(":")[0] for part in parts[:-1]]
+
+
 class Replica(Server):
     """Fake backend server. Records each request that it executes, and injects the fault in `fault`."""
 
@@ -282,6 +288,8 @@
         self.limits = []
         # Contents of requests under which the server crashes once it begins to run them.
         self.crash_bodies = frozenset()
+        # Parts of prompts under which it crashes once it begins to answer, if they are not the last.
+        self.crash_parts = frozenset()
         self.crash_times = []
         self.on_crash = None
 
@@ -330,6 +338,11 @@
         if body in self.crash_bodies:
             await self.crash()
             return
+        if self.crash_parts.intersection(shared_parts(headers)):
+            await asyncio.sleep(self.work_s)
+            if not writer.transport.is_closing() and self.server.is_serving():
+                await self.crash()
+            return
         if fault == "lost":
             writer.transport.abort()
             return
