Count a crash against a request that was taken back just before it

A run that its entry gave up, because it was sent to a larger model or its caller left, was forgotten at once, though its server may crash under it a moment later. Callers that leave hide the cause for good.

Such runs stay suspect for 300 ms.

--- a/Services/Edge/CrashWatch.cpp
+++ b/Services/Edge/CrashWatch.cpp
@@ -19,6 +19,10 @@
 /// last sign of the crash.
 constexpr Duration kSuspicionWindow = Seconds(10);
 
+/// A request that was taken back is a suspect for the time that its server may need to begin the
+/// answer and to crash.
+constexpr Duration kCancelledWindow = Milliseconds(300);
+
 /// A request whose server may have crashed waits this long for the result of the check. A refused
 /// connection shows within a round trip.
 constexpr Duration kMaxCheckWait = Milliseconds(100);
@@ -112,10 +116,7 @@
     aOnChecked();
     return;
   }
-  m_suspects.Add({.m_fingerprint = aRun.m_causes.m_content,
-                  .m_server = IdOf(*current),
-                  .m_run = std::move(aRun),
-                  .m_at = now});
+  AddSuspect(*current, std::move(aRun), false);
   const auto [check, isNew] = m_checks.try_emplace(current->m_identity);
   check->second.m_waiting.push_back(std::move(aOnChecked));
   if (isNew) {
@@ -170,10 +171,19 @@
 }
 
 void CrashWatch::OnSilent(const BackendLink& aBackend, ServerRun aRun) {
+  AddSuspect(aBackend, std::move(aRun), false);
+}
+
+void CrashWatch::OnCancelled(const BackendLink& aBackend, ServerRun aRun) {
+  AddSuspect(aBackend, std::move(aRun), true);
+}
+
+void CrashWatch::AddSuspect(const BackendLink& aBackend, ServerRun aRun, bool aIsCancelled) {
   m_suspects.Add({.m_fingerprint = aRun.m_causes.m_content,
                   .m_server = IdOf(aBackend),
                   .m_run = std::move(aRun),
-                  .m_at = m_context.m_loop.Now()});
+                  .m_at = m_context.m_loop.Now(),
+                  .m_isCancelled = aIsCancelled});
 }
 
 void CrashWatch::OnCrashed(BackendLink& aBackend) {
@@ -185,6 +195,9 @@
   }
   std::vector<ServerRun> runs;
   for (Suspicion& suspicion : m_suspects.Confirm(IdOf(aBackend), now)) {
+    if (suspicion.m_isCancelled && now - suspicion.m_at > kCancelledWindow) {
+      continue;
+    }
     LogSuspect(aBackend, suspicion);
     runs.push_back(std::move(suspicion.m_run));
   }
--- a/Services/Edge/CrashWatch.h
+++ b/Services/Edge/CrashWatch.h
@@ -46,6 +46,8 @@
                 std::function<void()> aOnChecked);
   /// The server had the request and stayed silent.
   void OnSilent(const BackendLink& aBackend, ServerRun aRun);
+  /// The request was taken back from the server, which may have begun it all the same.
+  void OnCancelled(const BackendLink& aBackend, ServerRun aRun);
   /// Nothing listens at the server's address, or it was started again.
   void OnCrashed(BackendLink& aBackend);
   /// A server has answered the request, or has been answering it for kProvenRunTime.
@@ -64,6 +66,7 @@
     ServerRun m_run;
     /// When its connection broke, or it was given up.
     Time m_at{};
+    bool m_isCancelled = false;
   };
   struct Check {
     std::vector<std::function<void()>> m_waiting;
@@ -71,6 +74,7 @@
   };
 
   static BackendServerId IdOf(const BackendLink& aBackend);
+  void AddSuspect(const BackendLink& aBackend, ServerRun aRun, bool aIsCancelled);
   void StartCheck(const std::shared_ptr<BackendLink>& aBackend);
   void OnCheckResult(const std::shared_ptr<BackendLink>& aBackend, Reachability aResult);
   void ReleaseWaiting(std::uint64_t aIdentity);
--- a/Services/Edge/RelayAnswer.cpp
+++ b/Services/Edge/RelayAnswer.cpp
@@ -140,6 +140,7 @@
   m_context.m_prefillSpeed.Learn(m_attempt->m_model, m_prefillTokens, m_expectedPrefillWait,
                                  now - m_attempt->m_sentAt);
   m_useLargestModel = true;
+  m_context.m_crashWatch->OnCancelled(*m_attempt->m_backend, CurrentRun());
   ReleaseAttempt();
   Dispatch();
 }
@@ -365,9 +366,13 @@
 }
 
 void RequestRelay::OnCallerGone() {
-  if (!m_ended) {
-    End(RequestEnd::CallerLeft, 0);
+  if (m_ended) {
+    return;
+  }
+  if (m_attempt) {
+    m_context.m_crashWatch->OnCancelled(*m_attempt->m_backend, CurrentRun());
   }
+  End(RequestEnd::CallerLeft, 0);
 }
 
 void RequestRelay::OnDeadline() {
--- a/Tests/Edge/crashing_fleet.py
+++ b/Tests/Edge/crashing_fleet.py
@@ -52,7 +52,9 @@
             replica.born = int(time.time() * 1000)
             replica.register()
             return
-        await self.add_replica(f"{replica.name}+", replica.service, work_s=replica.work_s)
+        await self.add_replica(f"{replica.name}+", replica.service, work_s=replica.work_s,
+                               events=replica.events,
+                               crash_after_head_s=replica.crash_after_head_s)
         await asyncio.sleep(EXPIRY_S - DOWN_S)
         self.store.delete(f"servers/{replica.name}")
 
--- a/Tests/Edge/crashing_part.py
+++ b/Tests/Edge/crashing_part.py
@@ -187,6 +187,25 @@
             sound = await traffic.answers(lambda parts, _: DEADLY not in parts)
             self.assertEqual([answer.status for answer in sound if not is_served(answer)], [])
 
+    async def test_a_part_whose_callers_leave_before_the_crash_is_refused(self):
+        async with CrashingFleet(entries=1, pool=8) as fleet:
+            for replica in fleet.of("pool"):
+                replica.events, replica.work_s, replica.crash_after_head_s = 10, 0.1, 0.05
+            traffic = Traffic(fleet)
+            for number in range(300):
+                if number == 40:
+                    fleet.crash_under(DEADLY)
+                if number % 8 == 0:
+                    traffic.send(POPULAR, DEADLY)
+                    leaving = traffic.calls[-1][2]
+                    asyncio.get_running_loop().call_later(0.04, leaving.cancel)
+                else:
+                    traffic.send(POPULAR, f"70{number % 12:x}")
+                await asyncio.sleep(0.05)
+            await asyncio.gather(*(task for *_, task in traffic.calls), return_exceptions=True)
+            self.assertLessEqual(len(fleet.late_runs_with(DEADLY)), MOST_LATE_RUNS,
+                                 f"{len(fleet.crashes())} crashes")
+
 
 if __name__ == "__main__":
     Fleet.binary = os.path.join(sys.argv.pop(1), "fennelline-edge")
--- a/Tests/Edge/standin.py
+++ b/Tests/Edge/standin.py
@@ -267,7 +267,8 @@
 class Replica(Server):
     """Fake backend server. Records each request that it executes, and injects the fault in `fault`."""
 
-    def __init__(self, store, name, service, version="v1", events=5, work_s=0.005):
+    def __init__(self, store, name, service, version="v1", events=5, work_s=0.005,
+                 crash_after_head_s=None):
         super().__init__()
         self.store = store
         self.name = name
@@ -290,6 +291,8 @@
         self.crash_bodies = frozenset()
         # Parts of prompts under which it crashes once it begins to answer, if they are not the last.
         self.crash_parts = frozenset()
+        # It crashes this long after it has sent the head of the answer; None to crash without one.
+        self.crash_after_head_s = crash_after_head_s
         self.crash_times = []
         self.on_crash = None
 
@@ -339,8 +342,14 @@
             await self.crash()
             return
         if self.crash_parts.intersection(shared_parts(headers)):
-            await asyncio.sleep(self.work_s)
-            if not writer.transport.is_closing() and self.server.is_serving():
+            if self.crash_after_head_s is None:
+                await asyncio.sleep(self.work_s)
+                has_left = writer.transport.is_closing()
+            else:
+                writer.write(self.stream_head(self.seal_headers(request)))
+                await asyncio.sleep(self.crash_after_head_s)
+                has_left = False
+            if not has_left and self.server.is_serving():
                 await self.crash()
             return
         if fault == "lost":
@@ -350,8 +359,7 @@
             await asyncio.sleep(30)
             return
         await asyncio.sleep(self.work_s)
-        seal = [("Fennelline-Request-Id", request), ("Fennelline-Response-Seal", f"seal-{self.name}")]
-        seal += self.limit_headers()
+        seal = self.seal_headers(request)
         if fault == "unsealed":
             writer.write(encode_response(200, self.body_of(request), self.limit_headers()))
             return
@@ -371,6 +379,10 @@
         else:
             writer.write(encode_response(200, self.body_of(request), seal))
 
+    def seal_headers(self, request):
+        seal = [("Fennelline-Request-Id", request), ("Fennelline-Response-Seal", f"seal-{self.name}")]
+        return seal + self.limit_headers()
+
     def limit_headers(self):
         return [("Server-Limit", str(limit)) for limit in self.limits]
 
@@ -382,11 +394,14 @@
     def event_of(request, number):
         return f"id: {number}\ndata: {request} piece {number}\n\n".encode()
 
-    async def stream(self, run, seal, fault, writer):
-        head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
+    def stream_head(self, seal, framing="Transfer-Encoding: chunked\r\n"):
+        head = f"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n{framing}"
         head += f"Fennelline-Confidence: {self.confidence}\r\n"
         head += "".join(f"{name}: {value}\r\n" for name, value in seal)
-        writer.write(head.encode() + b"\r\n")
+        return head.encode() + b"\r\n"
+
+    async def stream(self, run, seal, fault, writer):
+        writer.write(self.stream_head(seal))
         for number in range(run["first"], self.events + 1):
             event = self.event_of(run["id"], number)
             if fault == "break" and number == self.events // 2 + 1:
