Cut off answers that have no end

What callers saw: a server that sends bytes without end, in an event that never ends, filled the entry's memory (335 MB of 110 allowed in 1.5 s); a body without end to a caller that reads slowly did the same (138 MB); a rejection with an endless body kept its caller until the deadline and was answered 504 instead of 503.

Cause: an incomplete event was buffered without a bound; back-pressure was there for streams only; a rejection was passed on at the end of its body. Class: the length of a part of an answer taken on trust.

Now an event of over 256 KiB is no event, plain answers pause too for a slow caller, a rejection counts after 16 KiB, and at most 1 MiB may come before the head of an answer. Heads, single headers and chunk extensions were bounded by the parser already (80 KiB), bytes after an answer too; the test covers them.

--- a/Libraries/LibHttp/ClientConnection.cpp
+++ b/Libraries/LibHttp/ClientConnection.cpp
@@ -9,6 +9,10 @@
 
 constexpr int kFirstFinalStatus = 200;
 
+/// More bytes before the head of an answer, of interim responses and of answers to earlier calls,
+/// are no answer.
+constexpr std::size_t kMaxSkippedBytes = 1024UL * 1024;
+
 /// Returns the "timeout" parameter (whole seconds) of the Keep-Alive header, or zero if absent.
 Duration ParseKeepAlive(const HeaderList& aHeaders) {
   const std::string* value = aHeaders.Find("keep-alive");
@@ -66,6 +70,7 @@
   m_isHeadRequest = aIsHeadRequest;
   m_sawBytes = false;
   m_sawHead = false;
+  m_skippedBytes = 0;
   m_parser.Reset();
   if (aIsHeadRequest) {
     m_parser.ExpectNoBody();
@@ -131,6 +136,11 @@
       return;
     }
     m_socket->Input().erase(0, taken.Get());
+    m_skippedBytes += m_sawHead ? 0 : taken.Get();
+    if (m_skippedBytes > kMaxSkippedBytes) {
+      Fail(CallFailure::Malformed);
+      return;
+    }
     if (m_parser.HasHead() && !m_sawHead && !OnHead()) {
       continue;
     }
--- a/Libraries/LibHttp/ClientConnection.h
+++ b/Libraries/LibHttp/ClientConnection.h
@@ -101,6 +101,8 @@
   bool m_reusable = true;
   bool m_sawBytes = false;
   bool m_sawHead = false;
+  /// Bytes received for the current call before the head of its answer.
+  std::size_t m_skippedBytes = 0;
 };
 
 } // namespace fennelline
--- a/Libraries/LibRouting/EventFramer.h
+++ b/Libraries/LibRouting/EventFramer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -21,11 +22,16 @@
   void DropPartial() { m_rest.clear(); }
   /// Whether an incomplete event is buffered.
   bool HasPartial() const { return !m_rest.empty(); }
+  /// Whether the incomplete event is longer than any that a server sends. More must not be fed
+  /// then.
+  bool IsOversized() const { return m_rest.size() > kMaxEventBytes; }
   /// The id of the last event that was returned.
   std::optional<std::int64_t> LastEvent() const { return m_lastEvent; }
   std::int64_t CountEvents() const { return m_events; }
 
 private:
+  static constexpr std::size_t kMaxEventBytes = 256UL * 1024;
+
   std::string m_rest;
   std::optional<std::int64_t> m_lastEvent;
   std::int64_t m_events = 0;
--- a/Services/Edge/RelayAnswer.cpp
+++ b/Services/Edge/RelayAnswer.cpp
@@ -22,6 +22,9 @@
 /// response breaks off can be retried.
 constexpr std::size_t kMaxBufferedAnswerBytes = 256UL * 1024;
 
+/// A rejection whose body is longer is not read to its end.
+constexpr std::size_t kMaxRejectionBytes = 16UL * 1024;
+
 /// Backpressure: with more unsent bytes to a slow caller, reading from the server is paused.
 constexpr std::size_t kMaxUnsentBytes = 64UL * 1024;
 
@@ -154,7 +157,11 @@
     OnStreamPart(aPart);
     return;
   }
+  m_attempt->m_bodyBytes += aPart.size();
   if (m_attempt->m_notRun) {
+    if (m_attempt->m_bodyBytes > kMaxRejectionBytes) {
+      EndAttempt(AttemptOutcome::NotRun);
+    }
     return;
   }
   m_attempt->m_body += aPart;
@@ -168,11 +175,27 @@
                              .m_headers = platform::EncodeAnswer(m_attempt->m_head.m_headers)});
   }
   m_caller->SendBodyPart(std::exchange(m_attempt->m_body, {}));
+  PauseForSlowCaller();
+}
+
+void RequestRelay::PauseForSlowCaller() {
+  if (m_caller->UnsentBytes() <= kMaxUnsentBytes) {
+    return;
+  }
+  m_attempt->m_channel->SetReading(false);
+  m_caller->SetOnDrained([self = shared_from_this()] {
+    if (self->m_attempt) {
+      self->m_attempt->m_channel->SetReading(true);
+    }
+  });
 }
 
 void RequestRelay::OnStreamPart(std::string_view aPart) {
   const std::string events = m_framer.Feed(aPart);
   if (events.empty()) {
+    if (m_framer.IsOversized()) {
+      EndAttempt(AttemptOutcome::Corrupt);
+    }
     return;
   }
   const Time now = m_context.m_loop.Now();
@@ -205,14 +228,7 @@
     StartStallTimer(
       std::chrono::duration_cast<Duration>(m_route->m_pauseObjective * kPauseFraction));
   }
-  if (m_caller->UnsentBytes() > kMaxUnsentBytes) {
-    m_attempt->m_channel->SetReading(false);
-    m_caller->SetOnDrained([self = shared_from_this()] {
-      if (self->m_attempt) {
-        self->m_attempt->m_channel->SetReading(true);
-      }
-    });
-  }
+  PauseForSlowCaller();
 }
 
 void RequestRelay::OnComplete() {
--- a/Services/Edge/RequestRelay.h
+++ b/Services/Edge/RequestRelay.h
@@ -53,6 +53,8 @@
     std::optional<CallFailure> m_failure;
     bool m_isSuspect = false;
     std::string m_body;
+    /// Bytes of the response body received so far.
+    std::size_t m_bodyBytes = 0;
 
     /// The connection broke after the request, or part of it, had been sent.
     bool IsBroken() const {
@@ -119,6 +121,7 @@
   void OnBody(std::string_view aPart);
   void OnComplete();
   void OnStreamPart(std::string_view aPart);
+  void PauseForSlowCaller();
   void OnFailed(CallFailure aFailure);
   void OnCallerGone();
   void OnDeadline();
--- /dev/null
+++ b/Tests/Edge/endless_answer.py
@@ -0,0 +1,111 @@
+"""Tests that answers without end, and answers that end with their connection, harm nobody.
+
+Run: endless_answer.py BIN [CASE...]
+"""
+
+import asyncio
+import os
+import sys
+import unittest
+
+sys.path.insert(0, os.path.dirname(__file__))
+from fleet import Fleet
+from standin import ENDLESS, Replica, call, wait_until
+
+EVENTS = "text/event-stream"
+DEADLINE_MS = 1500
+# The entry may use this much memory by its settings.
+MOST_MEMORY_KB = 110_000
+
+
+def peak_memory_kb(entry):
+    with open(f"/proc/{entry.process.pid}/status", encoding="utf-8") as status:
+        return next(int(line.split()[1]) for line in status if line.startswith("VmHWM"))
+
+
+class EndlessAnswer(unittest.IsolatedAsyncioTestCase):
+    async def check_bytes_without_end(self, path, service, accept=""):
+        for fault in ENDLESS:
+            async with Fleet(pool=3, app=3) as fleet:
+                for replica in fleet.of(service):
+                    replica.fault = fault
+                other = "/stream/x" if service == "app" else "/plain/x"
+                bad = [asyncio.create_task(call(fleet.front, path, f"bad-{number}", accept=accept,
+                                                deadline_ms=DEADLINE_MS)) for number in range(4)]
+                sound = [await call(fleet.front, other, f"sound-{number}",
+                                    accept=EVENTS if service == "app" else "")
+                         for number in range(5)]
+                for answer in await asyncio.gather(*bad):
+                    self.assertLess(answer.took_s, DEADLINE_MS / 1000 + 0.5, fault)
+                    self.assertTrue(answer.whole or answer.status != 503, fault)
+                    if fault == "endless-after":
+                        self.assertEqual((answer.status, answer.body), (200, b"bytes"))
+                    elif fault not in ("endless-body", "endless-chunks"):
+                        self.assertIn(answer.status, (0, 502, 503, 504), fault)
+                self.assertEqual([answer.status for answer in sound], [200] * 5, fault)
+                self.assertLess(max(answer.took_s for answer in sound), 0.5, fault)
+                await wait_until(lambda f=fleet: not any(replica.has_open_peers()
+                                                         for replica in f.of(service)), 1.0,
+                                 f"all connections are closed after {fault}")
+                self.assertLess(peak_memory_kb(fleet.entries[0]), MOST_MEMORY_KB, fault)
+
+    async def test_bytes_without_end_on_an_idempotent_route_are_cut_off(self):
+        await self.check_bytes_without_end("/plain/x", "app")
+
+    async def test_bytes_without_end_on_a_non_idempotent_route_are_cut_off(self):
+        await self.check_bytes_without_end("/once/x", "app")
+
+    async def test_bytes_without_end_in_a_stream_are_cut_off(self):
+        await self.check_bytes_without_end("/stream/x", "pool", EVENTS)
+
+    async def test_a_body_without_end_to_a_caller_that_does_not_read_takes_no_memory(self):
+        async with Fleet(app=3) as fleet:
+            for fault in ("endless-body", "endless-chunks"):
+                for replica in fleet.of("app"):
+                    replica.fault = fault
+                ip, port = fleet.front.split(":")
+                writers = []
+                for number in range(5):
+                    _, writer = await asyncio.open_connection(ip, int(port), limit=1024)
+                    writer.transport.pause_reading()
+                    writer.write(b"POST /plain/x HTTP/1.1\r\nHost: a.example\r\nContent-Length: 0\r\n"
+                                 b"Authorization: Bearer key-1\r\nFennelline-Deadline-Ms: 2000\r\n"
+                                 b"Fennelline-Request-Id: %s-%d\r\n\r\n" % (fault.encode(), number))
+                    writers.append(writer)
+                for number in range(5):
+                    await fleet.until_logged(f"{fault}-{number}")
+                for writer in writers:
+                    writer.transport.abort()
+            self.assertLess(peak_memory_kb(fleet.entries[0]), MOST_MEMORY_KB)
+
+    async def test_a_rejection_without_end_is_passed_on_at_once_as_not_run(self):
+        async with Fleet(app=2) as fleet:
+            for replica in fleet.of("app"):
+                replica.fault = "endless-rejection"
+            answer = await call(fleet.front, "/once/x", "r1")
+            self.assertEqual(answer.status, 503)
+            self.assertLess(answer.took_s, 0.5)
+
+    async def test_a_stream_without_length_or_chunks_that_ends_with_its_connection_is_whole(self):
+        async with Fleet() as fleet:
+            for replica in fleet.of("pool"):
+                replica.fault = "unframed"
+            answer = await call(fleet.front, "/stream/x", "s1", accept=EVENTS)
+            whole = b"".join(Replica.event_of("s1", event) for event in range(1, 6))
+            self.assertEqual((answer.status, answer.body, answer.whole), (200, whole, True))
+            self.assertEqual(len(fleet.runs("s1")), 1)
+
+    async def test_a_stream_without_length_or_chunks_that_ends_within_an_event_is_resumed(self):
+        for fault in ("unframed-partial", "unframed-reset"):
+            async with Fleet() as fleet:
+                fleet.of("pool")[0].fault = fault
+                for number in range(6):
+                    request = f"s{number}"
+                    answer = await call(fleet.front, "/stream/", request, accept=EVENTS)
+                    whole = b"".join(Replica.event_of(request, event) for event in range(1, 6))
+                    self.assertEqual((answer.status, answer.body, answer.whole), (200, whole, True))
+
+
+if __name__ == "__main__":
+    Fleet.binary = os.path.join(sys.argv.pop(1), "fennelline-edge")
+    unittest.main(verbosity=1)
--- a/Tests/Edge/standin.py
+++ b/Tests/Edge/standin.py
@@ -264,6 +264,15 @@
     return [part.partition(":")[0] for part in parts[:-1]]
 
 
+# Faults of a server that sends bytes until the connection is closed.
+ENDLESS = ("endless-noise", "endless-head", "endless-header", "endless-interim", "endless-stray",
+           "endless-body", "endless-chunks", "endless-extension", "endless-event",
+           "endless-rejection", "endless-after")
+# Faults of a stream with neither a length nor chunks: it ends with its connection, within an event,
+# or is reset.
+UNFRAMED = ("unframed", "unframed-partial", "unframed-reset")
+
+
 class Replica(Server):
     """Fake backend server. Records each request that it executes, and injects the fault in `fault`."""
 
@@ -360,6 +369,12 @@
             return
         await asyncio.sleep(self.work_s)
         seal = self.seal_headers(request)
+        if fault in ENDLESS:
+            await self.send_without_end(fault, seal, writer)
+            return
+        if fault in UNFRAMED:
+            await self.stream_until_close(run, seal, fault, writer)
+            return
         if fault == "unsealed":
             writer.write(encode_response(200, self.body_of(request), self.limit_headers()))
             return
@@ -379,6 +394,47 @@
         else:
             writer.write(encode_response(200, self.body_of(request), seal))
 
+    async def send_without_end(self, fault, seal, writer):
+        sealed = "".join(f"{name}: {value}\r\n" for name, value in seal)
+        head = f"HTTP/1.1 200 OK\r\n{sealed}"
+        rejection = "HTTP/1.1 503 Full\r\nFennelline-Not-Executed: 1\r\n\r\n"
+        stray = "HTTP/1.1 200 OK\r\nFennelline-Request-Id: other\r\n\r\n"
+        first, more = {
+            "endless-noise": ("", "no answer at all "),
+            "endless-head": (head, "X-More: header\r\n"),
+            "endless-header": (head + "X-Long: ", "value"),
+            "endless-interim": ("", "HTTP/1.1 100 Continue\r\n\r\n"),
+            "endless-stray": (stray, "bytes"),
+            "endless-body": (head + "\r\n", "bytes"),
+            "endless-chunks": (head + "Transfer-Encoding: chunked\r\n\r\n", "5\r\nbytes\r\n"),
+            "endless-extension": (head + "Transfer-Encoding: chunked\r\n\r\n5;name=", "value"),
+            "endless-event": (self.stream_head(seal, "").decode() + "id: 1\ndata: ", "piece"),
+            "endless-rejection": (rejection, "bytes"),
+            "endless-after": (head + "Content-Length: 5\r\n\r\nbytes", "more"),
+        }[fault]
+        writer.write(first.encode())
+        bytes_of_more = more.encode() * 4000
+        while True:
+            writer.write(bytes_of_more)
+            await writer.drain()
+            # Lets the other tasks run also while the reader keeps up.
+            await asyncio.sleep(0)
+
+    async def stream_until_close(self, run, seal, fault, writer):
+        writer.write(self.stream_head(seal, ""))
+        for number in range(run["first"], self.events + 1):
+            writer.write(self.event_of(run["id"], number))
+            if fault != "unframed" and number == self.events // 2 + 1:
+                writer.write(self.event_of(run["id"], number + 1)[:9])
+                break
+            await writer.drain()
+            await asyncio.sleep(self.work_s)
+        await writer.drain()
+        if fault == "unframed-reset":
+            writer.transport.abort()
+        else:
+            writer.close()
+
     def seal_headers(self, request):
         seal = [("Fennelline-Request-Id", request), ("Fennelline-Response-Seal", f"seal-{self.name}")]
         return seal + self.limit_headers()
