--- a/Tests/Edge/fleet.py
+++ b/Tests/Edge/fleet.py
@@ -22,7 +22,7 @@
 
     async def __aenter__(self):
         entries, pool, app = self.counts
-        await self.store.start()
+        await self.start_store()
         self.store.put("op/config", configuration(1))
         for number in range(pool):
             await self.add_replica(f"i-pool-{number}", "pool")
@@ -31,8 +31,10 @@
         port = free_port()
         for number in range(entries):
             seeds = [entry.address("control") for entry in self.entries[:3]]
-            self.entries.append(Entry(self.binary, self.folder, number, self.store.address, port, seeds,
-                                      first=False, session_s=self.session_s))
+            options = {"first": False, "session_s": self.session_s, "store_address": self.store.address,
+                       **self.entry_options(number)}
+            self.entries.append(Entry(self.binary, self.folder, number, datagram_port=port,
+                                      seeds=seeds, **options))
         for entry in self.entries:
             await entry.start()
         for entry in self.entries:
@@ -46,9 +48,20 @@
             await replica.stop()
         await self.store.stop()
 
-    async def add_replica(self, name, service, **more):
+    async def start_store(self):
+        await self.store.start()
+
+    def entry_options(self, number):
+        """Further options of the entry; for subclasses."""
+        return {}
+
+    async def start_replica(self, name, service, **more):
         replica = await Replica(self.store, name, service, **more).start()
         self.replicas.append(replica)
+        return replica
+
+    async def add_replica(self, name, service, **more):
+        replica = await self.start_replica(name, service, **more)
         replica.register()
         return replica
 
--- a/Tests/Edge/standin.py
+++ b/Tests/Edge/standin.py
@@ -481,8 +481,9 @@
     """A fennelline-edge process with its own loopback address."""
 
     def __init__(self, binary, folder, number, store_address, datagram_port, seeds, first=True,
-                 grace_s=4, session_s=0.5):
+                 grace_s=4, session_s=0.5, zone="zone-a"):
         self.binary = binary
+        self.zone = zone
         self.ip = f"127.0.0.{10 + number}"
         self.name = f"edge-{number}"
         self.ports = {role: free_port(self.ip) for role in ("front", "ready", "control", "directory")}
@@ -501,9 +502,9 @@
 
     def write_settings(self):
         settings = {
-            "node-name": self.name, "zone": "zone-a", "region": "region-a", "ip": self.ip,
+            "node-name": self.name, "zone": self.zone, "region": "region-a", "ip": self.ip,
             "internal-ports": [self.datagram_port, self.datagram_port + 5], "seeds": self.seeds,
-            "bootstrap": self.first, "heartbeat-ms": 1200, "zones": {"zone-a": "region-a"},
+            "bootstrap": self.first, "heartbeat-ms": 1200, "zones": {"zone-a": "region-a", "zone-b": "region-a"},
             "listen": {role: self.address(role) for role in self.ports},
             "limits": {"memory-mb": 110, "max-fds": 4100},
             "bounds": {"grace-s": self.grace_s, "config-apply-ms": 2000, "drain-ms": 2000,
