--- a/Services/Edge/CrashWatch.cpp
+++ b/Services/Edge/CrashWatch.cpp
@@ -195,7 +195,8 @@
 }
 
 void CrashWatch::AddSuspect(const BackendLink& aBackend, ServerRun aRun, bool aIsCancelled) {
-  m_suspects.Add({.m_fingerprint = aRun.m_causes.m_content,
+  std::string content = aRun.m_causes.m_content;
+  m_suspects.Add({.m_fingerprint = std::move(content),
                   .m_server = IdOf(aBackend),
                   .m_run = std::move(aRun),
                   .m_at = m_context.m_loop.Now(),
--- a/Services/Edge/RoomQueue.cpp
+++ b/Services/Edge/RoomQueue.cpp
@@ -15,6 +15,9 @@
 }
 
 void RoomQueue::Leave(const std::string& aService, Ticket aTicket) {
+  if (aTicket == kNoTicket) {
+    return;
+  }
   Queue& queue = m_queues[aService];
   const auto found = std::find_if(queue.begin(), queue.end(), [aTicket](const auto& aItem) {
     return aItem.first.second == aTicket;
