Keep requests that were taken back apart from those whose server broke

Found by reading: requests that were taken back stayed in the list of suspects for 10 s, though they count for 300 ms only. On a busy entry nearly every server had one, so that nearly every refused connection seemed to come with a suspect, and where two servers crashed at once none of the others was asked whether the path is there: the crashes would have been dropped. They are kept in a list of their own now, for their own time.

--- a/Services/Edge/CrashWatch.cpp
+++ b/Services/Edge/CrashWatch.cpp
@@ -68,12 +68,14 @@
   , m_store(aStore)
   , m_send(std::move(aSend))
   , m_history(HistorySettings(), aContext.m_random.Next())
-  , m_suspects(kSuspicionWindow) {}
+  , m_suspects(kSuspicionWindow)
+  , m_cancelled(kCancelledWindow) {}
 
 void CrashWatch::Start() {
   m_context.m_loop.Every(kTickInterval, [this] {
     const Time now = m_context.m_loop.Now();
     m_suspects.Expire(now);
+    m_cancelled.Expire(now);
     Apply(m_history.Tick(now));
   });
 }
@@ -125,7 +127,7 @@
     aOnChecked();
     return;
   }
-  AddSuspect(*current, std::move(aRun), false);
+  AddSuspect(m_suspects, *current, std::move(aRun));
   const auto [check, isNew] = m_checks.try_emplace(current->m_identity);
   check->second.m_waiting.push_back(std::move(aOnChecked));
   if (isNew) {
@@ -187,26 +189,26 @@
 }
 
 void CrashWatch::OnSilent(const BackendLink& aBackend, ServerRun aRun) {
-  AddSuspect(aBackend, std::move(aRun), false);
+  AddSuspect(m_suspects, aBackend, std::move(aRun));
 }
 
 void CrashWatch::OnCancelled(const BackendLink& aBackend, ServerRun aRun) {
-  AddSuspect(aBackend, std::move(aRun), true);
+  AddSuspect(m_cancelled, aBackend, std::move(aRun));
 }
 
-void CrashWatch::AddSuspect(const BackendLink& aBackend, ServerRun aRun, bool aIsCancelled) {
+void CrashWatch::AddSuspect(SuspectedCrashes<Suspicion>& aSuspects, const BackendLink& aBackend,
+                            ServerRun aRun) {
   std::string content = aRun.m_causes.m_content;
-  m_suspects.Add({.m_fingerprint = std::move(content),
-                  .m_server = IdOf(aBackend),
-                  .m_run = std::move(aRun),
-                  .m_at = m_context.m_loop.Now(),
-                  .m_isCancelled = aIsCancelled});
+  aSuspects.Add({.m_fingerprint = std::move(content),
+                 .m_server = IdOf(aBackend),
+                 .m_run = std::move(aRun),
+                 .m_at = m_context.m_loop.Now()});
 }
 
 void CrashWatch::OnRefused(const std::shared_ptr<BackendLink>& aBackend,
                            std::function<void()> aOnDecided) {
   const Time now = m_context.m_loop.Now();
-  const bool isSuspicious = m_suspects.Has(IdOf(*aBackend));
+  const bool isSuspicious = m_suspects.Has(IdOf(*aBackend)) || m_cancelled.Has(IdOf(*aBackend));
   const bool isAmbiguous =
     m_checks.size() > 1 || !m_refusals.empty() ||
     (m_lastRefusing != aBackend->m_identity && now - m_lastRefusal <= kCommonCauseTime);
@@ -229,7 +231,7 @@
   const Time now = m_context.m_loop.Now();
   std::vector<std::shared_ptr<BackendLink>> others = m_context.m_backends.All();
   std::erase_if(others, [this, now](const std::shared_ptr<BackendLink>& aServer) {
-    return !aServer->TakesRequests(now) || m_suspects.Has(IdOf(*aServer)) ||
+    return !aServer->TakesRequests(now) || m_checks.contains(aServer->m_identity) ||
            aServer->m_contact.m_failedAt > aServer->m_contact.m_reachedAt;
   });
   std::sort(
@@ -282,12 +284,11 @@
     return;
   }
   std::vector<ServerRun> runs;
-  for (Suspicion& suspicion : m_suspects.Confirm(IdOf(aBackend), now)) {
-    if (suspicion.m_isCancelled && now - suspicion.m_at > kCancelledWindow) {
-      continue;
+  for (SuspectedCrashes<Suspicion>* suspects : {&m_suspects, &m_cancelled}) {
+    for (Suspicion& suspicion : suspects->Confirm(IdOf(aBackend), now)) {
+      LogSuspect(aBackend, suspicion);
+      runs.push_back(std::move(suspicion.m_run));
     }
-    LogSuspect(aBackend, suspicion);
-    runs.push_back(std::move(suspicion.m_run));
   }
   if (runs.empty()) {
     return;
--- a/Services/Edge/CrashWatch.h
+++ b/Services/Edge/CrashWatch.h
@@ -69,7 +69,6 @@
     ServerRun m_run;
     /// When its connection broke, or it was given up.
     Time m_at{};
-    bool m_isCancelled = false;
   };
   struct Refusal {
     std::shared_ptr<BackendLink> m_backend;
@@ -81,7 +80,8 @@
   };
 
   static BackendServerId IdOf(const BackendLink& aBackend);
-  void AddSuspect(const BackendLink& aBackend, ServerRun aRun, bool aIsCancelled);
+  void AddSuspect(SuspectedCrashes<Suspicion>& aSuspects, const BackendLink& aBackend,
+                  ServerRun aRun);
   void StartCheck(const std::shared_ptr<BackendLink>& aBackend);
   void OnCheckResult(const std::shared_ptr<BackendLink>& aBackend, Reachability aResult);
   void EndCheck(std::uint64_t aIdentity);
@@ -103,6 +103,8 @@
   SendToPeer m_send;
   CrashHistory m_history;
   SuspectedCrashes<Suspicion> m_suspects;
+  /// Requests that were taken back.
+  SuspectedCrashes<Suspicion> m_cancelled;
   /// Checks in progress, by the server's identity.
   std::map<std::uint64_t, Check> m_checks;
   /// Servers that refused a connection shortly after another one, not yet decided.
