Let go of a connection's callback for its establishment when a call ends

Found by reading: a request that is sent on a kept connection sets it, it is never called, and so an idle connection kept the whole request until the next one came.

--- a/Libraries/LibHttp/ClientConnection.cpp
+++ b/Libraries/LibHttp/ClientConnection.cpp
@@ -189,6 +189,7 @@
   m_reusable = m_reusable && isSynchronized && m_parser.Head().m_keepAlive && m_socket->IsOpen();
   m_serverIdleTimeout = ParseKeepAlive(m_parser.Head().m_headers);
   m_busy = false;
+  m_onConnected = {};
   m_idleSince = m_loop.Now();
   const std::shared_ptr<const CallListener> listener = std::move(m_listener);
   if (!m_reusable) {
