--- /dev/null
+++ b/Libraries/LibCoordination/Observation/CrashHistoryGossip.cpp
@@ -0,0 +1,146 @@
+// Tells the other entries what is known of causes of crashes.
+
+#include "LibCoordination/Observation/CrashHistory.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace fennelline {
+
+void CrashHistory::Queue(const std::string& aFingerprint) {
+  const auto found = std::find_if(m_pending.begin(), m_pending.end(),
+                                  [&aFingerprint](const PendingChange& aPending) {
+                                    return aPending.m_fingerprint == aFingerprint;
+                                  });
+  if (found != m_pending.end()) {
+    found->m_roundsLeft = m_settings.m_rounds;
+    return;
+  }
+  m_pending.push_back({.m_fingerprint = aFingerprint, .m_roundsLeft = m_settings.m_rounds});
+  if (m_pending.size() > m_settings.m_maxRequests) {
+    m_pending.erase(m_pending.begin());
+  }
+}
+
+void CrashHistory::Describe(const std::string& aFingerprint, const Request& aRequest, Time aNow,
+                            CrashReports& aReports, CrashVerdicts& aVerdicts) const {
+  for (const Crash& crash : aRequest.m_crashes) {
+    aReports.m_reports.push_back({.m_fingerprint = aFingerprint,
+                                  .m_backendServer = crash.m_server,
+                                  .m_ageMilliseconds = InMilliseconds(aNow - crash.m_at)});
+  }
+  if (aRequest.m_refusals > 0 || aRequest.m_clearedAt) {
+    const Time at = aRequest.m_refusals > 0 ? aRequest.m_refusedAt : *aRequest.m_clearedAt;
+    const Duration trialLeft = std::max(Duration(0), aRequest.m_trialUntil - aNow);
+    aVerdicts.m_verdicts.push_back({.m_fingerprint = aFingerprint,
+                                    .m_refusals = static_cast<std::int64_t>(aRequest.m_refusals),
+                                    .m_ageMilliseconds = InMilliseconds(aNow - at),
+                                    .m_trialMilliseconds = InMilliseconds(trialLeft)});
+  }
+}
+
+std::vector<Message> CrashHistory::Describe(const std::vector<std::string>& aFingerprints,
+                                            Time aNow) const {
+  std::vector<Message> messages;
+  CrashReports reports;
+  CrashVerdicts verdicts;
+  std::size_t count = 0;
+  const auto finish = [&] {
+    // Of what ran well, more crashes lead to a refusal, so that is told first.
+    if (!verdicts.m_verdicts.empty()) {
+      messages.emplace_back(std::exchange(verdicts, {}));
+    }
+    if (!reports.m_reports.empty()) {
+      messages.emplace_back(std::exchange(reports, {}));
+    }
+    count = 0;
+  };
+  for (const std::string& fingerprint : aFingerprints) {
+    const Request* request = Find(fingerprint, aNow);
+    if (request == nullptr) {
+      continue;
+    }
+    Describe(fingerprint, *request, aNow, reports, verdicts);
+    if (++count == m_settings.m_maxRequestsPerMessage) {
+      finish();
+    }
+  }
+  finish();
+  return messages;
+}
+
+Step<VerdictChanged> CrashHistory::SendPendingChanges(Time aNow) {
+  Step<VerdictChanged> step;
+  m_nextRound = aNow + m_settings.m_roundInterval;
+  if (m_pending.empty() || m_members.empty()) {
+    return step;
+  }
+  std::vector<std::string> fingerprints;
+  for (PendingChange& pending : m_pending) {
+    if (fingerprints.size() == m_settings.m_maxRequestsPerRound) {
+      break;
+    }
+    fingerprints.push_back(pending.m_fingerprint);
+    --pending.m_roundsLeft;
+  }
+  std::erase_if(m_pending,
+                [](const PendingChange& aPending) { return aPending.m_roundsLeft == 0; });
+  const std::vector<Message> messages = Describe(fingerprints, aNow);
+  // A partial shuffle moves the members of this round to the front.
+  const std::size_t count = std::min(m_settings.m_fanOut, m_members.size());
+  for (std::size_t index = 0; index < count; ++index) {
+    const std::size_t drawn = index + m_random.Below(m_members.size() - index);
+    std::swap(m_members[index], m_members[drawn]);
+    for (const Message& message : messages) {
+      step.m_effects.emplace_back(SendMessage{.m_to = m_members[index], .m_message = message});
+    }
+  }
+  return step;
+}
+
+Step<VerdictChanged> CrashHistory::SendAntiEntropy(Time aNow) {
+  Step<VerdictChanged> step;
+  m_nextAntiEntropy = aNow + m_settings.m_antiEntropyInterval;
+  std::vector<std::string> refused;
+  for (const auto& [fingerprint, request] : m_requests) {
+    if (request.m_refusals > 0) {
+      refused.push_back(fingerprint);
+    }
+  }
+  if (m_members.empty() || refused.empty()) {
+    return step;
+  }
+  // One message, from a random position, so that each of them is sent in turn.
+  const std::size_t start = m_random.Below(refused.size());
+  std::rotate(refused.begin(), refused.begin() + static_cast<std::ptrdiff_t>(start), refused.end());
+  refused.resize(std::min(refused.size(), m_settings.m_maxRequestsPerMessage));
+  const EntryId& member = m_members[m_random.Below(m_members.size())];
+  for (const Message& message : Describe(refused, aNow)) {
+    step.m_effects.emplace_back(SendMessage{.m_to = member, .m_message = message});
+  }
+  return step;
+}
+
+Step<VerdictChanged> CrashHistory::SendEverythingTo(const std::vector<EntryId>& aMembers,
+                                                    Time aNow) const {
+  Step<VerdictChanged> step;
+  std::vector<std::string> fingerprints;
+  for (const bool wantsRefused : {true, false}) {
+    for (const auto& [fingerprint, request] : m_requests) {
+      const bool isWanted = !request.IsClear() && (request.m_refusals > 0) == wantsRefused;
+      if (isWanted && fingerprints.size() < m_settings.m_maxRequestsPerRound) {
+        fingerprints.push_back(fingerprint);
+      }
+    }
+  }
+  const std::vector<Message> messages =
+    aMembers.empty() ? std::vector<Message>() : Describe(fingerprints, aNow);
+  for (const EntryId& member : aMembers) {
+    for (const Message& message : messages) {
+      step.m_effects.emplace_back(SendMessage{.m_to = member, .m_message = message});
+    }
+  }
+  return step;
+}
+
+} // namespace fennelline
--- a/Services/Edge/RelayAnswer.cpp
+++ b/Services/Edge/RelayAnswer.cpp
@@ -94,30 +94,6 @@
   return HeadAction::Accept;
 }
 
-void RequestRelay::LearnRequestLimit(const ResponseMetadata& aMetadata) {
-  BackendLink& backend = *m_attempt->m_backend;
-  const std::string& unreadable = aMetadata.m_unreadableRequestLimit;
-  if (!unreadable.empty() && !std::exchange(backend.m_loggedUnreadableLimit, true)) {
-    LogLine line("server-limit-unreadable");
-    line.Text("id", m_metadata.m_requestId).Text("backend", backend.m_record.m_id);
-    line.Text("value", unreadable);
-    m_context.Log(LogPriority::Notable, line);
-  }
-  if (!aMetadata.m_requestLimit && !unreadable.empty()) {
-    return;
-  }
-  const bool isChange =
-    backend.m_limit.OnAnswer(aMetadata.m_requestLimit, m_attempt->m_sentAt, m_context.m_loop.Now());
-  if (isChange) {
-    LogLine line("server-limit");
-    line.Text("id", m_metadata.m_requestId).Text("backend", backend.m_record.m_id);
-    line.Flag("limited", aMetadata.m_requestLimit.has_value());
-    line.Real("per-second", aMetadata.m_requestLimit.value_or(0.0));
-    m_context.Log(LogPriority::Notable, line);
-    m_context.m_permits->OnLimitChanged(backend);
-  }
-}
-
 bool RequestRelay::TryReplaceRun(int aReservedAttempts) {
   return m_retryPolicy.TryReplaceRun(aReservedAttempts, m_context.m_retries[m_service],
                                      m_context.RetryPlan(), m_context.m_loop.Now());
--- a/Services/Edge/RelayRoom.cpp
+++ b/Services/Edge/RelayLimits.cpp
@@ -1,8 +1,10 @@
-// Keeps brittle servers from having to turn requests away.
+// Learns what servers say of their limits, and keeps brittle ones from having to turn requests
+// away.
 
 #include "LibRouting/SlotShare.h"
 #include "Services/Edge/RequestRelay.h"
 #include "Services/Edge/RoomQueue.h"
+#include "Services/Edge/ServerPermits.h"
 
 #include <algorithm>
 
@@ -24,6 +26,30 @@
 
 } // namespace
 
+void RequestRelay::LearnRequestLimit(const ResponseMetadata& aMetadata) {
+  BackendLink& backend = *m_attempt->m_backend;
+  const std::string& unreadable = aMetadata.m_unreadableRequestLimit;
+  if (!unreadable.empty() && !std::exchange(backend.m_loggedUnreadableLimit, true)) {
+    LogLine line("server-limit-unreadable");
+    line.Text("id", m_metadata.m_requestId).Text("backend", backend.m_record.m_id);
+    line.Text("value", unreadable);
+    m_context.Log(LogPriority::Notable, line);
+  }
+  if (!aMetadata.m_requestLimit && !unreadable.empty()) {
+    return;
+  }
+  const bool isChange =
+    backend.m_limit.OnAnswer(aMetadata.m_requestLimit, m_attempt->m_sentAt, m_context.m_loop.Now());
+  if (isChange) {
+    LogLine line("server-limit");
+    line.Text("id", m_metadata.m_requestId).Text("backend", backend.m_record.m_id);
+    line.Flag("limited", aMetadata.m_requestLimit.has_value());
+    line.Real("per-second", aMetadata.m_requestLimit.value_or(0.0));
+    m_context.Log(LogPriority::Notable, line);
+    m_context.m_permits->OnLimitChanged(backend);
+  }
+}
+
 std::optional<int> RequestRelay::MaxRunning(const BackendLink& aBackend) const {
   if (!aBackend.m_maxRejections.PerSecond()) {
     return std::nullopt;
--- a/Tests/Edge/brittle_server.py
+++ b/Tests/Edge/brittle_server.py
@@ -10,7 +10,7 @@
 import unittest
 
 sys.path.insert(0, os.path.dirname(__file__))
-from crashing_fleet import CONTACT_S, DOWN_S, is_served
+from crashing_fleet import CONTACT_S, CrashingFleet, is_served
 from fleet import Fleet
 from standin import call, wait_until
 
@@ -24,39 +24,23 @@
 LEAST_USED = 0.8
 
 
-class BrittleFleet(Fleet):
+class BrittleFleet(CrashingFleet):
     """A fleet whose servers are full with SLOTS + QUEUE requests, and fall over when they turn away
     more than `brittle` in a second.
     """
 
     def __init__(self, brittle, **more):
-        super().__init__(pool=1, app=SERVERS, **more)
+        super().__init__(keeps_id=True, pool=1, app=SERVERS, **more)
         self.brittle = brittle
-        self.returns = []
-
-    async def __aexit__(self, *arguments):
-        for task in self.returns:
-            task.cancel()
-        await super().__aexit__(*arguments)
 
     async def add_replica(self, name, service, **more):
-        replica = await self.start_replica(name, service, **more)
+        replica = await super().add_replica(name, service, **more)
         if service == "app":
             replica.slots, replica.queue, replica.brittle = SLOTS, QUEUE, self.brittle
             replica.work_s = WORK_S
-            replica.on_crash = self.on_crash
-        replica.register()
+            replica.register()
         return replica
 
-    def on_crash(self, replica):
-        self.returns.append(asyncio.create_task(self.bring_back(replica)))
-
-    async def bring_back(self, replica):
-        await asyncio.sleep(DOWN_S)
-        await replica.start()
-        replica.born = int(time.time() * 1000)
-        replica.register()
-
     def falls_since(self, when):
         return [at for replica in self.of("app") for at in replica.crash_times if at > when]
 
