--- a/Services/Edge/RelayLimits.cpp
+++ b/Services/Edge/RelayLimits.cpp
@@ -19,9 +19,10 @@
 /// Without an objective.
 constexpr Duration kDefaultRoomWait = Milliseconds(200);
 
-/// A server that says how many rejections it bears is left alone for this time after one, if it
-/// bears one rejection a second of each entry.
-constexpr Duration kRejectionTime = Seconds(1);
+/// After a rejection, an entry leaves a brittle server alone until the server bears another one of
+/// it, but not longer than this. One that bears less than a rejection a second is taken to bear
+/// one.
+constexpr Duration kMaxRejectionWait = Seconds(60);
 constexpr double kMinRejections = 1.0;
 
 } // namespace
@@ -125,11 +126,11 @@
     m_context.Log(LogPriority::Notable, line);
   }
   if (aMetadata.m_notRun && aMetadata.m_maxRejections) {
-    // Each entry may cause its part of the rejections that the server bears.
-    const double part = std::max(kMinRejections, *aMetadata.m_maxRejections) /
-                        static_cast<double>(m_context.m_entries);
+    const double perEntry = std::max(kMinRejections, *aMetadata.m_maxRejections) /
+                            static_cast<double>(m_context.m_entries);
+    const std::chrono::duration<double> untilNext(1.0 / perEntry);
     backend.m_fullUntil =
-      now + std::chrono::duration_cast<Duration>(kRejectionTime / std::max(part, 0.01));
+      now + std::min(kMaxRejectionWait, std::chrono::duration_cast<Duration>(untilNext));
   }
 }
 
