Use one rank for rendezvous hashing, and one check of servers that a request was sent to

WasTried replaces two copies of a search, a variable said late for recent, and the age of a failure was checked in two branches of IsPathLost. No other behaviour changes.

--- a/Libraries/LibCoordination/Observation/CrashHistory.cpp
+++ b/Libraries/LibCoordination/Observation/CrashHistory.cpp
@@ -101,9 +101,9 @@
 
 std::optional<Time> CrashHistory::CompletedAt(const std::string& aFingerprint, Time aNow) const {
   const auto found = m_completed.find(WithoutAccount(aFingerprint));
-  const bool isLate =
+  const bool isRecent =
     found != m_completed.end() && aNow - found->second->m_at <= m_settings.m_completionMemory;
-  return isLate ? std::optional<Time>(found->second->m_at) : std::nullopt;
+  return isRecent ? std::optional<Time>(found->second->m_at) : std::nullopt;
 }
 
 bool CrashHistory::Contradict(const std::string& aFingerprint, Time aNow,
--- a/Libraries/LibRouting/Placement.cpp
+++ b/Libraries/LibRouting/Placement.cpp
@@ -1,5 +1,7 @@
 #include "LibRouting/Placement.h"
 
+#include "LibRouting/RendezvousRank.h"
+
 #include <algorithm>
 
 namespace fennelline {
@@ -45,10 +47,6 @@
 /// Random noise that spreads requests over equal servers.
 constexpr double kNoiseMs = 2.0;
 
-std::uint64_t Mix(std::uint64_t aValue) {
-  return Random(aValue).Next();
-}
-
 double LateRisk(double aPredictedMs, double aObjectiveMs) {
   if (aObjectiveMs <= 0.0) {
     return 0.0;
@@ -67,7 +65,7 @@
   std::uint64_t highest = 0;
   for (std::size_t index = 0; index < aCandidates.size(); ++index) {
     const PlacementCandidate& candidate = aCandidates[index];
-    const std::uint64_t rank = Mix(aQuery.m_prefix ^ candidate.m_identity);
+    const std::uint64_t rank = RendezvousRank(aQuery.m_prefix, candidate.m_identity);
     const bool matchesReservation = !hasReserved || candidate.m_isReserved == aQuery.m_isLong;
     if (matchesReservation && !candidate.m_isAvoided && !candidate.m_isLimited && rank >= highest) {
       highest = rank;
--- a/Libraries/LibRouting/RequestPermits.cpp
+++ b/Libraries/LibRouting/RequestPermits.cpp
@@ -1,6 +1,6 @@
 #include "LibRouting/RequestPermits.h"
 
-#include "LibBase/Random.h"
+#include "LibRouting/RendezvousRank.h"
 
 #include <algorithm>
 #include <utility>
@@ -23,10 +23,6 @@
 /// An entry that is cut off from the others for longer than this counts as dead.
 constexpr Duration kLostMemory = Seconds(10);
 
-std::uint64_t Mix(std::uint64_t aValue) {
-  return Random(aValue).Next();
-}
-
 Duration FromSeconds(double aSeconds) {
   return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(aSeconds));
 }
@@ -71,7 +67,7 @@
   std::size_t issuer = 0;
   std::uint64_t highest = 0;
   for (std::size_t index = 0; index < aLiveEntries.size(); ++index) {
-    const std::uint64_t rank = Mix(aServer ^ aLiveEntries[index]);
+    const std::uint64_t rank = RendezvousRank(aServer, aLiveEntries[index]);
     if (rank >= highest) {
       highest = rank;
       issuer = index;
--- a/Libraries/LibRouting/ServerContact.cpp
+++ b/Libraries/LibRouting/ServerContact.cpp
@@ -32,11 +32,8 @@
     std::count_if(aServers.begin(), aServers.end(), [lastReached](const ServerContact& aServer) {
       return aServer.m_failedAt > lastReached;
     }));
-  if (failing == aServers.size()) {
-    return aNow - lastFailed <= kBeliefTime;
-  }
-  return failing >= kMinFailing && aNow - lastReached >= kSilence &&
-         aNow - lastFailed <= kBeliefTime;
+  const bool isSilent = failing >= kMinFailing && aNow - lastReached >= kSilence;
+  return (failing == aServers.size() || isSilent) && aNow - lastFailed <= kBeliefTime;
 }
 
 } // namespace fennelline
--- a/Services/Edge/RelayLimits.cpp
+++ b/Services/Edge/RelayLimits.cpp
@@ -78,10 +78,8 @@
   const Time now = m_context.m_loop.Now();
   std::size_t places = 0;
   for (const std::shared_ptr<BackendLink>& backend : m_context.m_backends.OfService(m_service)) {
-    const bool wasTried = std::find(m_triedBackends.begin(), m_triedBackends.end(),
-                                    backend->m_record.m_id) != m_triedBackends.end();
     const std::optional<int> most = MaxRunning(*backend);
-    if (most && !wasTried && backend->TakesRequests(now)) {
+    if (most && !WasTried(*backend) && backend->TakesRequests(now)) {
       places += static_cast<std::size_t>(*most);
     }
   }
--- a/Services/Edge/RelayPlacement.cpp
+++ b/Services/Edge/RelayPlacement.cpp
@@ -52,20 +52,24 @@
 
 } // namespace
 
+bool RequestRelay::WasTried(const BackendLink& aBackend) const {
+  return std::find(m_triedBackends.begin(), m_triedBackends.end(), aBackend.m_record.m_id) !=
+         m_triedBackends.end();
+}
+
 std::vector<std::shared_ptr<BackendLink>> RequestRelay::Eligible() const {
   const Time now = m_context.m_loop.Now();
   const VersionRule rule = RuleForRequest();
   std::vector<std::shared_ptr<BackendLink>> ofVersion;
   std::vector<std::shared_ptr<BackendLink>> others;
   for (const std::shared_ptr<BackendLink>& backend : m_context.m_backends.OfService(m_service)) {
-    const bool wasTried = std::find(m_triedBackends.begin(), m_triedBackends.end(),
-                                    backend->m_record.m_id) != m_triedBackends.end();
     const bool isLimited = backend->m_limit.PerSecond().has_value();
     const bool hasNoPermit =
       isLimited && (now < backend->m_nextPermit[static_cast<std::size_t>(Urgency())] ||
                     std::find(m_withoutPermit.begin(), m_withoutPermit.end(),
                               backend->m_record.m_id) != m_withoutPermit.end());
-    if (!wasTried && !hasNoPermit && !HasNoRoom(*backend) && backend->TakesRequests(now)) {
+    if (!WasTried(*backend) && !hasNoPermit && !HasNoRoom(*backend) &&
+        backend->TakesRequests(now)) {
       const bool isOfVersion = rule.m_preference != VersionPreference::Any &&
                                backend->m_record.m_version == rule.m_version;
       (isOfVersion ? ofVersion : others).push_back(backend);
--- a/Services/Edge/RequestRelay.h
+++ b/Services/Edge/RequestRelay.h
@@ -137,6 +137,8 @@
   static std::vector<bool> MarkLongPromptServers(
     const std::vector<std::shared_ptr<BackendLink>>& aServers);
   void RecordPrefill(BackendLink& aBackend, const PlacementQuery& aQuery, bool aIsPrefixCached);
+  /// Whether this request is not sent to the server again.
+  bool WasTried(const BackendLink& aBackend) const;
   std::vector<std::shared_ptr<BackendLink>> Eligible() const;
   VersionRule RuleForRequest() const;
   const CrashCauses& Causes();
