Add failing tests of trials and clearances in fleets of 66 and 460 entries

Hypotheses: (1) the end of a refusal is the same everywhere and its trial is only announced, so that each entry that gets a request before it hears of the announcement sends one; predicts several lines content-trial of one cause within the time that a message takes. (2) Entries learn of the refusal late; predicts sends between the first and the last line content-refused, and none at the end of the refusal. (3) Requests that waited at servers; predicts that the late runs were sent before the refusal. The logs show 1; 2 and 3 account for none of the late ones.

--- /dev/null
+++ b/Tests/LibCoordination/Observation/TestCrashTrials.cpp
@@ -0,0 +1,183 @@
+// Trials of refused causes in fleets in which messages take their time.
+
+#include "LibCoordination/Observation/CrashHistory.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+#include <map>
+#include <set>
+
+using namespace fennelline;
+
+namespace {
+
+constexpr Duration kTick = Milliseconds(10);
+constexpr Duration kHistoryTick = Milliseconds(100);
+constexpr Duration kFirstRefusal = Seconds(5);
+
+/// As on the users' platform.
+CrashHistorySettings PlatformSettings() {
+  CrashHistorySettings settings;
+  settings.m_overlapRefusalTime = Duration(0);
+  settings.m_refusalTimes = {kFirstRefusal, Seconds(60), std::chrono::hours(24)};
+  settings.m_antiEntropyInterval = Milliseconds(500);
+  settings.m_maxRequestsPerMessage = 8;
+  settings.m_completionMemory = Seconds(30);
+  return settings;
+}
+
+CrashCauses Prompt(const std::string& aContent, const std::string& aPart) {
+  return {.m_content = aContent,
+          .m_parts = {{.m_inAccount = aPart + kAccountMark + "a", .m_anywhere = aPart}}};
+}
+
+/// Entries whose messages take 1 to 60 ms and are sometimes lost.
+class SlowFleet {
+public:
+  SlowFleet(std::size_t aCount, std::uint64_t aSeed)
+    : m_random(aSeed) {
+    std::vector<EntryId> names;
+    for (std::size_t index = 0; index < aCount; ++index) {
+      names.push_back("e" + std::to_string(index) + "#1");
+      m_entries.emplace_back(PlatformSettings(), aSeed + index);
+      m_positions[names.back()] = index;
+    }
+    for (std::size_t index = 0; index < aCount; ++index) {
+      std::vector<EntryId> others = names;
+      std::erase(others, names[index]);
+      m_entries[index].OnMembers(others, m_now);
+    }
+  }
+
+  Time Now() const { return m_now; }
+  std::size_t AnyEntry() { return m_random.Below(m_entries.size()); }
+  bool Chance(double aProbability) { return m_random.Chance(aProbability); }
+
+  void Crash(std::size_t aEntry, const CrashCauses& aCauses, const BackendServerId& aServer) {
+    Post(m_entries[aEntry].OnCrashes({{.m_causes = aCauses, .m_sentAt = m_now}}, aServer, m_now));
+  }
+  /// Sends the request if it may run.
+  bool Send(std::size_t aEntry, const CrashCauses& aCauses) {
+    CrashTrial trial;
+    Step<VerdictChanged> step;
+    const bool mayRun = m_entries[aEntry].MayRun(aCauses, trial, m_now, step);
+    Post(step);
+    if (mayRun) {
+      Post(m_entries[aEntry].OnTrialSent(trial, m_now));
+    }
+    return mayRun;
+  }
+  void Finish(std::size_t aEntry, const CrashCauses& aCauses) {
+    Post(m_entries[aEntry].OnFinished(aCauses, m_now));
+  }
+  std::size_t CountRefusing(const CrashCauses& aCauses) const {
+    return static_cast<std::size_t>(
+      std::count_if(m_entries.begin(), m_entries.end(), [&](const CrashHistory& aHistory) {
+        return !aHistory.RefusedCause(aCauses, m_now).empty();
+      }));
+  }
+  void Run(Duration aTime) {
+    const Time end = m_now + aTime;
+    while (m_now < end) {
+      m_now += kTick;
+      while (!m_inTransit.empty() && m_inTransit.begin()->first <= m_now) {
+        const SendMessage message = std::move(m_inTransit.begin()->second);
+        m_inTransit.erase(m_inTransit.begin());
+        Post(m_entries[m_positions.at(message.m_to)].OnMessage("", message.m_message, m_now));
+      }
+      if (m_now.time_since_epoch() % kHistoryTick == Duration(0)) {
+        for (CrashHistory& history : m_entries) {
+          Post(history.Tick(m_now));
+        }
+      }
+    }
+  }
+
+private:
+  void Post(const Step<VerdictChanged>& aStep) {
+    constexpr double kLoss = 0.025;
+    constexpr std::uint64_t kMaxDelayMs = 60;
+    for (const Effect& effect : aStep.m_effects) {
+      if (!m_random.Chance(kLoss)) {
+        const Time arrival =
+          m_now + Milliseconds(1 + static_cast<std::int64_t>(m_random.Below(kMaxDelayMs)));
+        m_inTransit.emplace(arrival, std::get<SendMessage>(effect));
+      }
+    }
+  }
+
+  Random m_random;
+  Time m_now{};
+  std::vector<CrashHistory> m_entries;
+  std::map<EntryId, std::size_t> m_positions;
+  std::multimap<Time, SendMessage> m_inTransit;
+};
+
+/// A part has crashed servers under two contents of one account, and is refused.
+void RefusePart(SlowFleet& aFleet, const std::string& aPart) {
+  aFleet.Crash(aFleet.AnyEntry(), Prompt("first", aPart), "s1");
+  aFleet.Run(Milliseconds(700));
+  aFleet.Crash(aFleet.AnyEntry(), Prompt("second", aPart), "s2");
+}
+
+} // namespace
+
+TEST_CASE("when a refusal ends, a large fleet that gets many such requests sends few as trials") {
+  // The platform allows three late requests in all, and one may have been on its way.
+  constexpr std::size_t kAllowed = 3;
+  constexpr double kRequestsPerTick = 0.6;
+  for (const std::size_t entries : {66U, 460U}) {
+    std::size_t sum = 0;
+    constexpr std::size_t kSeeds = 6;
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+      CAPTURE(entries);
+      CAPTURE(seed);
+      SlowFleet fleet(entries, seed);
+      RefusePart(fleet, "bad");
+      fleet.Run(Seconds(1));
+      CHECK(fleet.CountRefusing(Prompt("r", "bad")) == entries);
+      std::size_t sent = 0;
+      const Time end = fleet.Now() + Seconds(12);
+      for (int number = 0; fleet.Now() < end; ++number) {
+        fleet.Run(kTick);
+        if (fleet.Chance(kRequestsPerTick)) {
+          const CrashCauses causes = Prompt("r" + std::to_string(number), "bad");
+          sent += fleet.Send(fleet.AnyEntry(), causes) ? 1 : 0;
+        }
+      }
+      CHECK(sent >= 1);
+      CHECK(sent <= kAllowed);
+      sum += sent;
+    }
+    MESSAGE(entries << " entries: " << sum << " trials in " << kSeeds << " runs");
+  }
+}
+
+TEST_CASE("a sound part that was refused is soon served again, also if few requests have it") {
+  constexpr double kRequestsPerTick = 0.02;
+  for (const std::size_t entries : {66U, 460U}) {
+    for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+      CAPTURE(entries);
+      CAPTURE(seed);
+      SlowFleet fleet(entries, seed);
+      RefusePart(fleet, "sound");
+      fleet.Run(kFirstRefusal);
+      const Time ended = fleet.Now();
+      bool isServed = false;
+      for (int number = 0; !isServed && fleet.Now() < ended + Seconds(20); ++number) {
+        fleet.Run(kTick);
+        const CrashCauses causes = Prompt("r" + std::to_string(number), "sound");
+        const std::size_t entry = fleet.AnyEntry();
+        isServed = fleet.Chance(kRequestsPerTick) && fleet.Send(entry, causes);
+        if (isServed) {
+          fleet.Run(Seconds(1));
+          fleet.Finish(entry, causes);
+        }
+      }
+      CHECK(isServed);
+      CHECK(fleet.Now() - ended < Seconds(8));
+      fleet.Run(Seconds(2));
+      CHECK(fleet.CountRefusing(Prompt("r", "sound")) == 0);
+    }
+  }
+}
