Give trials of refused causes a turn, so that a large fleet does not send several at once

Cause: a refusal ends at the same moment at all entries, and the trial that follows was announced but not agreed: each entry that got such a request before the announcement reached it sent one.

Change: TrialDelay() orders the entries for each cause by rendezvous hashing; one may send the trial at the end of the refusal, twice as many after each 500 ms. A first refusal, after crashes under overlapping runs, ends as before, so that a sound cause is not held up. Weighed: asking one entry by message (exact, but a request waits for an answer, and an owner that is silent holds the cause up); a fixed turn for each entry (half a minute at 66 entries). Ruled out by the logs: entries that learn late (all 66 knew 4.8 s before), requests that waited at servers.

StableHash and RendezvousRank move to LibBase; EvidenceCounter had a copy of the first.

--- a/Libraries/LibCoordination/Claims/ClaimKeys.h
+++ b/Libraries/LibCoordination/Claims/ClaimKeys.h
@@ -26,9 +26,6 @@
 /// The shard of an identity. It must be the same on every machine and must never change.
 std::uint32_t ShardOf(const RequestIdentity& aIdentity, std::uint32_t aShardCount);
 
-/// A hash (FNV-1a with a final mixing step) that is the same on every machine.
-std::uint64_t StableHash(const std::string& aBytes);
-
 /// The platform key of a shard's view, "fennelline/claims/SHARD".
 std::string ViewKey(std::uint32_t aShard);
 
--- a/Libraries/LibCoordination/Claims/ViewPlanner.cpp
+++ b/Libraries/LibCoordination/Claims/ViewPlanner.cpp
@@ -1,5 +1,6 @@
 #include "LibCoordination/Claims/ViewPlanner.h"
 
+#include "LibBase/StableHash.h"
 #include "LibCoordination/Claims/ClaimKeys.h"
 #include "LibCoordination/Claims/ViewRecord.h"
 
--- a/Libraries/LibCoordination/Observation/CrashHistory.cpp
+++ b/Libraries/LibCoordination/Observation/CrashHistory.cpp
@@ -1,5 +1,7 @@
 #include "LibCoordination/Observation/CrashHistory.h"
 
+#include "LibCoordination/Observation/TrialTurn.h"
+
 #include <algorithm>
 #include <iterator>
 #include <utility>
@@ -460,7 +462,13 @@
     if (given != aTrial.m_refusals.end() && given->second == request.m_refusals) {
       continue;
     }
-    if (IsPoison(fingerprint, aNow) || aNow < EndOfRefusal(request) + delay) {
+    // A first refusal ends as it begins, so that a cause that only ran beside crashes is soon
+    // cleared.
+    const Duration turn =
+      request.m_refusals > kOverlapRefusal
+        ? TrialDelay(fingerprint, m_settings.m_self, m_members, m_settings.m_trialStep)
+        : Duration(0);
+    if (IsPoison(fingerprint, aNow) || aNow < EndOfRefusal(request) + delay + turn) {
       return false;
     }
     asked.push_back(fingerprint);
--- a/Libraries/LibCoordination/Observation/CrashHistory.h
+++ b/Libraries/LibCoordination/Observation/CrashHistory.h
@@ -17,6 +17,8 @@
 namespace fennelline {
 
 struct CrashHistorySettings {
+  /// The id of this entry.
+  EntryId m_self;
   /// A cause that was running when this many different backend servers crashed is refused.
   std::size_t m_crashesToRefuse = 2;
   /// The same for a cause that lately ran well.
@@ -29,6 +31,9 @@
   std::vector<Duration> m_refusalTimes = {Seconds(600)};
   /// How long a request that may be sent as a trial has for finding a server that accepts it.
   Duration m_trialSetupTime = Seconds(1);
+  /// When a refusal has ended, more and more entries may send a trial, see TrialDelay(). A step
+  /// should be longer than an announcement takes to reach all of them.
+  Duration m_trialStep{0};
   /// A request with several refused parts is sent as a trial only this long after their refusals
   /// have ended, since its crash would not tell which of them is the cause.
   Duration m_ambiguousTrialDelay = Seconds(60);
--- a/Libraries/LibCoordination/Observation/EvidenceCounter.cpp
+++ b/Libraries/LibCoordination/Observation/EvidenceCounter.cpp
@@ -1,5 +1,7 @@
 #include "LibCoordination/Observation/EvidenceCounter.h"
 
+#include "LibBase/StableHash.h"
+
 #include <functional>
 
 namespace fennelline {
@@ -9,24 +11,11 @@
 /// Maximum number of remembered clusters. One that is dropped and judged again counts twice.
 constexpr std::size_t kMaxClusters = 20'000;
 
-/// FNV-1a with a final mix, which gives the same result on every machine.
-std::uint64_t HashOf(const std::string& aBytes) {
-  constexpr std::uint64_t kOffset = 0xcbf29ce484222325ULL;
-  constexpr std::uint64_t kPrime = 0x100000001b3ULL;
-  constexpr std::uint64_t kMix = 0xff51afd7ed558ccdULL;
-  std::uint64_t hash = kOffset;
-  for (const char byte : aBytes) {
-    hash = (hash ^ static_cast<unsigned char>(byte)) * kPrime;
-  }
-  hash = (hash ^ (hash >> 33U)) * kMix;
-  return hash ^ (hash >> 33U);
-}
-
 } // namespace
 
 bool EvidenceCounter::ChosenForRating(const std::string& aCluster) const {
   constexpr double kTwoToMinus53 = 0x1.0p-53;
-  const double position = static_cast<double>(HashOf(aCluster) >> 11U) * kTwoToMinus53;
+  const double position = static_cast<double>(StableHash(aCluster) >> 11U) * kTwoToMinus53;
   return position < m_ratedShare;
 }
 
--- a/Libraries/LibRouting/Placement.cpp
+++ b/Libraries/LibRouting/Placement.cpp
@@ -1,6 +1,6 @@
 #include "LibRouting/Placement.h"
 
-#include "LibRouting/RendezvousRank.h"
+#include "LibBase/RendezvousRank.h"
 
 #include <algorithm>
 
--- a/Libraries/LibRouting/RequestPermits.cpp
+++ b/Libraries/LibRouting/RequestPermits.cpp
@@ -1,6 +1,6 @@
 #include "LibRouting/RequestPermits.h"
 
-#include "LibRouting/RendezvousRank.h"
+#include "LibBase/RendezvousRank.h"
 
 #include <algorithm>
 #include <utility>
--- a/Libraries/LibRouting/SlotShare.cpp
+++ b/Libraries/LibRouting/SlotShare.cpp
@@ -1,6 +1,6 @@
 #include "LibRouting/SlotShare.h"
 
-#include "LibRouting/RendezvousRank.h"
+#include "LibBase/RendezvousRank.h"
 
 #include <algorithm>
 #include <cstddef>
--- a/Services/Edge/CrashWatch.cpp
+++ b/Services/Edge/CrashWatch.cpp
@@ -43,8 +43,13 @@
 /// The longest lease that the store grants. Records of crashes end with it.
 constexpr Duration kRecordLease = Seconds(600);
 
-CrashHistorySettings HistorySettings() {
+/// Longer than an announcement takes to reach 460 entries, some of whose datagrams are lost.
+constexpr Duration kTrialStep = Milliseconds(500);
+
+CrashHistorySettings HistorySettings(const EntryId& aSelf) {
   CrashHistorySettings settings;
+  settings.m_self = aSelf;
+  settings.m_trialStep = kTrialStep;
   settings.m_overlapRefusalTime = Duration(0);
   // A content that only ran beside crashes is soon served again. One that crashes a server in each
   // trial is sent two more times in a day.
@@ -67,7 +72,7 @@
   , m_members(aMembers)
   , m_store(aStore)
   , m_send(std::move(aSend))
-  , m_history(HistorySettings(), aContext.m_random.Next())
+  , m_history(HistorySettings(aMembers.Self().m_entry), aContext.m_random.Next())
   , m_suspects(kSuspicionWindow)
   , m_cancelled(kCancelledWindow) {}
 
--- a/Services/Entry/Requests/RequestPipeline.cpp
+++ b/Services/Entry/Requests/RequestPipeline.cpp
@@ -1,6 +1,7 @@
 #include "Services/Entry/Requests/RequestPipeline.h"
 
 #include "LibBase/Sha256.h"
+#include "LibBase/StableHash.h"
 #include "LibDecision/PrefixHashes.h"
 #include "Services/Entry/Requests/AllowedVersions.h"
 
--- a/Tests/LibCoordination/Observation/TestCrashTrials.cpp
+++ b/Tests/LibCoordination/Observation/TestCrashTrials.cpp
@@ -16,8 +16,10 @@
 constexpr Duration kFirstRefusal = Seconds(5);
 
 /// As on the users' platform.
-CrashHistorySettings PlatformSettings() {
+CrashHistorySettings PlatformSettings(const EntryId& aSelf) {
   CrashHistorySettings settings;
+  settings.m_self = aSelf;
+  settings.m_trialStep = Milliseconds(500);
   settings.m_overlapRefusalTime = Duration(0);
   settings.m_refusalTimes = {kFirstRefusal, Seconds(60), std::chrono::hours(24)};
   settings.m_antiEntropyInterval = Milliseconds(500);
@@ -39,7 +41,7 @@
     std::vector<EntryId> names;
     for (std::size_t index = 0; index < aCount; ++index) {
       names.push_back("e" + std::to_string(index) + "#1");
-      m_entries.emplace_back(PlatformSettings(), aSeed + index);
+      m_entries.emplace_back(PlatformSettings(names.back()), aSeed + index);
       m_positions[names.back()] = index;
     }
     for (std::size_t index = 0; index < aCount; ++index) {
