Pass clearances of refused causes on in large fleets

Cause: crash reports and refusals that are new to an entry are passed on in fleets of more than eight others, clearances were not: three rounds to eight members reached 22 of 66 entries. The others went on refusing a sound part until a trial of their own.

Change: an entry whose refusal a clearance ends passes it on.

--- a/Libraries/LibCoordination/Observation/CrashHistory.cpp
+++ b/Libraries/LibCoordination/Observation/CrashHistory.cpp
@@ -343,7 +343,12 @@
 void CrashHistory::Adopt(const CrashVerdict& aVerdict, Time aNow, Step<VerdictChanged>& aStep) {
   const Time at = TimeOfAge(aVerdict.m_ageMilliseconds, aNow);
   if (aVerdict.m_refusals <= 0) {
+    const std::size_t known = aStep.m_outcomes.size();
     AdoptClearance(aVerdict.m_fingerprint, at, aStep);
+    const bool endsRefusal = aStep.m_outcomes.size() > known;
+    if (endsRefusal && !ReachesEveryMember()) {
+      Queue(aVerdict.m_fingerprint);
+    }
     return;
   }
   Request& request = Insert(aVerdict.m_fingerprint);
