Ask a session's witnesses before it goes to a version on trial

Cause: an entry that serves a session on the version being replaced told the first 80 live members by name, always the same ones.

Change: each session has three witnesses, chosen by rendezvous hashing over the live entries. They are told of it, and an entry that gets a session which the trial would take asks them first; without an answer in 40 ms the session stays. Messages for a session no longer grow with the fleet.

EdgeSessionVersions with 84 entries: 17 of 160 sessions moved before, none now; new sessions go on trial and stay there. TestSessionWitnesses, 3 to 460 entries, 2.5% of datagrams lost, entries replaced: at most three of 4,000.

--- a/Services/Edge/EdgeContext.h
+++ b/Services/Edge/EdgeContext.h
@@ -5,7 +5,6 @@
 #include "LibRouting/DeploymentSettings.h"
 #include "LibRouting/LoadUpdates.h"
 #include "LibRouting/PrefillSpeedEstimator.h"
-#include "LibRouting/RecentSessions.h"
 #include "LibRouting/RetryWindow.h"
 #include "LibRouting/RouteTable.h"
 #include "LibRouting/VersionRule.h"
@@ -27,6 +26,7 @@
 class RoomQueue;
 class ServerPaths;
 class ServerPermits;
+class SessionKeeper;
 
 enum class VersionOutcome : std::uint8_t {
   /// It was answered, or runs and is already slow.
@@ -80,9 +80,6 @@
   std::function<bool(const std::string&, Duration)> m_isSlow;
   /// Requests received before the first configuration; called once a configuration is known.
   std::vector<std::function<void()>> m_waitingForConfiguration;
-  RecentSessions m_oldVersionSessions;
-  /// Announces to the other entries a session that stays on the version being replaced.
-  std::function<void(std::uint64_t)> m_onOldVersionSession;
   /// Announces to the other entries a long prompt sent to a backend server.
   std::function<void(const LoadUpdate&)> m_onLoad;
   /// Set before the first request.
@@ -91,6 +88,7 @@
   ServerPaths* m_paths = nullptr;
   PeerRelays* m_peers = nullptr;
   RoomQueue* m_room = nullptr;
+  SessionKeeper* m_sessions = nullptr;
   /// Requests in hand that other entries have passed on.
   std::size_t m_passedOnRequests = 0;
 
--- a/Services/Edge/EdgeProcess.cpp
+++ b/Services/Edge/EdgeProcess.cpp
@@ -39,7 +39,6 @@
 
 /// First byte of a message between entries: its type.
 constexpr char kLoadMessageType = 'L';
-constexpr char kSessionMessageType = 'S';
 constexpr char kRolloutMessageType = 'R';
 constexpr char kCrashMessageType = 'C';
 /// "ADDRESS REVISION": the sender's peer address and the latest store revision that it knows.
@@ -127,12 +126,14 @@
   , m_permits(m_context, m_members)
   , m_paths(m_context)
   , m_peers(m_context, m_members)
-  , m_room(aLoop) {
+  , m_room(aLoop)
+  , m_sessions(m_context, m_members) {
   m_context.m_crashWatch = &m_crashWatch;
   m_context.m_permits = &m_permits;
   m_context.m_paths = &m_paths;
   m_context.m_peers = &m_peers;
   m_context.m_room = &m_room;
+  m_context.m_sessions = &m_sessions;
   m_rollouts.SetSend([this](const std::string& aAddress, const RolloutReport& aReport) {
     m_members.SendPeerMessage(aAddress, kRolloutMessageType + EncodeRolloutReport(aReport));
   });
@@ -146,10 +147,6 @@
     m_pendingLoads.push_back(aLoad);
     SchedulePeerMessages();
   };
-  m_context.m_onOldVersionSession = [this](std::uint64_t aSession) {
-    m_pendingSessions.push_back(aSession);
-    SchedulePeerMessages();
-  };
 }
 
 Result<void> EdgeProcess::Start() {
@@ -323,6 +320,7 @@
   m_store.SetPeers(watchesStore, std::move(near), std::move(others));
   m_crashWatch.OnMembersChanged();
   m_permits.OnMembersChanged();
+  m_sessions.OnMembersChanged();
   m_peers.OnMembersChanged();
 }
 
@@ -331,20 +329,17 @@
     m_crashWatch.OnPeerMessage(aMessage.substr(1));
     return;
   }
-  if (m_permits.OnPeerMessage(aMessage)) {
+  if (m_permits.OnPeerMessage(aMessage) || m_sessions.OnPeerMessage(aMessage)) {
     return;
   }
   const Time now = m_loop.Now();
   const Result<std::vector<LoadUpdate>> loads = aMessage.starts_with(kLoadMessageType)
                                                   ? DecodeLoadUpdates(aMessage.substr(1))
                                                   : std::vector<LoadUpdate>();
-  const Result<std::vector<std::uint64_t>> sessions = aMessage.starts_with(kSessionMessageType)
-                                                        ? DecodeSessionHashes(aMessage.substr(1))
-                                                        : std::vector<std::uint64_t>();
   const Result<RolloutReport> report = aMessage.starts_with(kRolloutMessageType)
                                          ? DecodeRolloutReport(aMessage.substr(1))
                                          : RolloutReport();
-  if (loads.IsError() || sessions.IsError() || report.IsError()) {
+  if (loads.IsError() || report.IsError()) {
     LogLine line("note-refused");
     line.Text("mark", aMessage.substr(0, 1)).Count("bytes", aMessage.size());
     m_context.Log(LogPriority::Notable, line);
@@ -356,9 +351,6 @@
       backend->m_prefillLoad.Add(load.m_prefillTime, now);
     }
   }
-  for (const std::uint64_t session : sessions.Get()) {
-    m_context.m_oldVersionSessions.OnServed(session, now);
-  }
   if (!report.Get().m_entry.empty()) {
     m_rollouts.OnReport(report.Get());
   }
@@ -380,9 +372,6 @@
   if (!m_pendingLoads.empty()) {
     SendToPeers(kLoadMessageType + EncodeLoadUpdates(std::exchange(m_pendingLoads, {})));
   }
-  if (!m_pendingSessions.empty()) {
-    SendToPeers(kSessionMessageType + EncodeSessionHashes(std::exchange(m_pendingSessions, {})));
-  }
 }
 
 void EdgeProcess::SendToPeers(const std::string& aMessage) {
--- a/Services/Edge/EdgeProcess.h
+++ b/Services/Edge/EdgeProcess.h
@@ -9,6 +9,7 @@
 #include "Services/Edge/RoomQueue.h"
 #include "Services/Edge/ServerPaths.h"
 #include "Services/Edge/ServerPermits.h"
+#include "Services/Edge/SessionKeeper.h"
 #include "Services/Edge/StoreClient.h"
 #include "Services/Edge/StoreView.h"
 
@@ -77,11 +78,11 @@
   ServerPaths m_paths;
   PeerRelays m_peers;
   RoomQueue m_room;
+  SessionKeeper m_sessions;
   std::unique_ptr<HttpServer> m_callers;
   std::unique_ptr<HttpServer> m_entries;
   std::vector<std::unique_ptr<HttpServer>> m_servers;
   std::vector<LoadUpdate> m_pendingLoads;
-  std::vector<std::uint64_t> m_pendingSessions;
   bool m_peerMessagesScheduled = false;
   bool m_wasReady = false;
 };
--- a/Services/Edge/RequestRelay.cpp
+++ b/Services/Edge/RequestRelay.cpp
@@ -7,6 +7,7 @@
 #include "Services/Edge/RoomQueue.h"
 #include "Services/Edge/ServerPaths.h"
 #include "Services/Edge/ServerPermits.h"
+#include "Services/Edge/SessionKeeper.h"
 #include "platform/RequestCodec.h"
 
 #include <algorithm>
@@ -142,7 +143,6 @@
     Refuse(whyNotTaken, Duration(0));
     return;
   }
-  KeepSessionOnOldVersion();
   const ShutdownPolicy shutdownPolicy{.m_grace = m_context.m_settings.m_grace};
   if (m_context.m_stopRequestedAt &&
       !shutdownPolicy.AcceptsRequest(m_route->m_kind,
@@ -152,7 +152,7 @@
   }
   m_deadlineTimer = m_context.m_loop.At(m_retryPolicy.Promise().m_answerBy,
                                         [self = shared_from_this()] { self->OnDeadline(); });
-  Dispatch();
+  DispatchInSession();
 }
 
 VersionRule RequestRelay::RuleForRequest() const {
@@ -214,25 +214,29 @@
   }
 }
 
-void RequestRelay::KeepSessionOnOldVersion() {
+void RequestRelay::DispatchInSession() {
   const VersionRule rule = RuleForRequest();
   if (rule.m_preference != VersionPreference::Trial || m_metadata.m_session.empty()) {
+    Dispatch();
     return;
   }
-  const Time now = m_context.m_loop.Now();
-  const Duration sessionTime = m_context.m_settings.m_sessionTime;
-  m_excludedFromTrial =
-    now < rule.m_trialFrom || m_context.m_oldVersionSessions.IsRunning(m_hash, sessionTime, now);
-  if (m_excludedFromTrial) {
-    AnnounceOldVersionSession();
+  const auto dispatch = [self = shared_from_this()](bool aStaysOnOldVersion) {
+    if (self->m_ended) {
+      return;
+    }
+    self->m_excludedFromTrial = aStaysOnOldVersion;
+    if (aStaysOnOldVersion) {
+      self->m_context.m_sessions->Announce(self->m_hash);
+    }
+    self->Dispatch();
+  };
+  if (m_context.m_loop.Now() < rule.m_trialFrom) {
+    dispatch(true);
+  } else {
+    m_context.m_sessions->Ask(m_hash, dispatch);
   }
 }
 
-void RequestRelay::AnnounceOldVersionSession() {
-  m_context.m_oldVersionSessions.OnServed(m_hash, m_context.m_loop.Now());
-  m_context.m_onOldVersionSession(m_hash);
-}
-
 std::string RequestRelay::EncodeForBackend(const BackendLink& aBackend, const std::string& aModel) {
   ForwardMetadata forward;
   forward.m_timeLeft =
@@ -474,7 +478,7 @@
       IsInTrial(m_hash, TrialShare(m_context.m_settings.m_exposedShare))) {
     // The session stays alive for the session time after the end of a request, however long the
     // request took.
-    AnnounceOldVersionSession();
+    m_context.m_sessions->Announce(m_hash);
   }
   const RouteKind kind = m_route == nullptr ? RouteKind::NonIdempotent : m_route->m_kind;
   m_context.m_metrics.OnRequestEnded(kind, aEnd);
--- a/Services/Edge/RequestRelay.h
+++ b/Services/Edge/RequestRelay.h
@@ -150,8 +150,9 @@
   void EndAsCrashing();
   /// Whether servers crashed under requests with this content.
   bool IsSuspect();
-  void KeepSessionOnOldVersion();
-  void AnnounceOldVersionSession();
+  /// Dispatches the request once it is known whether its session has to stay on the version being
+  /// replaced.
+  void DispatchInSession();
   std::string ChooseModel() const;
   std::string EncodeForBackend(const BackendLink& aBackend, const std::string& aModel);
   CallListener MakeListener();
