--- a/Tests/Edge/standin.py
+++ b/Tests/Edge/standin.py
@@ -310,6 +310,10 @@
         self.turned_away = []
         # Values of the header Server-Limit in each answer.
         self.limits = []
+        # Each answer says that the server is leaving.
+        self.says_leaving = False
+        # Value of the header Retry-After in each rejection; None for no header.
+        self.retry_after = None
         # Contents of requests under which the server crashes once it begins to run them.
         self.crash_bodies = frozenset()
         # Parts of prompts under which it crashes once it begins to answer, if they are not the last.
@@ -360,8 +364,7 @@
             return
         if fault == "shed":
             self.refused.append({"id": request, "at": time.monotonic()})
-            writer.write(encode_response(
-                503, headers=[("Fennelline-Not-Executed", "1")] + self.limit_headers()))
+            writer.write(self.rejection())
             return
         if self.queue is not None:
             if self.running >= self.slots + self.queue:
@@ -386,8 +389,12 @@
             self.turned_away = []
             await self.crash()
             return
-        writer.write(encode_response(
-            503, headers=[("Fennelline-Not-Executed", "1")] + self.limit_headers()))
+        writer.write(self.rejection())
+
+    def rejection(self):
+        wait = [] if self.retry_after is None else [("Retry-After", str(self.retry_after))]
+        return encode_response(
+            503, headers=[("Fennelline-Not-Executed", "1")] + wait + self.limit_headers())
 
     async def execute(self, method, target, headers, body, fault, writer):
         request = headers.get("fennelline-request-id", "")
@@ -490,6 +497,7 @@
 
     def limit_headers(self):
         headers = [("Server-Limit", str(limit)) for limit in self.limits]
+        headers += [("Server-Leaving", "1")] if self.says_leaving else []
         return headers + ([] if self.brittle is None else [("Server-Brittle", str(self.brittle))])
 
     @staticmethod
