Keep to what servers say in their answers: that they leave, or when to come back

Cause: neither header was read.

Change: ServerWishes remembers both by the identity of a server's start, apart from its entry in the store, which may lapse and return. Whoever was told that a server leaves stops choosing it at once and tells eight random entries, and so on; only another start ends it. A wait binds the entry that was told, and ends with a random part more, so that entries do not return together. BarOf() is the one place that says why a server is not chosen; refused lines count the reasons.

Crashes of servers that were asked to be left alone still count; those of servers that said they leave do not, as with the store's word.

--- a/Libraries/LibRouting/RequestMetadata.h
+++ b/Libraries/LibRouting/RequestMetadata.h
@@ -62,6 +62,12 @@
   /// The server falls over when it has to turn away more requests per second than this; none if it
   /// does not say so.
   std::optional<double> m_maxRejections;
+  /// The server says that it is leaving.
+  bool m_isLeaving = false;
+  /// With a rejection: how long the server wants no more requests of this entry.
+  std::optional<Duration> m_wait;
+  /// The value of a wait that cannot be read; empty if there is none.
+  std::string m_unreadableWait;
   /// The replica that answered, if reported.
   std::string m_replica;
 };
--- a/Services/Edge/BackendTable.cpp
+++ b/Services/Edge/BackendTable.cpp
@@ -39,6 +39,8 @@
     Drop(known);
   }
   std::shared_ptr<BackendLink> link = std::make_shared<BackendLink>(m_loop, aRecord);
+  link->m_saysLeaving = m_wishes.IsLeaving(link->m_identity);
+  link->m_leftAloneUntil = m_wishes.LeftAloneUntil(link->m_identity);
   m_links[aRecord.m_id] = link;
   m_identities[link->m_identity] = link;
   m_services[aRecord.m_service].push_back(std::move(link));
@@ -66,6 +68,18 @@
   }
 }
 
+bool BackendTable::MarkLeaving(std::uint64_t aIdentity) {
+  if (const std::shared_ptr<BackendLink> link = FindIdentity(aIdentity)) {
+    link->m_saysLeaving = true;
+  }
+  return m_wishes.OnLeaving(aIdentity, m_loop.Now());
+}
+
+void BackendTable::LeaveAlone(BackendLink& aLink, Time aUntil) {
+  m_wishes.OnWait(aLink.m_identity, aUntil);
+  aLink.m_leftAloneUntil = m_wishes.LeftAloneUntil(aLink.m_identity);
+}
+
 std::shared_ptr<BackendLink> BackendTable::Find(const std::string& aId) const {
   const auto found = m_links.find(aId);
   return found == m_links.end() ? nullptr : found->second;
@@ -92,6 +106,7 @@
 }
 
 void BackendTable::Sweep() {
+  m_wishes.Expire(m_loop.Now());
   std::vector<std::shared_ptr<BackendLink>> expired;
   for (const auto& [id, link] : m_links) {
     link->m_pool.Sweep();
@@ -112,4 +127,13 @@
   return count;
 }
 
+std::size_t BackendTable::CountLeftAlone() const {
+  const Time now = m_loop.Now();
+  return static_cast<std::size_t>(
+    std::count_if(m_links.begin(), m_links.end(),
+                  [now](const std::pair<const std::string, std::shared_ptr<BackendLink>>& aLink) {
+                    return now < aLink.second->m_leftAloneUntil;
+                  }));
+}
+
 } // namespace fennelline
--- a/Services/Edge/BackendTable.h
+++ b/Services/Edge/BackendTable.h
@@ -8,6 +8,7 @@
 #include "LibRouting/RequestLimit.h"
 #include "LibRouting/RequestPermits.h"
 #include "LibRouting/ServerContact.h"
+#include "LibRouting/ServerWishes.h"
 
 #include <array>
 #include <cstdint>
@@ -31,6 +32,10 @@
   /// Set if the store entry expired while the store was unreachable. The server is dropped at this
   /// time unless it registers again.
   Time m_expiresAt = kNever;
+  /// It has said in an answer, to this entry or another one, that it is leaving.
+  bool m_saysLeaving = false;
+  /// It has rejected a request of this entry and wants no more before.
+  Time m_leftAloneUntil{};
   ReplicaHealth m_health;
   RecentPrefixes m_prefixes;
   ConnectionPool m_pool;
@@ -61,9 +66,11 @@
   Time m_notTakenUntil{};
   int m_notTakenInRow = 0;
 
-  bool TakesRequests(Time aNow) const {
-    return !m_isRemoved && m_record.m_state == ReplicaState::Ready && aNow < m_expiresAt;
+  bool IsLeaving(Time aNow) const {
+    return m_isRemoved || m_record.m_state != ReplicaState::Ready || aNow >= m_expiresAt ||
+           m_saysLeaving;
   }
+  bool TakesRequests(Time aNow) const { return !IsLeaving(aNow) && aNow >= m_leftAloneUntil; }
 };
 
 /// The backend servers known to this entry.
@@ -81,6 +88,12 @@
   /// registers again.
   void SetExpiry(const std::string& aId, Time aUntil);
 
+  /// A server, given by its identity, has said that it is leaving. Returns whether it was not
+  /// known.
+  bool MarkLeaving(std::uint64_t aIdentity);
+  /// The server wants no requests of this entry before aUntil.
+  void LeaveAlone(BackendLink& aLink, Time aUntil);
+
   std::shared_ptr<BackendLink> Find(const std::string& aId) const;
   std::shared_ptr<BackendLink> FindIdentity(std::uint64_t aIdentity) const;
   const std::vector<std::shared_ptr<BackendLink>>& OfService(const std::string& aService) const;
@@ -88,11 +101,15 @@
   /// Closes idle connections and drops expired servers; called about once a second.
   void Sweep();
   std::size_t CountChannels() const;
+  /// Servers whose answers, as far as this entry was told, said that they leave.
+  std::size_t CountLeaving() const { return m_wishes.CountLeaving(); }
+  std::size_t CountLeftAlone() const;
 
 private:
   void Drop(const std::shared_ptr<BackendLink>& aLink);
 
   EventLoop& m_loop;
+  ServerWishes m_wishes;
   std::map<std::string, std::shared_ptr<BackendLink>> m_links;
   std::unordered_map<std::string, std::vector<std::shared_ptr<BackendLink>>> m_services;
   std::unordered_map<std::uint64_t, std::weak_ptr<BackendLink>> m_identities;
--- a/Services/Edge/CrashWatch.cpp
+++ b/Services/Edge/CrashWatch.cpp
@@ -127,7 +127,7 @@
   // The server may have been started again between the choice of it and the sending.
   const std::shared_ptr<BackendLink> current =
     aBackend->m_isRemoved ? m_context.m_backends.Find(aBackend->m_record.m_id) : aBackend;
-  if (!current || !current->TakesRequests(now)) {
+  if (!current || current->IsLeaving(now)) {
     // It is leaving, so its end is not a crash.
     aOnChecked();
     return;
@@ -236,7 +236,7 @@
   const Time now = m_context.m_loop.Now();
   std::vector<std::shared_ptr<BackendLink>> others = m_context.m_backends.All();
   std::erase_if(others, [this, now](const std::shared_ptr<BackendLink>& aServer) {
-    return !aServer->TakesRequests(now) || m_checks.contains(aServer->m_identity) ||
+    return aServer->IsLeaving(now) || m_checks.contains(aServer->m_identity) ||
            aServer->m_contact.m_failedAt > aServer->m_contact.m_reachedAt;
   });
   std::sort(
@@ -283,7 +283,7 @@
 
 void CrashWatch::OnCrashed(BackendLink& aBackend) {
   const Time now = m_context.m_loop.Now();
-  if (!aBackend.TakesRequests(now)) {
+  if (aBackend.IsLeaving(now)) {
     // It was leaving, so its end is not a crash.
     m_suspects.RefuteServer(IdOf(aBackend));
     return;
--- a/Services/Edge/EdgeContext.h
+++ b/Services/Edge/EdgeContext.h
@@ -22,6 +22,7 @@
 namespace fennelline {
 
 class CrashWatch;
+class LeavingNotices;
 class PeerRelays;
 class RoomQueue;
 class ServerPaths;
@@ -89,6 +90,7 @@
   PeerRelays* m_peers = nullptr;
   RoomQueue* m_room = nullptr;
   SessionKeeper* m_sessions = nullptr;
+  LeavingNotices* m_leaving = nullptr;
   /// Requests in hand that other entries have passed on.
   std::size_t m_passedOnRequests = 0;
 
--- a/Services/Edge/EdgeMetrics.cpp
+++ b/Services/Edge/EdgeMetrics.cpp
@@ -107,6 +107,10 @@
   m_refusedContents =
     gauge("fennelline_refused_contents", "Contents known to crash backend servers.");
   m_limitedServers = gauge("fennelline_limited_servers", "Backend servers that limit requests.");
+  m_leavingServers =
+    gauge("fennelline_leaving_servers", "Backend servers whose answers said that they leave.");
+  m_leftAloneServers = gauge("fennelline_left_alone_servers",
+                             "Backend servers that asked this entry to be left alone for a while.");
   m_callerChannels = gauge("fennelline_caller_channels", "Open connections of callers.");
   m_serverChannels = gauge("fennelline_server_channels", "Open connections to backend servers.");
   m_members = gauge("fennelline_members", "Entries known to be alive, this one included.");
@@ -177,6 +181,11 @@
   m_limitedServers->Set(static_cast<double>(aCount));
 }
 
+void EdgeMetrics::SetServerWishes(std::size_t aLeaving, std::size_t aLeftAlone) {
+  m_leavingServers->Set(static_cast<double>(aLeaving));
+  m_leftAloneServers->Set(static_cast<double>(aLeftAlone));
+}
+
 void EdgeMetrics::SetGauges(std::size_t aCallerChannels, std::size_t aServerChannels,
                             std::size_t aMembers, std::int64_t aConfigurationVersion,
                             Duration aStoreStateAge) {
--- a/Services/Edge/EdgeMetrics.h
+++ b/Services/Edge/EdgeMetrics.h
@@ -87,6 +87,8 @@
   /// A permit for a request to a server that limits requests was asked for.
   void OnPermit(bool aIsGranted);
   void SetLimitedServers(std::size_t aCount);
+  /// Servers that have said that they leave, and that asked this entry to be left alone now.
+  void SetServerWishes(std::size_t aLeaving, std::size_t aLeftAlone);
   void SetGauges(std::size_t aCallerChannels, std::size_t aServerChannels, std::size_t aMembers,
                  std::int64_t aConfigurationVersion, Duration aStoreStateAge);
   /// Returns the metrics in the Prometheus text format.
@@ -115,6 +117,8 @@
   prometheus::Gauge* m_refusedContents = nullptr;
   std::array<prometheus::Counter*, 2> m_permits{};
   prometheus::Gauge* m_limitedServers = nullptr;
+  prometheus::Gauge* m_leavingServers = nullptr;
+  prometheus::Gauge* m_leftAloneServers = nullptr;
   prometheus::Gauge* m_callerChannels = nullptr;
   prometheus::Gauge* m_serverChannels = nullptr;
   prometheus::Gauge* m_members = nullptr;
--- a/Services/Edge/EdgeProcess.cpp
+++ b/Services/Edge/EdgeProcess.cpp
@@ -127,13 +127,15 @@
   , m_paths(m_context)
   , m_peers(m_context, m_members)
   , m_room(aLoop)
-  , m_sessions(m_context, m_members) {
+  , m_sessions(m_context, m_members)
+  , m_leaving(m_context, m_members) {
   m_context.m_crashWatch = &m_crashWatch;
   m_context.m_permits = &m_permits;
   m_context.m_paths = &m_paths;
   m_context.m_peers = &m_peers;
   m_context.m_room = &m_room;
   m_context.m_sessions = &m_sessions;
+  m_context.m_leaving = &m_leaving;
   m_rollouts.SetSend([this](const std::string& aAddress, const RolloutReport& aReport) {
     m_members.SendPeerMessage(aAddress, kRolloutMessageType + EncodeRolloutReport(aReport));
   });
@@ -329,7 +331,8 @@
     m_crashWatch.OnPeerMessage(aMessage.substr(1));
     return;
   }
-  if (m_permits.OnPeerMessage(aMessage) || m_sessions.OnPeerMessage(aMessage)) {
+  if (m_permits.OnPeerMessage(aMessage) || m_sessions.OnPeerMessage(aMessage) ||
+      m_leaving.OnPeerMessage(aMessage)) {
     return;
   }
   const Time now = m_loop.Now();
@@ -429,6 +432,8 @@
                       m_loop.Now() - m_context.m_storeConfirmedAt);
   m_metrics.SetRefusedContents(m_crashWatch.CountRefused());
   m_metrics.SetLimitedServers(m_permits.CountLimited());
+  m_metrics.SetServerWishes(m_context.m_backends.CountLeaving(),
+                            m_context.m_backends.CountLeftAlone());
   m_metrics.SetLostPaths(m_paths.CountLost());
   ResponseHead head{.m_status = kOk, .m_headers = {}};
   head.m_headers.Add("Content-Type", "text/plain; version=0.0.4");
--- a/Services/Edge/EdgeProcess.h
+++ b/Services/Edge/EdgeProcess.h
@@ -3,6 +3,7 @@
 #include "LibHttp/HttpServer.h"
 #include "Services/Edge/CrashWatch.h"
 #include "Services/Edge/EdgeContext.h"
+#include "Services/Edge/LeavingNotices.h"
 #include "Services/Edge/Members.h"
 #include "Services/Edge/PeerRelays.h"
 #include "Services/Edge/RolloutDriver.h"
@@ -79,6 +80,7 @@
   PeerRelays m_peers;
   RoomQueue m_room;
   SessionKeeper m_sessions;
+  LeavingNotices m_leaving;
   std::unique_ptr<HttpServer> m_callers;
   std::unique_ptr<HttpServer> m_entries;
   std::vector<std::unique_ptr<HttpServer>> m_servers;
--- a/Services/Edge/RelayAnswer.cpp
+++ b/Services/Edge/RelayAnswer.cpp
@@ -65,6 +65,7 @@
       m_attempt->m_backend->m_health.OnRejected(m_context.m_loop.Now());
       LearnRequestLimit(metadata);
       LearnMaxRejections(metadata);
+      LearnWishes(metadata);
     }
     // The connection can be reused once the rest of the response has been read.
     m_attempt->m_notRun = true;
@@ -79,6 +80,7 @@
   }
   LearnRequestLimit(metadata);
   LearnMaxRejections(metadata);
+  LearnWishes(metadata);
   m_attempt->m_headAt = m_context.m_loop.Now();
   m_attempt->m_head = aHead;
   m_attempt->m_metadata = metadata;
--- a/Services/Edge/RelayLimits.cpp
+++ b/Services/Edge/RelayLimits.cpp
@@ -2,6 +2,7 @@
 // away.
 
 #include "LibRouting/SlotShare.h"
+#include "Services/Edge/LeavingNotices.h"
 #include "Services/Edge/RequestRelay.h"
 #include "Services/Edge/RoomQueue.h"
 #include "Services/Edge/ServerPermits.h"
@@ -51,6 +52,38 @@
   }
 }
 
+void RequestRelay::LearnWishes(const ResponseMetadata& aMetadata) {
+  BackendLink& backend = *m_attempt->m_backend;
+  if (aMetadata.m_isLeaving) {
+    m_context.m_leaving->OnAnswer(backend, m_metadata.m_requestId);
+  }
+  if (!aMetadata.m_unreadableWait.empty()) {
+    LogLine line("server-wait-unreadable");
+    line.Text("id", m_metadata.m_requestId).Text("backend", backend.m_record.m_id);
+    line.Text("value", aMetadata.m_unreadableWait);
+    m_context.Log(LogPriority::Notable, line);
+  }
+  if (aMetadata.m_wait && *aMetadata.m_wait > Duration(0)) {
+    const Time now = m_context.m_loop.Now();
+    m_context.m_backends.LeaveAlone(backend, EndOfWait(*aMetadata.m_wait, now, m_context.m_random));
+    LogLine line("server-wait");
+    line.Text("id", m_metadata.m_requestId).Text("backend", backend.m_record.m_id);
+    line.Ms("asked", *aMetadata.m_wait).Ms("wait", backend.m_leftAloneUntil - now);
+    m_context.Log(LogPriority::Notable, line);
+  }
+}
+
+std::optional<Duration> RequestRelay::UntilServersReturn() const {
+  const Time now = m_context.m_loop.Now();
+  std::optional<Time> earliest;
+  for (const std::shared_ptr<BackendLink>& backend : m_context.m_backends.OfService(m_service)) {
+    if (!backend->IsLeaving(now)) {
+      earliest = std::min(earliest.value_or(kNever), backend->m_leftAloneUntil);
+    }
+  }
+  return earliest && *earliest > now ? std::optional<Duration>(*earliest - now) : std::nullopt;
+}
+
 std::optional<int> RequestRelay::MaxRunning(const BackendLink& aBackend) const {
   if (!aBackend.m_maxRejections.PerSecond()) {
     return std::nullopt;
--- a/Services/Edge/RelayPlacement.cpp
+++ b/Services/Edge/RelayPlacement.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <map>
 
 namespace fennelline {
 
@@ -57,19 +58,47 @@
          m_triedBackends.end();
 }
 
+ServerBar RequestRelay::BarOf(const BackendLink& aBackend, Time aNow) const {
+  if (aBackend.IsLeaving(aNow)) {
+    return ServerBar::Leaving;
+  }
+  if (!aBackend.TakesRequests(aNow)) {
+    return ServerBar::LeftAlone;
+  }
+  if (WasTried(aBackend)) {
+    return ServerBar::Tried;
+  }
+  const bool hasNoPermit = aBackend.m_limit.PerSecond() &&
+                           (aNow < aBackend.m_nextPermit[static_cast<std::size_t>(Urgency())] ||
+                            std::find(m_withoutPermit.begin(), m_withoutPermit.end(),
+                                      aBackend.m_record.m_id) != m_withoutPermit.end());
+  if (hasNoPermit) {
+    return ServerBar::NoPermit;
+  }
+  return HasNoRoom(aBackend) ? ServerBar::NoRoom : ServerBar::None;
+}
+
+std::string RequestRelay::DescribeBars() const {
+  const Time now = m_context.m_loop.Now();
+  std::map<ServerBar, std::size_t> counts;
+  for (const std::shared_ptr<BackendLink>& backend : m_context.m_backends.OfService(m_service)) {
+    ++counts[BarOf(*backend, now)];
+  }
+  std::string text;
+  for (const auto& [bar, count] : counts) {
+    text += (text.empty() ? "" : ",") + std::string(NameOf(kServerBarNames, bar)) + ":" +
+            std::to_string(count);
+  }
+  return text;
+}
+
 std::vector<std::shared_ptr<BackendLink>> RequestRelay::Eligible() const {
   const Time now = m_context.m_loop.Now();
   const VersionRule rule = RuleForRequest();
   std::vector<std::shared_ptr<BackendLink>> ofVersion;
   std::vector<std::shared_ptr<BackendLink>> others;
   for (const std::shared_ptr<BackendLink>& backend : m_context.m_backends.OfService(m_service)) {
-    const bool isLimited = backend->m_limit.PerSecond().has_value();
-    const bool hasNoPermit =
-      isLimited && (now < backend->m_nextPermit[static_cast<std::size_t>(Urgency())] ||
-                    std::find(m_withoutPermit.begin(), m_withoutPermit.end(),
-                              backend->m_record.m_id) != m_withoutPermit.end());
-    if (!WasTried(*backend) && !hasNoPermit && !HasNoRoom(*backend) &&
-        backend->TakesRequests(now)) {
+    if (BarOf(*backend, now) == ServerBar::None) {
       const bool isOfVersion = rule.m_preference != VersionPreference::Any &&
                                backend->m_record.m_version == rule.m_version;
       (isOfVersion ? ofVersion : others).push_back(backend);
--- a/Services/Edge/RequestRelay.cpp
+++ b/Services/Edge/RequestRelay.cpp
@@ -413,6 +413,8 @@
     case NextAction::Refuse:
       if (const std::optional<Duration> wait = TakeLikelyPermit()) {
         Refuse("the backend servers limit requests", *wait + RetryAfter());
+      } else if (const std::optional<Duration> untilReturn = UntilServersReturn()) {
+        Refuse("the backend servers ask to be left alone", *untilReturn + RetryAfter());
       } else {
         Refuse("no backend server can take it", RetryAfter());
       }
@@ -446,6 +448,7 @@
   LogLine line("refused");
   line.Text("id", m_metadata.m_requestId).Text("reason", aReason).Ms("retry-after", aRetryAfter);
   line.Text("service", m_service).Count("sends", m_retryPolicy.Sends());
+  line.Text("servers", DescribeBars());
   line.Count("configuration", m_routes ? m_routes->Version() : 0);
   line.Ms("belief-age", m_context.m_loop.Now() - m_context.m_storeConfirmedAt);
   m_context.Log(LogPriority::Notable, line);
--- a/Services/Edge/RequestRelay.h
+++ b/Services/Edge/RequestRelay.h
@@ -8,6 +8,7 @@
 #include "LibRouting/Placement.h"
 #include "LibRouting/RequestMetadata.h"
 #include "LibRouting/RetryPolicy.h"
+#include "LibRouting/ServerBar.h"
 #include "LibRouting/StreamPace.h"
 #include "Services/Edge/EdgeContext.h"
 
@@ -128,6 +129,11 @@
   /// Waits until a brittle server has room. Returns false if it is not worth the wait.
   bool WaitForRoom();
   void LearnMaxRejections(const ResponseMetadata& aMetadata);
+  /// Learns whether the server that gave this answer leaves, or wants to be left alone.
+  void LearnWishes(const ResponseMetadata& aMetadata);
+  /// When the first of the service's servers wants requests again, if all of them have asked to be
+  /// left alone.
+  std::optional<Duration> UntilServersReturn() const;
   /// Whether a server without a limit could run it now.
   bool HasUnlimitedServer() const;
   PlacementQuery MakeQuery(const Service* aService) const;
@@ -139,6 +145,10 @@
   void RecordPrefill(BackendLink& aBackend, const PlacementQuery& aQuery, bool aIsPrefixCached);
   /// Whether this request is not sent to the server again.
   bool WasTried(const BackendLink& aBackend) const;
+  /// Why the request is not sent to the server now. All choices of a server go by it.
+  ServerBar BarOf(const BackendLink& aBackend, Time aNow) const;
+  /// How many servers of the service are barred for which reason, for the log.
+  std::string DescribeBars() const;
   std::vector<std::shared_ptr<BackendLink>> Eligible() const;
   VersionRule RuleForRequest() const;
   const CrashCauses& Causes();
--- a/Services/Edge/ServerPaths.cpp
+++ b/Services/Edge/ServerPaths.cpp
@@ -26,7 +26,7 @@
   aBackend.m_contact.m_failedAt = now;
   std::vector<ServerContact> contacts;
   for (const std::shared_ptr<BackendLink>& server : m_context.m_backends.OfService(service)) {
-    if (server->TakesRequests(now)) {
+    if (!server->IsLeaving(now)) {
       contacts.push_back(server->m_contact);
     }
   }
--- a/Tests/Platform/TestCodecs.cpp
+++ b/Tests/Platform/TestCodecs.cpp
@@ -70,6 +70,52 @@
   }
 }
 
+TEST_CASE("DecodeAnswer reads that a server leaves from any answer") {
+  for (const int status : {200, 500, 503}) {
+    MessageHead head;
+    head.m_status = status;
+    CHECK(!platform::DecodeAnswer(head).m_isLeaving);
+    head.m_headers.Add("server-leaving", "1");
+    CHECK(platform::DecodeAnswer(head).m_isLeaving);
+  }
+  MessageHead staying;
+  staying.m_headers.Add("Server-Leaving", "0");
+  CHECK(!platform::DecodeAnswer(staying).m_isLeaving);
+}
+
+TEST_CASE(
+  "DecodeAnswer reads how long a server that turned a request away wants to be left alone") {
+  const auto read = [](int aStatus, bool aHasRun, const std::vector<std::string>& aValues) {
+    MessageHead head;
+    head.m_status = aStatus;
+    if (!aHasRun) {
+      head.m_headers.Add("Fennelline-Not-Executed", "1");
+    }
+    for (const std::string& value : aValues) {
+      head.m_headers.Add("Retry-After", value);
+    }
+    return platform::DecodeAnswer(head);
+  };
+  CHECK(read(503, false, {"6"}).m_wait == Seconds(6));
+  CHECK(read(503, false, {"0.25"}).m_wait == Milliseconds(250));
+  CHECK(read(503, false, {"2", "7"}).m_wait == Seconds(7));
+  CHECK(read(503, false, {"0"}).m_wait == Duration(0));
+  CHECK(read(503, false, {"-3"}).m_wait == Duration(0));
+  CHECK(*read(503, false, {"1e300"}).m_wait > std::chrono::hours(24));
+  CHECK(*read(503, false, {"inf"}).m_wait > std::chrono::hours(24));
+  CHECK(!read(503, false, {}).m_wait);
+  // A rejection with another status, or a failure of a request that has run, asks for nothing.
+  CHECK(!read(503, true, {"6"}).m_wait);
+  CHECK(!read(500, true, {"6"}).m_wait);
+  CHECK(!read(421, false, {"6"}).m_wait);
+  for (const char* odd : {"", "soon", "nan", "3 s", "Fri, 04 Dec 2026 17:00:00 GMT"}) {
+    CAPTURE(odd);
+    CHECK(!read(503, false, {odd}).m_wait);
+    CHECK(read(503, false, {odd}).m_unreadableWait == odd);
+  }
+  CHECK(read(503, false, {"soon", "4"}).m_wait == Seconds(4));
+}
+
 TEST_CASE("EncodeForEntry keeps the caller's headers and key, with the time and event of now") {
   HeaderList headers;
   headers.Add("Host", "a.example");
