Tell any entries of prompts sent to servers, as many as a budget allows, and report roll-outs less often in large fleets

Cause: what an entry tells the others went to the first 80 live members by name, always the same ones: prompts that it has sent to servers, and that it has reached the store when the watching entries have not. With 295 entries the other 215 placed requests without knowing what the rest of the fleet had sent. Reports on a roll-out went to three entries every 250 ms, 1,180 a second with 295 entries, to whichever come first by name, which may have 0.12 of a core.

Change: announcements of prompts go to random entries, all of them while an entry receives no more than about 100 a second (AnnouncementBudget, 8 of the 11 KB/s for control); contact with the store is told to all. Reports are sent every 3 ms an entry, at most every second. The list of members is kept between changes instead of copied and sorted for each datagram.

TestAnnouncementBudget: 66 to 460 entries at 200 to 10,000 announcements a second receive 50 to 137 a second each.

--- a/Services/Edge/CrashWatch.cpp
+++ b/Services/Edge/CrashWatch.cpp
@@ -369,8 +369,7 @@
     line.Ms("for", RefusedFor(outcome.m_fingerprint));
     m_context.Log(LogPriority::Notable, line);
   }
-  const std::vector<MemberDigest> members =
-    aStep.m_effects.empty() ? std::vector<MemberDigest>() : m_members.All();
+  const std::vector<MemberDigest>& members = m_members.All();
   for (const Effect& effect : aStep.m_effects) {
     const SendMessage& send = std::get<SendMessage>(effect);
     const auto member =
--- a/Services/Edge/EdgeProcess.cpp
+++ b/Services/Edge/EdgeProcess.cpp
@@ -45,8 +45,6 @@
 constexpr char kRevisionMessageType = 'V';
 /// Messages created within this time are sent together.
 constexpr Duration kPeerMessageDelay = Milliseconds(5);
-/// In larger fleets, the load that one entry sends has little influence on the others.
-constexpr std::size_t kMaxPeerMessageReceivers = 80;
 
 constexpr Duration kLogFlushInterval = Milliseconds(100);
 constexpr Duration kStopCheckInterval = Milliseconds(50);
@@ -115,8 +113,9 @@
         OnStoreChanges(aChanges, aLapsedUpTo);
       },
       [this] {
-        SendToPeers(kRevisionMessageType + m_context.m_settings.m_peerAddress + " " +
-                    std::to_string(m_store.Mirror().LastChange()));
+        m_members.SendToSome(m_context.m_entries, kRevisionMessageType +
+                                                    m_context.m_settings.m_peerAddress + " " +
+                                                    std::to_string(m_store.Mirror().LastChange()));
       })
   , m_rollouts(m_context, m_storeView, m_members, m_store)
   , m_crashWatch(m_context, m_members, m_store,
@@ -373,18 +372,9 @@
 void EdgeProcess::SendPeerMessages() {
   m_peerMessagesScheduled = false;
   if (!m_pendingLoads.empty()) {
-    SendToPeers(kLoadMessageType + EncodeLoadUpdates(std::exchange(m_pendingLoads, {})));
-  }
-}
-
-void EdgeProcess::SendToPeers(const std::string& aMessage) {
-  std::size_t receivers = 0;
-  for (const MemberDigest& member : m_members.All()) {
-    const bool isOther = member.m_entry != m_members.Self().m_entry;
-    if (isOther && member.m_state == MemberState::Alive && receivers < kMaxPeerMessageReceivers) {
-      ++receivers;
-      m_members.SendPeerMessage(member.m_datagramAddress, aMessage);
-    }
+    const std::size_t receivers = m_loadBudget.OnAnnouncement(m_context.m_entries, m_loop.Now());
+    m_members.SendToSome(receivers,
+                         kLoadMessageType + EncodeLoadUpdates(std::exchange(m_pendingLoads, {})));
   }
 }
 
--- a/Services/Edge/EdgeProcess.h
+++ b/Services/Edge/EdgeProcess.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibHttp/HttpServer.h"
+#include "LibRouting/AnnouncementBudget.h"
 #include "Services/Edge/CrashWatch.h"
 #include "Services/Edge/EdgeContext.h"
 #include "Services/Edge/LeavingNotices.h"
@@ -52,7 +53,6 @@
   /// Schedules sending of the pending messages to the other entries, so that they are batched.
   void SchedulePeerMessages();
   void SendPeerMessages();
-  void SendToPeers(const std::string& aMessage);
   void UpdateReadiness();
   bool IsReady() const;
   void AnswerLookup(const std::shared_ptr<ServerConnection>& aCaller,
@@ -85,6 +85,7 @@
   std::unique_ptr<HttpServer> m_entries;
   std::vector<std::unique_ptr<HttpServer>> m_servers;
   std::vector<LoadUpdate> m_pendingLoads;
+  AnnouncementBudget m_loadBudget;
   bool m_peerMessagesScheduled = false;
   bool m_wasReady = false;
 };
--- a/Services/Edge/LeavingNotices.cpp
+++ b/Services/Edge/LeavingNotices.cpp
@@ -2,7 +2,6 @@
 
 #include "LibRouting/MessagePack.h"
 
-#include <algorithm>
 #include <vector>
 
 namespace fennelline {
@@ -33,21 +32,7 @@
   line.Text("backend", backend ? backend->m_record.m_id : std::string());
   line.Text("source", aSource).Text("id", aRequest);
   m_context.Log(LogPriority::Notable, line);
-  PassOn(aServer);
-}
-
-void LeavingNotices::PassOn(std::uint64_t aServer) {
-  std::vector<MemberDigest> others = m_members.All();
-  std::erase_if(others, [this](const MemberDigest& aMember) {
-    return aMember.m_entry == m_members.Self().m_entry || aMember.m_state != MemberState::Alive;
-  });
-  const std::string message = kNoticeType + EncodeMessagePack(Identities{aServer});
-  // A partial shuffle moves the entries that are told to the front.
-  const std::size_t count = std::min(kFanOut, others.size());
-  for (std::size_t index = 0; index < count; ++index) {
-    std::swap(others[index], others[index + m_context.m_random.Below(others.size() - index)]);
-    m_members.SendPeerMessage(others[index].m_datagramAddress, message);
-  }
+  m_members.SendToSome(kFanOut, kNoticeType + EncodeMessagePack(Identities{aServer}));
 }
 
 bool LeavingNotices::OnPeerMessage(const std::string& aMessage) {
--- a/Services/Edge/LeavingNotices.h
+++ b/Services/Edge/LeavingNotices.h
@@ -25,7 +25,6 @@
 
 private:
   void Learn(std::uint64_t aServer, std::string_view aSource, std::string_view aRequest);
-  void PassOn(std::uint64_t aServer);
 
   EdgeContext& m_context;
   Members& m_members;
--- a/Services/Edge/Members.cpp
+++ b/Services/Edge/Members.cpp
@@ -2,6 +2,7 @@
 
 #include "LibWire/MessageCodec.h"
 
+#include <algorithm>
 #include <array>
 #include <netinet/in.h>
 #include <sys/socket.h>
@@ -71,6 +72,13 @@
   ApplyStep(m_membership.Leave(m_context.m_loop.Now()));
 }
 
+const std::vector<MemberDigest>& Members::All() const {
+  if (!m_all) {
+    m_all = m_membership.Members();
+  }
+  return *m_all;
+}
+
 void Members::Receive() {
   std::array<char, kMaxDatagramBytes> buffer;
   while (true) {
@@ -97,7 +105,7 @@
   }
   const MembershipDatagram& message = datagram.Get();
   ApplyStep(m_membership.OnDatagram(message, m_context.m_loop.Now()));
-  for (const MemberDigest& member : m_membership.Members()) {
+  for (const MemberDigest& member : All()) {
     if (member.m_entry == message.m_from) {
       m_listener.m_onPeerRevision(member.m_streamAddress, message.m_configurationRevision);
     }
@@ -108,6 +116,19 @@
   SendBytes(aAddress, kPeerMessageTag + aMessage);
 }
 
+void Members::SendToSome(std::size_t aMaxCount, const std::string& aMessage) {
+  std::vector<MemberDigest> others = All();
+  std::erase_if(others, [this](const MemberDigest& aMember) {
+    return aMember.m_entry == Self().m_entry || aMember.m_state != MemberState::Alive;
+  });
+  // A partial shuffle moves the entries that are told to the front.
+  const std::size_t count = std::min(aMaxCount, others.size());
+  for (std::size_t index = 0; index < count; ++index) {
+    std::swap(others[index], others[index + m_context.m_random.Below(others.size() - index)]);
+    SendPeerMessage(others[index].m_datagramAddress, aMessage);
+  }
+}
+
 void Members::SendBytes(const std::string& aAddress, const std::string& aBytes) {
   Result<sockaddr_in> address = ParseSocketAddress(aAddress);
   if (address.IsError()) {
@@ -141,6 +162,7 @@
     m_context.Log(LogPriority::Notable, line);
   }
   if (!aStep.m_outcomes.empty()) {
+    m_all.reset();
     m_listener.m_onChanged();
   }
 }
--- a/Services/Edge/Members.h
+++ b/Services/Edge/Members.h
@@ -5,6 +5,7 @@
 #include "Services/Edge/EdgeContext.h"
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -33,9 +34,11 @@
   void Leave();
   /// Sends a message to an entry's datagram address. It may be lost.
   void SendPeerMessage(const std::string& aAddress, const std::string& aMessage);
+  /// Sends a message to random live entries, at most aMaxCount of them.
+  void SendToSome(std::size_t aMaxCount, const std::string& aMessage);
 
   /// Members that are alive or suspected, including this entry, sorted by name.
-  std::vector<MemberDigest> All() const { return m_membership.Members(); }
+  const std::vector<MemberDigest>& All() const;
   const MemberDigest& Self() const { return m_membership.Self(); }
 
 private:
@@ -47,6 +50,8 @@
   EdgeContext& m_context;
   MembersListener m_listener;
   Membership m_membership;
+  /// What All() returns; none after a change.
+  mutable std::optional<std::vector<MemberDigest>> m_all;
   FileDescriptor m_socket;
 };
 
--- a/Services/Edge/RolloutDriver.cpp
+++ b/Services/Edge/RolloutDriver.cpp
@@ -11,6 +11,11 @@
 
 constexpr Duration kTickInterval = Milliseconds(250);
 
+/// Interval between an entry's reports, in proportion to the entries, so that those that receive
+/// them get some 330 a second at most, but at least one from each while it says what still runs.
+constexpr Duration kReportSpacing = Milliseconds(3);
+constexpr Duration kMaxReportInterval = Seconds(1);
+
 /// Number of entries that receive reports. More than one, so that no evidence is lost if the first
 /// fails.
 constexpr std::size_t kReportReceivers = 3;
@@ -102,7 +107,13 @@
       local.m_report.m_service = service;
       local.m_report.m_orderRevision = order.m_revision;
     }
-    if (IsInProgress(order) && now - local.m_orderSeen < order.m_within + kReportsAfterEnd) {
+    const bool isReporting =
+      IsInProgress(order) && now - local.m_orderSeen < order.m_within + kReportsAfterEnd;
+    if (isReporting && now >= local.m_nextReport) {
+      const Duration interval = std::min(
+        kMaxReportInterval, kReportSpacing * static_cast<std::int64_t>(m_context.m_entries));
+      // Ticks are not exact.
+      local.m_nextReport = now + interval - kTickInterval / 2;
       Report(order);
     }
     Advance(order);
--- a/Services/Edge/RolloutDriver.h
+++ b/Services/Edge/RolloutDriver.h
@@ -35,6 +35,7 @@
     /// Evidence so far. Fields that change over time are filled in when the report is sent.
     RolloutReport m_report;
     Time m_orderSeen{};
+    Time m_nextReport{};
   };
 
   void Tick();
