Bound what entries of a large fleet tell each other of crashes

Cause: in fleets of more than eight others, each entry passed on each report that was new to it to eight entries in three rounds, and at once after each event, so 24 times a report in all.

Fleets of up to eight others are as before.

--- a/Libraries/LibCoordination/Observation/CrashHistory.cpp
+++ b/Libraries/LibCoordination/Observation/CrashHistory.cpp
@@ -119,10 +119,11 @@
   const Request* known = Find(aFingerprint, aNow);
   const bool clears = known != nullptr && !known->IsClear() && *completedAt >= LastChange(*known);
   const std::string cleared = WithoutAccount(aFingerprint);
+  const std::size_t outcomes = aStep.m_outcomes.size();
   if ((!isNews && !clears) || !AdoptClearance(cleared, *completedAt, aStep)) {
     return false;
   }
-  Queue(cleared);
+  Queue(cleared, ChangeOrigin::Own, aNow, aStep.m_outcomes.size() > outcomes);
   return true;
 }
 
@@ -136,8 +137,9 @@
   if (!isCharged(aFingerprint) && std::none_of(inAccounts.begin(), inAccounts.end(), isCharged)) {
     return false;
   }
+  const std::size_t outcomes = aStep.m_outcomes.size();
   AdoptClearance(aFingerprint, aNow, aStep);
-  Queue(aFingerprint);
+  Queue(aFingerprint, ChangeOrigin::Own, aNow, aStep.m_outcomes.size() > outcomes);
   return true;
 }
 
@@ -240,7 +242,7 @@
   Contradict(aFingerprint, aNow, aStep);
   counted.m_isConfirmed = counted.m_isConfirmed && m_requests.at(aFingerprint).m_refusals > 0;
   if (isNew) {
-    Queue(aFingerprint);
+    Queue(aFingerprint, ChangeOrigin::Own, aNow);
   }
   return counted;
 }
@@ -248,7 +250,7 @@
 void CrashHistory::Confirm(const std::string& aFingerprint, Time aNow,
                            Step<VerdictChanged>& aStep) {
   RefuseLonger(aFingerprint, m_requests.at(aFingerprint), kOverlapRefusal + 1, aNow, aStep);
-  Queue(aFingerprint);
+  Queue(aFingerprint, ChangeOrigin::Own, aNow);
 }
 
 void CrashHistory::ChargeParts(const CrashedRun& aRun, const BackendServerId& aServer, Time aNow,
@@ -347,7 +349,7 @@
     AdoptClearance(aVerdict.m_fingerprint, at, aStep);
     const bool endsRefusal = aStep.m_outcomes.size() > known;
     if (endsRefusal && !ReachesEveryMember()) {
-      Queue(aVerdict.m_fingerprint);
+      Queue(aVerdict.m_fingerprint, ChangeOrigin::Relayed, aNow, true);
     }
     return;
   }
@@ -360,7 +362,7 @@
   if (refusals > request.m_refusals) {
     RefuseLonger(aVerdict.m_fingerprint, request, refusals, at, aStep);
     if (!ReachesEveryMember()) {
-      Queue(aVerdict.m_fingerprint);
+      Queue(aVerdict.m_fingerprint, ChangeOrigin::Relayed, aNow);
     }
   }
   const Duration trialLeft = Milliseconds(std::clamp<std::int64_t>(
@@ -383,7 +385,7 @@
       // The sender may not know of the crashes that, with this one, lead to a refusal.
       const bool leadsToRefusal = step.m_outcomes.size() > known;
       if (isNew && (leadsToRefusal || !ReachesEveryMember())) {
-        Queue(report.m_fingerprint);
+        Queue(report.m_fingerprint, ChangeOrigin::Relayed, aNow);
       }
     }
   }
@@ -455,6 +457,15 @@
   return refused;
 }
 
+Duration CrashHistory::TrialStep(const Request& aRequest) const {
+  if (aRequest.m_refusals > kOverlapRefusal) {
+    return m_settings.m_trialStep;
+  }
+  // A cause that only ran beside crashes is to be cleared soon. In a small fleet an announcement
+  // takes one message.
+  return ReachesEveryMember() ? Duration(0) : m_settings.m_trialStep / 2;
+}
+
 bool CrashHistory::MayRun(const CrashCauses& aCauses, CrashTrial& aTrial, Time aNow,
                           Step<VerdictChanged>& aStep) {
   std::size_t parts = 0;
@@ -467,12 +478,7 @@
     if (given != aTrial.m_refusals.end() && given->second == request.m_refusals) {
       continue;
     }
-    // A first refusal ends as it begins, so that a cause that only ran beside crashes is soon
-    // cleared.
-    const Duration turn =
-      request.m_refusals > kOverlapRefusal
-        ? TrialDelay(fingerprint, m_settings.m_self, m_members, m_settings.m_trialStep)
-        : Duration(0);
+    const Duration turn = TrialDelay(fingerprint, m_settings.m_self, m_members, TrialStep(request));
     if (IsPoison(fingerprint, aNow) || aNow < EndOfRefusal(request) + delay + turn) {
       return false;
     }
@@ -482,7 +488,7 @@
     Request& request = m_requests.at(fingerprint);
     request.m_trialUntil = aNow + m_settings.m_trialSetupTime;
     aTrial.m_refusals[fingerprint] = request.m_refusals;
-    Queue(fingerprint);
+    Queue(fingerprint, ChangeOrigin::Own, aNow);
   }
   if (!asked.empty()) {
     aStep.Append(SendPendingChanges(aNow));
@@ -496,7 +502,7 @@
     const Request* known = Find(fingerprint, aNow);
     if (known != nullptr && known->m_refusals > 0 && known->m_refusals == refusals) {
       RefuseLonger(fingerprint, m_requests.at(fingerprint), refusals + 1, aNow, step);
-      Queue(fingerprint);
+      Queue(fingerprint, ChangeOrigin::Own, aNow);
     }
   }
   if (!step.m_outcomes.empty()) {
--- a/Libraries/LibCoordination/Observation/CrashHistory.h
+++ b/Libraries/LibCoordination/Observation/CrashHistory.h
@@ -58,6 +58,13 @@
   std::size_t m_maxRequestsPerMessage = 100;
   /// Maximum number of requests told at once, to a new member or in a round.
   std::size_t m_maxRequestsPerRound = 400;
+  /// In a fleet in which members pass on what is new to them: how many requests are told at once
+  /// after a quiet time, and how many a second in the long run. If many servers crash at once, most
+  /// of what was running on them is told to few entries.
+  double m_maxRelayedAtOnce = 400.0;
+  double m_maxRelayedPerSecond = 2000.0;
+  /// In such a fleet, how long a crash that has not led to a refusal is worth telling.
+  Duration m_reportLifetime = Seconds(600);
 };
 
 /// Separates the fingerprint of a prompt part from the account in whose requests it is.
@@ -197,9 +204,14 @@
     Time m_at{};
   };
   using Completions = std::list<Completion>;
+  /// Who found out what is to be told.
+  enum class ChangeOrigin : std::uint8_t { Own, Relayed };
   struct PendingChange {
     std::string m_fingerprint;
     std::size_t m_roundsLeft = 0;
+    Time m_queuedAt{};
+    ChangeOrigin m_origin = ChangeOrigin::Own;
+    bool m_endsRefusal = false;
   };
 
   const Request* Find(const std::string& aFingerprint, Time aNow) const;
@@ -251,10 +263,21 @@
   /// Tells the other entries that it lately ran well at this one. Returns false if they know, or it
   /// did not.
   bool Contradict(const std::string& aFingerprint, Time aNow, Step<VerdictChanged>& aStep);
+  /// The step for TrialDelay() after the cause's last refusal.
+  Duration TrialStep(const Request& aRequest) const;
   void DropOne();
   void Expire(Time aNow);
   bool ReachesEveryMember() const { return m_members.size() <= m_settings.m_fanOut; }
-  void Queue(const std::string& aFingerprint);
+  /// aEndsRefusal: it was refused here until now.
+  void Queue(const std::string& aFingerprint, ChangeOrigin aOrigin, Time aNow,
+             bool aEndsRefusal = false);
+  /// How urgent it is to tell the change, in a fleet in which members pass on what is new.
+  enum class Urgency : std::uint8_t { Relayed, Own, Repeated, Verdict };
+  Urgency UrgencyOf(const PendingChange& aPending) const;
+  /// Drops what is not worth telling any more, and moves the most urgent changes to the front.
+  void SortPendingChanges(Time aNow);
+  /// How many of the pending changes, the first ones, may be told now.
+  std::size_t MaxChangesNow(Time aNow);
   /// Describes the requests in as few messages as the limits allow.
   std::vector<Message> Describe(const std::vector<std::string>& aFingerprints, Time aNow) const;
   void Describe(const std::string& aFingerprint, const Request& aRequest, Time aNow,
@@ -273,6 +296,10 @@
   std::unordered_map<std::string, Completions::iterator> m_completed;
   std::vector<PendingChange> m_pending;
   Time m_nextRound{};
+  /// How many more requests may be told in a fleet in which members pass on what is new, and as of
+  /// when. Only whole ones count.
+  double m_relayCredit = 0.0;
+  std::optional<Time> m_relayCreditAt;
   Time m_nextAntiEntropy{};
 };
 
--- a/Libraries/LibCoordination/Observation/CrashHistoryGossip.cpp
+++ b/Libraries/LibCoordination/Observation/CrashHistoryGossip.cpp
@@ -7,21 +7,67 @@
 
 namespace fennelline {
 
-void CrashHistory::Queue(const std::string& aFingerprint) {
-  const auto found = std::find_if(m_pending.begin(), m_pending.end(),
-                                  [&aFingerprint](const PendingChange& aPending) {
-                                    return aPending.m_fingerprint == aFingerprint;
-                                  });
-  if (found != m_pending.end()) {
-    found->m_roundsLeft = m_settings.m_rounds;
-    return;
-  }
-  m_pending.push_back({.m_fingerprint = aFingerprint, .m_roundsLeft = m_settings.m_rounds});
+void CrashHistory::Queue(const std::string& aFingerprint, ChangeOrigin aOrigin, Time aNow,
+                         bool aEndsRefusal) {
+  std::erase_if(m_pending, [&aFingerprint](const PendingChange& aPending) {
+    return aPending.m_fingerprint == aFingerprint;
+  });
+  m_pending.push_back({.m_fingerprint = aFingerprint,
+                       .m_roundsLeft = m_settings.m_rounds,
+                       .m_queuedAt = aNow,
+                       .m_origin = aOrigin,
+                       .m_endsRefusal = aEndsRefusal});
   if (m_pending.size() > m_settings.m_maxRequests) {
     m_pending.erase(m_pending.begin());
   }
 }
 
+CrashHistory::Urgency CrashHistory::UrgencyOf(const PendingChange& aPending) const {
+  const auto found = m_requests.find(aPending.m_fingerprint);
+  if (found == m_requests.end()) {
+    return Urgency::Relayed;
+  }
+  if (found->second.m_refusals > 0 || aPending.m_endsRefusal) {
+    return Urgency::Verdict;
+  }
+  if (found->second.m_crashes.size() > 1) {
+    return Urgency::Repeated;
+  }
+  return aPending.m_origin == ChangeOrigin::Own ? Urgency::Own : Urgency::Relayed;
+}
+
+void CrashHistory::SortPendingChanges(Time aNow) {
+  std::erase_if(m_pending, [this, aNow](const PendingChange& aPending) {
+    return aNow - aPending.m_queuedAt > m_settings.m_reportLifetime &&
+           UrgencyOf(aPending) != Urgency::Verdict;
+  });
+  std::stable_sort(m_pending.begin(), m_pending.end(),
+                   [this](const PendingChange& aOne, const PendingChange& aOther) {
+                     return UrgencyOf(aOne) > UrgencyOf(aOther);
+                   });
+}
+
+std::size_t CrashHistory::MaxChangesNow(Time aNow) {
+  if (ReachesEveryMember()) {
+    return m_settings.m_maxRequestsPerRound;
+  }
+  // What others have found out once may use only a part, so that there is room for what is urgent.
+  constexpr double kReservedPart = 0.5;
+  const double earned = m_relayCreditAt
+                          ? m_settings.m_maxRelayedPerSecond * InSeconds(aNow - *m_relayCreditAt)
+                          : m_settings.m_maxRelayedAtOnce;
+  m_relayCredit = std::min(m_settings.m_maxRelayedAtOnce, m_relayCredit + earned);
+  m_relayCreditAt = aNow;
+  const double forRelayed =
+    std::max(0.0, m_relayCredit - kReservedPart * m_settings.m_maxRelayedAtOnce);
+  const std::size_t urgent = static_cast<std::size_t>(
+    std::count_if(m_pending.begin(), m_pending.end(), [this](const PendingChange& aPending) {
+      return UrgencyOf(aPending) != Urgency::Relayed;
+    }));
+  const std::size_t most = static_cast<std::size_t>(m_relayCredit);
+  return std::min(most, urgent + static_cast<std::size_t>(forRelayed));
+}
+
 void CrashHistory::Describe(const std::string& aFingerprint, const Request& aRequest, Time aNow,
                             CrashReports& aReports, CrashVerdicts& aVerdicts) const {
   for (const Crash& crash : aRequest.m_crashes) {
@@ -75,14 +121,19 @@
   if (m_pending.empty() || m_members.empty()) {
     return step;
   }
+  if (!ReachesEveryMember()) {
+    SortPendingChanges(aNow);
+  }
+  const std::size_t most = MaxChangesNow(aNow);
   std::vector<std::string> fingerprints;
   for (PendingChange& pending : m_pending) {
-    if (fingerprints.size() == m_settings.m_maxRequestsPerRound) {
+    if (fingerprints.size() == most) {
       break;
     }
     fingerprints.push_back(pending.m_fingerprint);
     --pending.m_roundsLeft;
   }
+  m_relayCredit = std::max(0.0, m_relayCredit - static_cast<double>(fingerprints.size()));
   std::erase_if(m_pending,
                 [](const PendingChange& aPending) { return aPending.m_roundsLeft == 0; });
   const std::vector<Message> messages = Describe(fingerprints, aNow);
--- a/Libraries/LibRouting/AnnouncementBudget.cpp
+++ b/Libraries/LibRouting/AnnouncementBudget.cpp
@@ -6,9 +6,9 @@
 
 namespace {
 
-/// An announcement is a datagram of some 50 bytes, so this is 10 of the 11 KB/s that control may use
+/// An announcement is a datagram of some 50 bytes, so this is 9 of the 11 KB/s that control may use
 /// on each node.
-constexpr double kReceivedPerSecond = 200.0;
+constexpr double kReceivedPerSecond = 180.0;
 
 /// The credit that is saved up is enough to tell all entries of this many announcements, but at
 /// least for this time.
