Tell clearances of refused causes before what was refused for overlapping crashes

First refusals count as verdicts and are never dropped, so 390 of them in three rounds stand before each clearance: 20 s at 60 a second. The bucket's size was not the cause.

Change: a first refusal counts like a cause with several crashes: after the others, and dropped after a second.

--- a/Libraries/LibCoordination/Observation/CrashHistoryGossip.cpp
+++ b/Libraries/LibCoordination/Observation/CrashHistoryGossip.cpp
@@ -7,6 +7,14 @@
 
 namespace fennelline {
 
+namespace {
+
+/// Refusals of a cause whose runs on the crashed servers overlapped. They say little: if many
+/// servers crash at once, most of what was running there is refused so, and soon cleared.
+constexpr std::size_t kWeakRefusals = 1;
+
+} // namespace
+
 void CrashHistory::Queue(const std::string& aFingerprint, ChangeOrigin aOrigin, Time aNow,
                          bool aEndsRefusal) {
   std::erase_if(m_pending, [&aFingerprint](const PendingChange& aPending) {
@@ -27,10 +35,10 @@
   if (found == m_requests.end()) {
     return Urgency::Relayed;
   }
-  if (found->second.m_refusals > 0 || aPending.m_endsRefusal) {
+  if (found->second.m_refusals > kWeakRefusals || aPending.m_endsRefusal) {
     return Urgency::Verdict;
   }
-  if (found->second.m_crashes.size() > 1) {
+  if (found->second.m_refusals > 0 || found->second.m_crashes.size() > 1) {
     return Urgency::Repeated;
   }
   return aPending.m_origin == ChangeOrigin::Own ? Urgency::Own : Urgency::Relayed;
