Give test entries ports that no outgoing connection can take

Cause: EdgeCrashingRequest failed once in a test stage beside another run: an entry was not ready in 10 s. Its log: "cannot bind 127.0.0.11:38331: Address already in use". The tests look for a free port, release it and start the entry later; the system hands out the same range to outgoing connections and to the listeners of tests beside it, of which the test of 84 entries has 336.

Change: ports below that range. Two cases of EdgeServerWishes and both of EdgeSessionVersions pass with it; no whole run was made with it.

--- a/Tests/Edge/standin.py
+++ b/Tests/Edge/standin.py
@@ -7,6 +7,7 @@
 import base64
 import json
 import os
+import random
 import signal
 import socket
 import time
@@ -530,10 +531,19 @@
 
 
 def free_port():
-    """A port that nothing uses on any address of this machine: entries have addresses of their own."""
-    with socket.socket() as probe:
-        probe.bind(("", 0))
-        return probe.getsockname()[1]
+    """A port that nothing uses on any address of this machine: entries have addresses of their own.
+
+    It is below the ports that the system gives to outgoing connections and to other listeners, since
+    it stays unused until the entry starts.
+    """
+    while True:
+        port = random.randint(12_000, 32_000)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("", port))
+                return port
+            except OSError:
+                continue
 
 
 # An entry may use this much memory by its settings.
