Log sources that stand still, lost contact with the store, and a held event loop

The lines there were could not tell the three hypotheses apart: a source that was given up did not say after how long, no entry said that nobody it hears reaches the store, an entry that stood still did not say so when it went on, and nothing counted updates that went whole to entries of an earlier release.

New: waited in peer-failed, store-contact-lost and -regained, loop-held, and two metrics.

--- a/Services/Edge/EdgeMetrics.cpp
+++ b/Services/Edge/EdgeMetrics.cpp
@@ -65,6 +65,18 @@
       .Register(*m_registry);
   m_mirrorBytes = {&mirrorBytes.Add({{"outcome", "abandoned"}}),
                    &mirrorBytes.Add({{"outcome", "applied"}})};
+  prometheus::Family<prometheus::Counter>& mirrorUpdatesSent =
+    prometheus::BuildCounter()
+      .Name("fennelline_mirror_updates_sent_total")
+      .Help("Updates of the store's mirror sent to other entries.")
+      .Register(*m_registry);
+  m_mirrorUpdatesSent = {&mirrorUpdatesSent.Add({{"values", "small"}}),
+                         &mirrorUpdatesSent.Add({{"values", "all"}})};
+  m_loopHeld = &prometheus::BuildCounter()
+                  .Name("fennelline_loop_held_seconds_total")
+                  .Help("Time that timers of the event loop were late by, if it was long.")
+                  .Register(*m_registry)
+                  .Add({});
   prometheus::Family<prometheus::Counter>& largeValueCalls =
     prometheus::BuildCounter()
       .Name("fennelline_large_value_calls_total")
@@ -149,6 +161,14 @@
   m_mirrorBytes[0]->Increment(static_cast<double>(aBytes));
 }
 
+void EdgeMetrics::OnMirrorUpdateSent(bool aIsWhole) {
+  m_mirrorUpdatesSent[aIsWhole ? 1 : 0]->Increment();
+}
+
+void EdgeMetrics::OnLoopHeld(Duration aTime) {
+  m_loopHeld->Increment(InSeconds(aTime));
+}
+
 void EdgeMetrics::OnLargeValueCall(LargeValueOutcome aOutcome) {
   m_largeValueCalls[static_cast<std::size_t>(aOutcome)]->Increment();
 }
--- a/Services/Edge/EdgeMetrics.h
+++ b/Services/Edge/EdgeMetrics.h
@@ -75,7 +75,12 @@
   void OnMirrorUpdate(std::size_t aBytes, Duration aTransferTime);
   /// The transfer of an update was abandoned after this many bytes.
   void OnMirrorUpdateAbandoned(std::size_t aBytes);
+  /// An update was sent to another entry. aIsWhole: one of an earlier release, which gets large
+  /// values in it.
+  void OnMirrorUpdateSent(bool aIsWhole);
   void OnLargeValueCall(LargeValueOutcome aOutcome);
+  /// The event loop ran no callback for this time, although a timer was due.
+  void OnLoopHeld(Duration aTime);
   /// A server was checked after its connections broke.
   void OnServerCheck(Reachability aResult);
   /// A request was not sent, or not sent again, because its content crashes servers.
@@ -109,7 +114,10 @@
   prometheus::Histogram* m_mirrorTransfer = nullptr;
   /// Bytes of abandoned updates and of applied ones.
   std::array<prometheus::Counter*, 2> m_mirrorBytes{};
+  /// Updates sent without and with large values.
+  std::array<prometheus::Counter*, 2> m_mirrorUpdatesSent{};
   std::array<prometheus::Counter*, kLargeValueOutcomeNames.size()> m_largeValueCalls{};
+  prometheus::Counter* m_loopHeld = nullptr;
   std::array<prometheus::Counter*, kReachabilities> m_serverChecks{};
   prometheus::Counter* m_contentRefusals = nullptr;
   prometheus::Counter* m_passedOn = nullptr;
--- a/Services/Edge/EdgeProcess.cpp
+++ b/Services/Edge/EdgeProcess.cpp
@@ -47,6 +47,8 @@
 constexpr Duration kPeerMessageDelay = Milliseconds(5);
 
 constexpr Duration kLogFlushInterval = Milliseconds(100);
+/// Timers that are later by this are logged: other entries wait for this one meanwhile.
+constexpr Duration kLoggedLoopHold = Milliseconds(250);
 constexpr Duration kStopCheckInterval = Milliseconds(50);
 
 constexpr std::size_t kMaxInternalChannels = 500;
@@ -179,7 +181,8 @@
   m_rollouts.Start();
   m_crashWatch.Start();
   m_permits.Start();
-  m_loop.Every(kLogFlushInterval, [this] { m_log.Flush(); });
+  m_flushedAt = m_loop.Now();
+  m_loop.Every(kLogFlushInterval, [this] { OnFlushTimer(); });
   m_loop.Every(Seconds(1), [this] { OnSecondTimer(); });
   return {};
 }
@@ -430,6 +433,18 @@
   aCaller->SendResponse(head, m_metrics.Text());
 }
 
+void EdgeProcess::OnFlushTimer() {
+  const Time now = m_loop.Now();
+  const Duration held = now - std::exchange(m_flushedAt, now) - kLogFlushInterval;
+  if (held >= kLoggedLoopHold) {
+    m_metrics.OnLoopHeld(held);
+    LogLine line("loop-held");
+    line.Ms("held", held);
+    m_context.Log(LogPriority::Notable, line);
+  }
+  m_log.Flush();
+}
+
 void EdgeProcess::OnSecondTimer() {
   m_context.m_backends.Sweep();
   m_peers.Sweep();
--- a/Services/Edge/EdgeProcess.h
+++ b/Services/Edge/EdgeProcess.h
@@ -61,6 +61,7 @@
   void AnswerPeer(const std::shared_ptr<ServerConnection>& aPeer, const IncomingRequest& aRequest);
   void AnswerMetrics(const std::shared_ptr<ServerConnection>& aCaller);
   void OnSecondTimer();
+  void OnFlushTimer();
   void CheckStop();
   void ApplyLimits();
   std::vector<std::string> SeedAddresses() const;
@@ -86,6 +87,7 @@
   std::vector<std::unique_ptr<HttpServer>> m_servers;
   std::vector<LoadUpdate> m_pendingLoads;
   AnnouncementBudget m_loadBudget;
+  Time m_flushedAt{};
   bool m_peerMessagesScheduled = false;
   bool m_wasReady = false;
 };
--- a/Services/Edge/StoreClient.cpp
+++ b/Services/Edge/StoreClient.cpp
@@ -118,10 +118,31 @@
   return m_mirror.HasListing() && m_context.m_loop.Now() - m_storeContactAt > kMaxStoreContactAge;
 }
 
+void StoreClient::OnStoreContact(Time aAnsweredAt) {
+  m_storeContactAt = std::max(m_storeContactAt, aAnsweredAt);
+  if (m_loggedStaleContact && !IsStoreContactStale()) {
+    m_loggedStaleContact = false;
+    LogLine line("store-contact-regained");
+    line.Count("as-of", m_mirror.AsOf());
+    m_context.Log(LogPriority::Notable, line);
+  }
+}
+
+void StoreClient::LogStaleContact() {
+  if (m_loggedStaleContact || !IsStoreContactStale()) {
+    return;
+  }
+  m_loggedStaleContact = true;
+  LogLine line("store-contact-lost");
+  line.Ms("since", m_context.m_loop.Now() - m_storeContactAt).Count("as-of", m_mirror.AsOf());
+  m_context.Log(LogPriority::Notable, line);
+}
+
 void StoreClient::Sync() {
   if (m_isSyncing) {
     return;
   }
+  LogStaleContact();
   const std::optional<MirrorSource::Choice> choice =
     m_source.Choose(IsStoreContactStale(), m_context.m_entries, m_context.m_loop.Now());
   if (!choice) {
@@ -163,7 +184,7 @@
   m_context.m_metrics.OnStoreCall(reply.m_status == PlatformStatus::Ok);
   if (reply.m_status == PlatformStatus::HistoryGone) {
     LogSource("history-gone", aChoice);
-    m_storeContactAt = m_context.m_loop.Now();
+    OnStoreContact(m_context.m_loop.Now());
     m_source.OnAnswer(aChoice, m_storeContactAt);
     m_needsListing = true;
     m_pages.clear();
@@ -189,7 +210,7 @@
       m_outageRevision = reply.m_revision;
     }
   }
-  m_storeContactAt = m_context.m_loop.Now();
+  OnStoreContact(m_context.m_loop.Now());
   m_source.OnAnswer(aChoice, m_context.m_loop.Now());
   if (std::holds_alternative<ListKeys>(aRequest)) {
     OnPage(reply, aSent);
@@ -239,7 +260,7 @@
   if (reply.m_status != PlatformStatus::Ok || mayHaveBeenOut) {
     return;
   }
-  m_storeContactAt = now;
+  OnStoreContact(now);
   m_serversAsOf = reply.m_revision;
   const std::vector<KeyValue> changes = m_mirror.ApplyAhead(reply.m_keys);
   PublishChanges(changes, now - m_outageEnded, m_outageRevision);
@@ -281,7 +302,7 @@
   const Time received = SystemClock().Now();
   const Result<MirrorUpdate> update = DecodeMirrorUpdate(aResponse.m_body);
   if (aResponse.m_status != kOk || update.IsError()) {
-    LogFailedPeer(aChoice, aResponse);
+    LogFailedPeer(aChoice, aResponse, aSent);
     m_source.OnFailure(aChoice, m_context.m_loop.Now());
     ScheduleSync(Duration(0));
     return;
@@ -314,8 +335,7 @@
                                    Time aSent) {
   const Time confirmedAt = std::max(aSent, m_context.m_loop.Now() - aUpdate.m_age);
   // A store that answers other entries is available, even if it rejects this entry.
-  m_storeContactAt =
-    std::max(m_storeContactAt, m_context.m_loop.Now() - aUpdate.m_sinceStoreAnswer);
+  OnStoreContact(m_context.m_loop.Now() - aUpdate.m_sinceStoreAnswer);
   const bool isOlder = aUpdate.m_isListing && aUpdate.m_upToRevision < m_mirror.AsOf();
   if (isOlder) {
     return;
@@ -348,7 +368,7 @@
 
 void StoreClient::OnPeerStoreContact(const std::string& aPeer, Revision aRevision) {
   if (aRevision <= m_mirror.LastChange()) {
-    m_storeContactAt = m_context.m_loop.Now();
+    OnStoreContact(m_context.m_loop.Now());
     return;
   }
   // The peer's response also contains the age of its last store response.
@@ -366,7 +386,7 @@
                    ApplyPeerChanges(aPeer, update.Get(), sent);
                    RecordUpdate(aPeer, aResponse, update.Get().m_keys.size(), received);
                  } else {
-                   LogFailedPeer({.m_peer = aPeer}, aResponse);
+                   LogFailedPeer({.m_peer = aPeer}, aResponse, sent);
                  }
                });
 }
@@ -391,6 +411,7 @@
     return;
   }
   const Time now = m_context.m_loop.Now();
+  m_context.m_metrics.OnMirrorUpdateSent(!aPeer.m_maxValueBytes);
   MirrorUpdate update = m_mirror.UpdateSince(
     aPeer.m_after, aPeer.m_maxValueBytes.value_or(std::numeric_limits<std::size_t>::max()));
   update.m_age = now - m_mirror.ConfirmedAt();
@@ -459,11 +480,12 @@
                });
 }
 
-void StoreClient::LogFailedPeer(const MirrorSource::Choice& aChoice,
-                                const CallResponse& aResponse) const {
+void StoreClient::LogFailedPeer(const MirrorSource::Choice& aChoice, const CallResponse& aResponse,
+                                Time aSent) const {
   m_context.m_metrics.OnMirrorUpdateAbandoned(aResponse.m_body.size());
   LogLine line("peer-failed");
   line.Text("dependency", aChoice.m_peer).Count("status", aResponse.m_status);
+  line.Ms("waited", m_context.m_loop.Now() - aSent);
   line.Count("bytes", aResponse.m_body.size()).Ms("transfer", aResponse.m_transferTime);
   line.Count("as-of", m_mirror.AsOf());
   line.Ms("belief-age", m_context.m_loop.Now() - m_mirror.ConfirmedAt());
--- a/Services/Edge/StoreClient.h
+++ b/Services/Edge/StoreClient.h
@@ -82,7 +82,12 @@
   void SendUpdate(const WaitingPeer& aPeer) const;
   void OnLargeValue(const KeyValue& aValue);
   void LogSource(std::string_view aEvent, const MirrorSource::Choice& aChoice) const;
-  void LogFailedPeer(const MirrorSource::Choice& aChoice, const CallResponse& aResponse) const;
+  void LogFailedPeer(const MirrorSource::Choice& aChoice, const CallResponse& aResponse,
+                     Time aSent) const;
+  /// The store answered this entry, or another one, at this time.
+  void OnStoreContact(Time aAnsweredAt);
+  /// Logs, once, that no known entry has had an answer of the store for too long.
+  void LogStaleContact();
 
   EdgeContext& m_context;
   OnStoreChanges m_onStoreChanges;
@@ -105,6 +110,7 @@
   bool m_fetching = false;
   /// When this entry, or a peer that it synchronised with, last received a response of the store.
   Time m_storeContactAt{};
+  bool m_loggedStaleContact = false;
   /// When the last store outage ended.
   Time m_outageEnded{};
   /// Revision of the store at that moment.
