Add failing tests of changes that come while the entries that watch the store stand still

Both entries that watch the store fall silent (frozen or cut off) just after an answer of it; a server leaves and the configuration changes. The other entries ask the silent sources one after the other, 1.1 s each, and look at the store only between two such calls: they learn of it after 2.2 to 3.3 s, where drain-ms and config-apply-ms are 2 s.

TestMirrorSpread: the new case fails in all four phases.

--- a/Tests/Edge/TestMirrorSpread.cpp
+++ b/Tests/Edge/TestMirrorSpread.cpp
@@ -131,6 +131,8 @@
 
   std::string Address() const { return m_link.Address(); }
   const LimitedLink& Link() const { return m_link; }
+  /// Stands still as far as its readers see.
+  void FallSilent() { m_link.FallSilent(); }
   bool Holds(const std::string& aKey, const std::string& aValue) const {
     const KeyValue* found = m_store.Mirror().Find(aKey);
     return found != nullptr && found->m_value == aValue;
@@ -220,6 +222,43 @@
   std::vector<std::unique_ptr<MirroringEntry>> m_readers;
 };
 
+/// Two watchers of the store, and an entry that reads from them and reaches the store itself.
+struct WatchedPair {
+  WatchedPair() {
+    REQUIRE(!m_loop.Open().IsError());
+    m_store = std::make_unique<FakeStore>(m_loop);
+    m_store->Put("servers/i-1", "ready");
+    for (std::unique_ptr<MirroringEntry>* entry : {&m_first, &m_second, &m_reader}) {
+      *entry = std::make_unique<MirroringEntry>(m_loop, m_store->Address(), kLink);
+    }
+    m_first->Store().SetPeers(true, {}, {m_second->Address(), m_reader->Address()});
+    m_second->Store().SetPeers(true, {}, {m_first->Address(), m_reader->Address()});
+    m_reader->Store().SetPeers(false, {m_first->Address(), m_second->Address()}, {});
+    for (std::unique_ptr<MirroringEntry>* entry : {&m_first, &m_second, &m_reader}) {
+      (*entry)->Store().Start(Duration(0));
+    }
+    REQUIRE(UntilKnown("ready", Seconds(5)));
+    Run(Seconds(1));
+  }
+
+  bool UntilKnown(const std::string& aState, Duration aBound) {
+    return RunUntil(
+      m_loop, [&] { return m_reader->Holds("servers/i-1", aState); }, aBound);
+  }
+  void Run(Duration aTime) {
+    RunUntil(
+      m_loop, [] { return false; }, aTime);
+  }
+
+  static constexpr std::size_t kLink = 200 * SmallFleet::kBytesPerMegabit;
+
+  EventLoop m_loop;
+  std::unique_ptr<FakeStore> m_store;
+  std::unique_ptr<MirroringEntry> m_first;
+  std::unique_ptr<MirroringEntry> m_second;
+  std::unique_ptr<MirroringEntry> m_reader;
+};
+
 /// A configuration of 4,250 routes, as large as the store's values may be.
 std::string LargeConfiguration(std::uint64_t aSeed) {
   constexpr int kRoutes = 4250;
@@ -249,8 +288,28 @@
 /// replace watching entries that lost the store (docs/design/mirror.md).
 constexpr Duration kSpreadBudget = kDrainBound - Milliseconds(1150) - 66 * Milliseconds(10);
 
+/// The small deployments' bound on servers that leave, less the time that a request may wait for a
+/// new connection to one.
+constexpr Duration kSmallDrainBudget = Seconds(2) - Milliseconds(300);
+
 } // namespace
 
+TEST_CASE("a server's leaving does not wait for silent watchers one after the other") {
+  // The readers' long polls are in different phases when the watchers fall silent.
+  for (const int phaseMs : {0, 100, 200, 300}) {
+    CAPTURE(phaseMs);
+    WatchedPair fleet;
+    fleet.m_store->Put("servers/i-2", "ready");
+    fleet.Run(Milliseconds(100 + phaseMs));
+    fleet.m_store->Put("servers/i-2", "draining");
+    fleet.Run(Milliseconds(5));
+    fleet.m_first->FallSilent();
+    fleet.m_second->FallSilent();
+    fleet.m_store->Put("servers/i-1", "draining");
+    CHECK(fleet.UntilKnown("draining", kSmallDrainBudget));
+  }
+}
+
 TEST_CASE("a server's leaving does not wait behind a large configuration") {
   SmallFleet fleet;
   fleet.Store().Put("op/config", LargeConfiguration(2));
