Do not wait for silent sources of the store's contents one after the other

Callers' requests reached servers that had left, and met an older configuration, while both entries that watch the store stood still: the others learnt of changes after 2.2 to 3.3 s, where the bound is 2 s (3 s in large fleets).

Cause: an entry had one call at a time. A source that did not answer was waited for 1.1 s, then the second one, then the first again, whose back-off had ended meanwhile; that the last answer of the store had become old, and that it was this entry's turn to ask the store, was looked at only between two such calls.

Change: a source that is 0.15 s overdue is left to answer late while the next one is asked, to answer at once. When both watching entries have been silent for 0.7 s beyond a long poll, or the store's last answer is old, the store is asked at this entry's turn, whatever call is pending; long polls end then. Turns take 0.66 s at most, whatever the size of the fleet (2.95 s with 295 entries before, 4.6 s with 460). A silent peer no longer keeps what others announce from being fetched.

--- a/Services/Edge/StoreClient.cpp
+++ b/Services/Edge/StoreClient.cpp
@@ -27,6 +27,11 @@
 /// How long a peer may take to answer beyond the long poll. Usually it takes a few milliseconds;
 /// only an overloaded one takes longer.
 constexpr Duration kPeerAnswerTime = Milliseconds(700);
+/// A peer whose answer is later than this is still waited for, but another source is asked as well.
+constexpr Duration kPeerOverdueTime = Milliseconds(150);
+/// The same for the source that is asked then. Both watching entries may be busy applying a large
+/// configuration, which takes up to 0.42 s; together they have the full answer time.
+constexpr Duration kProbeOverdueTime = kPeerAnswerTime - kPeerOverdueTime;
 
 /// Leases of backend servers last several heartbeats, so a shorter outage does not expire any.
 constexpr Duration kMinOutage = Seconds(2);
@@ -49,6 +54,11 @@
 constexpr std::chrono::duration<double> kMaxLargeTransfer = Milliseconds(250);
 
 constexpr Duration kNoSourceRetryDelay = Milliseconds(50);
+/// The shortest long poll, and interval of checks of a call to a peer.
+constexpr Duration kMinPeerWait = Milliseconds(50);
+
+/// A silent peer must not keep changes that others announce from being fetched.
+constexpr std::size_t kMaxFetches = 3;
 
 /// Updates of the mirror that are larger, or take longer to receive or to apply, are logged.
 constexpr std::size_t kLoggedUpdateBytes = 16UL * 1024;
@@ -138,25 +148,49 @@
   m_context.Log(LogPriority::Notable, line);
 }
 
+bool StoreClient::IsStoreUnconfirmed() const {
+  const std::optional<Time> silentSince = m_source.WatchersSilentSince();
+  return IsStoreContactStale() ||
+         (m_mirror.HasListing() && silentSince && m_storeContactAt < *silentSince);
+}
+
+Time StoreClient::NextStoreCheck() const {
+  if (!m_mirror.HasListing()) {
+    return kNever;
+  }
+  return IsStoreUnconfirmed() ? m_source.FallbackAt().value_or(kNever)
+                              : m_storeContactAt + kMaxStoreContactAge;
+}
+
 void StoreClient::Sync() {
   if (m_isSyncing) {
     return;
   }
   LogStaleContact();
   const std::optional<MirrorSource::Choice> choice =
-    m_source.Choose(IsStoreContactStale(), m_context.m_entries, m_context.m_loop.Now());
-  if (!choice) {
+    m_source.Choose(IsStoreUnconfirmed(), m_context.m_entries, m_context.m_loop.Now());
+  if (choice) {
+    SyncWith(*choice);
+  } else {
     ScheduleSync(kNoSourceRetryDelay);
-    return;
   }
+}
+
+void StoreClient::SyncWith(const MirrorSource::Choice& aChoice) {
   m_isSyncing = true;
-  if (choice->m_isStore) {
-    SyncWithStore(*choice);
+  ++m_sync;
+  if (aChoice.m_isStore) {
+    SyncWithStore(aChoice);
   } else {
-    SyncWithPeer(*choice);
+    SyncWithPeer(aChoice);
   }
 }
 
+void StoreClient::EndSync() {
+  m_isSyncing = false;
+  m_context.m_loop.Cancel(std::exchange(m_peerCallTimer, EventLoop::kNoTimer));
+}
+
 void StoreClient::SyncWithStore(const MirrorSource::Choice& aChoice) {
   const bool lists = m_needsListing || !m_mirror.HasListing();
   PlatformRequest request = ListKeys{.m_prefix = "", .m_after = m_pageAfter};
@@ -177,7 +211,7 @@
 void StoreClient::OnStoreAnswer(const MirrorSource::Choice& aChoice,
                                 const PlatformRequest& aRequest, const CallResponse& aResponse,
                                 Time aSent) {
-  m_isSyncing = false;
+  EndSync();
   const Time received = SystemClock().Now();
   const PlatformReply reply =
     platform::DecodeStoreReply(aRequest, aResponse.m_status, aResponse.m_body);
@@ -289,28 +323,62 @@
 
 void StoreClient::SyncWithPeer(const MirrorSource::Choice& aChoice) {
   const Time sent = m_context.m_loop.Now();
-  m_calls.Send(aChoice.m_peer, PeerQuery(m_mirror, kPeerWatchWait, aChoice.m_peer),
-               kPeerWatchWait + kPeerAnswerTime,
-               [this, aChoice, sent](const CallResponse& aResponse) {
-                 OnPeerAnswer(aChoice, aResponse, sent);
+  // An entry that may have to ask the store does not wait longer for a peer than until then.
+  const Duration wait = aChoice.m_isProbe
+                          ? Duration(0)
+                          : std::clamp(NextStoreCheck() - sent, kMinPeerWait, kPeerWatchWait);
+  WatchPeerCall(aChoice, sent,
+                sent + wait + (aChoice.m_isProbe ? kProbeOverdueTime : kPeerOverdueTime));
+  m_calls.Send(aChoice.m_peer, PeerQuery(m_mirror, wait, aChoice.m_peer), wait + kPeerAnswerTime,
+               [this, aChoice, sent, sync = m_sync](const CallResponse& aResponse) {
+                 OnPeerAnswer(aChoice, aResponse, sent, sync);
                });
 }
 
+void StoreClient::WatchPeerCall(const MirrorSource::Choice& aChoice, Time aSent, Time aOverdueAt) {
+  const Time soonest = m_context.m_loop.Now() + kMinPeerWait;
+  const Time checkAt = std::min(aOverdueAt, std::max(soonest, NextStoreCheck()));
+  m_peerCallTimer = m_context.m_loop.At(checkAt, [this, aChoice, aSent, aOverdueAt] {
+    m_peerCallTimer = EventLoop::kNoTimer;
+    const Time now = m_context.m_loop.Now();
+    if (now >= aOverdueAt) {
+      LogLine line("peer-overdue");
+      line.Text("dependency", aChoice.m_peer).Ms("waited", now - aSent);
+      m_context.Log(LogPriority::Notable, line);
+      m_source.OnFailure(aChoice, now);
+      EndSync();
+      Sync();
+      return;
+    }
+    const std::optional<MirrorSource::Choice> choice =
+      m_source.Choose(IsStoreUnconfirmed(), m_context.m_entries, now);
+    if (choice && choice->m_isStore) {
+      SyncWith(*choice);
+    } else {
+      WatchPeerCall(aChoice, aSent, aOverdueAt);
+    }
+  });
+}
+
 void StoreClient::OnPeerAnswer(const MirrorSource::Choice& aChoice, const CallResponse& aResponse,
-                               Time aSent) {
-  m_isSyncing = false;
+                               Time aSent, std::uint64_t aSync) {
+  const bool isAwaited = aSync == m_sync && m_isSyncing;
+  if (isAwaited) {
+    EndSync();
+  }
   const Time received = SystemClock().Now();
   const Result<MirrorUpdate> update = DecodeMirrorUpdate(aResponse.m_body);
   if (aResponse.m_status != kOk || update.IsError()) {
     LogFailedPeer(aChoice, aResponse, aSent);
     m_source.OnFailure(aChoice, m_context.m_loop.Now());
+  } else {
+    m_source.OnAnswer(aChoice, m_context.m_loop.Now());
+    ApplyPeerChanges(aChoice.m_peer, update.Get(), aSent);
+    RecordUpdate(aChoice.m_peer, aResponse, update.Get().m_keys.size(), received);
+  }
+  if (isAwaited) {
     ScheduleSync(Duration(0));
-    return;
   }
-  m_source.OnAnswer(aChoice, m_context.m_loop.Now());
-  ApplyPeerChanges(aChoice.m_peer, update.Get(), aSent);
-  RecordUpdate(aChoice.m_peer, aResponse, update.Get().m_keys.size(), received);
-  ScheduleSync(Duration(0));
 }
 
 void StoreClient::RecordUpdate(std::string_view aSource, const CallResponse& aResponse,
@@ -352,14 +420,15 @@
 }
 
 void StoreClient::OnPeerRevision(const std::string& aPeer, Revision aRevision) {
-  if (aRevision <= m_mirror.LastChange() || m_fetching) {
+  const bool isFetching = m_fetchingFrom.contains(aPeer) || m_fetchingFrom.size() >= kMaxFetches;
+  if (aRevision <= m_mirror.LastChange() || isFetching) {
     return;
   }
-  m_fetching = true;
-  const Duration wait = IsStoreContactStale() ? Duration(0) : kPropagationDelay;
+  m_fetchingFrom.insert(aPeer);
+  const Duration wait = IsStoreUnconfirmed() ? Duration(0) : kPropagationDelay;
   m_context.m_loop.After(wait, [this, aPeer, aRevision] {
     if (aRevision <= m_mirror.LastChange()) {
-      m_fetching = false;
+      m_fetchingFrom.erase(aPeer);
       return;
     }
     FetchFromPeer(aPeer);
@@ -379,7 +448,7 @@
   const Time sent = m_context.m_loop.Now();
   m_calls.Send(aPeer, PeerQuery(m_mirror, Duration(0), aPeer), kPeerAnswerTime,
                [this, aPeer, sent](const CallResponse& aResponse) {
-                 m_fetching = false;
+                 m_fetchingFrom.erase(aPeer);
                  const Time received = SystemClock().Now();
                  const Result<MirrorUpdate> update = DecodeMirrorUpdate(aResponse.m_body);
                  if (aResponse.m_status == kOk && !update.IsError()) {
--- a/Services/Edge/StoreClient.h
+++ b/Services/Edge/StoreClient.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -59,6 +60,16 @@
   void ScheduleSync(Duration aDelay);
   void Sync();
   bool IsStoreContactStale() const;
+  /// No known entry has an answer of the store that is recent, or newer than the silence of the
+  /// entries that watch it.
+  bool IsStoreUnconfirmed() const;
+  /// When to look again whether the store has to be asked although a peer is.
+  Time NextStoreCheck() const;
+  void SyncWith(const MirrorSource::Choice& aChoice);
+  /// Goes on to another source if the peer has not answered by aOverdueAt, or if the store has to
+  /// be asked before. A later answer of the peer still counts.
+  void WatchPeerCall(const MirrorSource::Choice& aChoice, Time aSent, Time aOverdueAt);
+  void EndSync();
   void SyncWithStore(const MirrorSource::Choice& aChoice);
   /// Watches the backend servers by themselves, beside the watch of all keys, if the entry's link
   /// would take long for a large value that changes at the same time.
@@ -68,7 +79,9 @@
   void OnStoreAnswer(const MirrorSource::Choice& aChoice, const PlatformRequest& aRequest,
                      const CallResponse& aResponse, Time aSent);
   void OnPage(const PlatformReply& aReply, Time aSent);
-  void OnPeerAnswer(const MirrorSource::Choice& aChoice, const CallResponse& aResponse, Time aSent);
+  /// aSync: the number of the synchronisation that the call began.
+  void OnPeerAnswer(const MirrorSource::Choice& aChoice, const CallResponse& aResponse, Time aSent,
+                    std::uint64_t aSync);
   void FetchFromPeer(const std::string& aPeer);
   void ApplyPeerChanges(const std::string& aPeer, const MirrorUpdate& aUpdate, Time aSent);
   /// Logs an update that is large or took long, and counts it.
@@ -103,11 +116,15 @@
   std::string m_pageAfter;
   bool m_needsListing = true;
   bool m_isSyncing = false;
+  /// Counts synchronisations, to tell answers to calls that were given up from the awaited one.
+  std::uint64_t m_sync = 0;
+  EventLoop::TimerId m_peerCallTimer = EventLoop::kNoTimer;
   bool m_isWatchingServers = false;
   /// Revision up to which the watch of the backend servers has got.
   Revision m_serversAsOf = 0;
   EventLoop::TimerId m_nextSync = EventLoop::kNoTimer;
-  bool m_fetching = false;
+  /// Peers from which changes that they announced are being fetched.
+  std::set<std::string> m_fetchingFrom;
   /// When this entry, or a peer that it synchronised with, last received a response of the store.
   Time m_storeContactAt{};
   bool m_loggedStaleContact = false;
--- a/Tests/LibRouting/TestMirrorSource.cpp
+++ b/Tests/LibRouting/TestMirrorSource.cpp
@@ -73,3 +73,55 @@
   CHECK(source.Choose(false, 1, now + Seconds(1))->m_isStore);
   CHECK(!source.Choose(false, 1, now + Seconds(4))->m_isStore);
 }
+
+TEST_CASE("peers that are asked after a silent one are asked to answer at once") {
+  MirrorSource source(1);
+  const Time now{Seconds(10)};
+  source.SetPeers(false, {"near:1", "near:2"}, {});
+  const MirrorSource::Choice first = *source.Choose(false, 9, now);
+  CHECK(!first.m_isProbe);
+  source.OnFailure(first, now);
+  const MirrorSource::Choice second = *source.Choose(false, 9, now);
+  CHECK(second.m_peer == "near:2");
+  CHECK(second.m_isProbe);
+  source.OnAnswer(second, now);
+  CHECK(!source.Choose(false, 9, now)->m_isProbe);
+  // The silent one is asked again after a while, but not waited for.
+  const MirrorSource::Choice again = *source.Choose(false, 9, now + Seconds(2));
+  CHECK(again.m_peer == "near:1");
+  CHECK(again.m_isProbe);
+}
+
+TEST_CASE("watchers are silent since the last of them was found silent, until one answers") {
+  MirrorSource source(1);
+  const Time now{Seconds(10)};
+  source.SetPeers(false, {"near:1", "near:2"}, {"far:1"});
+  CHECK(!source.WatchersSilentSince());
+  source.OnFailure({.m_peer = "near:1"}, now);
+  CHECK(!source.WatchersSilentSince());
+  source.OnFailure({.m_peer = "near:2"}, now + Milliseconds(500));
+  CHECK(source.WatchersSilentSince() == now + Milliseconds(500));
+  // Failing again does not count as a new silence.
+  source.OnFailure({.m_peer = "near:1"}, now + Seconds(2));
+  CHECK(source.WatchersSilentSince() == now + Milliseconds(500));
+  source.OnAnswer({.m_peer = "near:2"}, now + Seconds(3));
+  CHECK(!source.WatchersSilentSince());
+  MirrorSource withoutWatchers(1);
+  withoutWatchers.SetPeers(false, {}, {"far:1"});
+  CHECK(!withoutWatchers.WatchersSilentSince());
+}
+
+TEST_CASE(
+  "entries of a large fleet fall back to the store within the same time as those of a small one") {
+  constexpr std::size_t kEntries = 460;
+  const Time now{Seconds(10)};
+  for (std::uint64_t seed = 1; seed <= kEntries; ++seed) {
+    MirrorSource source(seed);
+    source.SetPeers(false, {"near:1"}, {});
+    CHECK(!source.FallbackAt());
+    CHECK(!source.Choose(true, kEntries, now)->m_isStore);
+    REQUIRE(source.FallbackAt());
+    CHECK(*source.FallbackAt() <= now + Milliseconds(660));
+    CHECK(source.Choose(true, kEntries, *source.FallbackAt())->m_isStore);
+  }
+}
