--- a/Libraries/LibBase/FieldReader.cpp
+++ b/Libraries/LibBase/FieldReader.cpp
@@ -15,6 +15,9 @@
   } catch (const json::parse_error& error) {
     return MakeError(ErrorCode::InvalidJson,
                      "not valid JSON at byte " + std::to_string(error.byte));
+  } catch (const json::exception& error) {
+    // A number that no type can hold.
+    return MakeError(ErrorCode::InvalidJson, error.what());
   }
 }
 
--- a/Libraries/LibRouting/RetryPolicy.cpp
+++ b/Libraries/LibRouting/RetryPolicy.cpp
@@ -53,7 +53,7 @@
   }
   ++m_sends;
   if (aOutcome == AttemptOutcome::NotRun) {
-    const bool mayGoOn = hasTime && m_sends < m_promise.m_attempts + kMaxRejections;
+    const bool mayGoOn = hasTime && m_sends - kMaxRejections < m_promise.m_attempts;
     return mayGoOn && aRetries.TrySpend(aRetryLimits, aNow) ? NextAction::Send
                                                             : OnGivenUp(aAnswerBegun);
   }
--- a/Services/Edge/RequestRelay.cpp
+++ b/Services/Edge/RequestRelay.cpp
@@ -246,7 +246,8 @@
   forward.m_model = aModel;
   forward.m_lastEvent = m_framer.LastEvent();
   if (m_route->m_kind == RouteKind::Streaming) {
-    forward.m_priority = std::min(kMostUrgentPriority + Priority(), kLeastUrgentPriority);
+    forward.m_priority =
+      kMostUrgentPriority + std::min(Priority(), kLeastUrgentPriority - kMostUrgentPriority);
   }
   return WriteRequest(m_request.m_head.m_method, m_request.m_head.m_target,
                       platform::EncodeForward(m_request.m_head.m_headers, forward),
--- a/Tests/LibBase/TestFieldReader.cpp
+++ b/Tests/LibBase/TestFieldReader.cpp
@@ -31,3 +31,14 @@
   CHECK(reader.String("name").empty());
   CHECK(reader.Finish().GetError().m_code == ErrorCode::MissingField);
 }
+
+TEST_CASE("text that no type can hold is an error and not an exception") {
+  const std::string digits(400, '9');
+  const std::string deep(200'000, '[');
+  for (const std::string& text : {std::string("1e400"), std::string("[-1e999]"), digits,
+                                  "-" + digits, "{\"slots\":" + digits + "e9}", deep,
+                                  std::string("\xff"), std::string("\"\\ud800\""), std::string()}) {
+    CAPTURE(text.substr(0, 20));
+    CHECK(ParseJson(text).IsError());
+  }
+}
