Take a rejection for the answer to a request only if it names the request

Servers echo the id of a request in all their answers, so a rejection without one is not known to be its answer. On a connection with earlier calls it is skipped, as a copy of an earlier answer, and the own answer is awaited; on a new one the attempt ends as one that may have run. The fakes' refusals did not carry an id, unlike the servers'; they do now.

That the same request is sent to the same server twice was looked for and not found: each choice goes by the servers already tried.

--- a/Libraries/LibHttp/ClientConnection.cpp
+++ b/Libraries/LibHttp/ClientConnection.cpp
@@ -67,6 +67,7 @@
                             CallListener aListener) {
   m_listener = std::make_shared<const CallListener>(std::move(aListener));
   m_busy = true;
+  ++m_calls;
   m_isHeadRequest = aIsHeadRequest;
   m_sawBytes = false;
   m_sawHead = false;
--- a/Libraries/LibHttp/ClientConnection.h
+++ b/Libraries/LibHttp/ClientConnection.h
@@ -64,6 +64,8 @@
 
   bool IsOpen() const { return m_socket->IsOpen(); }
   /// Whether another request may be sent on this connection.
+  /// Whether calls before the current one were made on it. What they left may precede the response.
+  bool HasEarlierCalls() const { return m_calls > 1; }
   bool IsReusable() const { return m_reusable && !m_busy && IsOpen(); }
   Time IdleSince() const { return m_idleSince; }
   /// The idle timeout that the server announced in its Keep-Alive header, or zero.
@@ -99,6 +101,7 @@
   bool m_busy = false;
   bool m_isHeadRequest = false;
   bool m_reusable = true;
+  std::uint64_t m_calls = 0;
   bool m_sawBytes = false;
   bool m_sawHead = false;
   /// Bytes received for the current call before the head of its answer.
--- a/Services/Edge/RelayAnswer.cpp
+++ b/Services/Edge/RelayAnswer.cpp
@@ -47,7 +47,11 @@
 
 HeadAction RequestRelay::OnHead(const MessageHead& aHead) {
   const ResponseMetadata metadata = platform::DecodeAnswer(aHead);
-  if (!metadata.m_requestId.empty() && metadata.m_requestId != m_metadata.m_requestId) {
+  // A rejection without an id may be a copy of an earlier one on this connection.
+  const bool isOther = metadata.m_requestId.empty()
+                         ? metadata.m_notRun && m_attempt->m_channel->HasEarlierCalls()
+                         : metadata.m_requestId != m_metadata.m_requestId;
+  if (isOther) {
     LogLine line("stray-answer");
     line.Text("id", m_metadata.m_requestId).Text("stray-id", metadata.m_requestId);
     line.Text("backend", m_attempt->m_backend->m_record.m_id);
@@ -58,7 +62,7 @@
     return OnEntryHead(aHead, metadata);
   }
   m_context.m_paths->OnReached(*m_attempt->m_backend);
-  if (metadata.m_notRun) {
+  if (metadata.m_notRun && !metadata.m_requestId.empty()) {
     if (aHead.m_status == kMisdirected) {
       m_attempt->m_backend->m_health.OnUnreachable(m_context.m_loop.Now());
     } else {
--- a/Tests/Edge/standin.py
+++ b/Tests/Edge/standin.py
@@ -311,6 +311,9 @@
         self.turned_away = []
         # Values of the header Server-Limit in each answer.
         self.limits = []
+        # Writes an earlier refusal of the connection again, before the next request there runs.
+        self.repeats_refusal = None
+        self.last_refusal = {}
         # Each answer says that the server is leaving.
         self.says_leaving = False
         # Value of the header Retry-After in each rejection; None for no header.
@@ -357,15 +360,19 @@
         method, target, _ = line.split(" ")
         request = headers.get("fennelline-request-id", "")
         if headers.get("fennelline-expect-replica") != self.name:
-            writer.write(encode_response(421, headers=[("Fennelline-Replica-Id", self.name)]))
+            writer.write(encode_response(421, headers=[("Fennelline-Request-Id", request),
+                                                       ("Fennelline-Replica-Id", self.name)]))
             return
         fault = self.fault if self.has_fault() else None
+        if self.repeats_refusal is not None and writer in self.last_refusal:
+            await self.repeats_refusal(writer, self.last_refusal.pop(writer))
         if fault == "dead":
             writer.transport.abort()
             return
         if fault == "shed":
             self.refused.append({"id": request, "at": time.monotonic()})
-            writer.write(self.rejection())
+            self.last_refusal[writer] = self.rejection(request)
+            writer.write(self.last_refusal[writer])
             return
         if self.queue is not None:
             if self.running >= self.slots + self.queue:
@@ -390,12 +397,13 @@
             self.turned_away = []
             await self.crash()
             return
-        writer.write(self.rejection())
+        writer.write(self.rejection(request))
 
-    def rejection(self):
+    def rejection(self, request):
         wait = [] if self.retry_after is None else [("Retry-After", str(self.retry_after))]
         return encode_response(
-            503, headers=[("Fennelline-Not-Executed", "1")] + wait + self.limit_headers())
+            503, headers=[("Fennelline-Request-Id", request), ("Fennelline-Not-Executed", "1")]
+            + wait + self.limit_headers())
 
     async def execute(self, method, target, headers, body, fault, writer):
         request = headers.get("fennelline-request-id", "")
@@ -427,7 +435,7 @@
         await asyncio.sleep(self.work_s)
         seal = self.seal_headers(request)
         if fault in ENDLESS:
-            await self.send_without_end(fault, seal, writer)
+            await self.send_without_end(fault, request, seal, writer)
             return
         if fault in UNFRAMED:
             await self.stream_until_close(run, seal, fault, writer)
@@ -451,10 +459,11 @@
         else:
             writer.write(encode_response(200, self.body_of(request), seal))
 
-    async def send_without_end(self, fault, seal, writer):
+    async def send_without_end(self, fault, request, seal, writer):
         sealed = "".join(f"{name}: {value}\r\n" for name, value in seal)
         head = f"HTTP/1.1 200 OK\r\n{sealed}"
-        rejection = "HTTP/1.1 503 Full\r\nFennelline-Not-Executed: 1\r\n\r\n"
+        rejection = ("HTTP/1.1 503 Full\r\nFennelline-Not-Executed: 1\r\n"
+                     f"Fennelline-Request-Id: {request}\r\n\r\n")
         stray = "HTTP/1.1 200 OK\r\nFennelline-Request-Id: other\r\n\r\n"
         first, more = {
             "endless-noise": ("", "no answer at all "),
