Do not let another server's error into a stream that it was to resume

On the way over another entry an error of 400 to 499 whose type says that it is a stream was taken for one, and its text got into the caller's stream.

Cause: the framer passed every block on that ends with an empty line, and OnEntryHead took any status below 500 for a stream. Servers number the events of a stream, so after one with an id, one without is not of this stream: the attempt ends as spoilt, a further server resumes, or the caller's stream is cut. Over another entry only a success is a stream.

--- a/Libraries/LibRouting/EventFramer.cpp
+++ b/Libraries/LibRouting/EventFramer.cpp
@@ -52,6 +52,10 @@
        end = FindEnd(text, begin)) {
     const std::string_view event = text.substr(begin, end - begin);
     const std::optional<std::int64_t> id = ParseId(event);
+    if (!id && m_lastEvent) {
+      m_hasForeignEvent = true;
+      break;
+    }
     const bool isKnown = id && m_lastEvent && *id <= *m_lastEvent;
     if (!isKnown) {
       whole.append(event);
--- a/Libraries/LibRouting/EventFramer.h
+++ b/Libraries/LibRouting/EventFramer.h
@@ -10,6 +10,9 @@
 
 /// Splits an event stream into complete events, so that a caller never receives a partial one.
 /// Events that the caller already has, according to their id, are skipped.
+///
+/// Servers number the events of a stream. After one with an id, an event without is not of this
+/// stream: it may be the error of another server that was to go on with it.
 class EventFramer {
 public:
   /// Events with an id up to aLastEvent are skipped.
@@ -18,8 +21,13 @@
 
   /// Appends received bytes and returns the events they complete, unchanged byte for byte.
   std::string Feed(std::string_view aBytes);
-  /// Discards an incomplete event before another attempt resumes the stream.
-  void DropPartial() { m_rest.clear(); }
+  /// Discards what is not a complete event of the stream, before another attempt resumes it.
+  void DropPartial() {
+    m_rest.clear();
+    m_hasForeignEvent = false;
+  }
+  /// Whether an event has arrived that is not of this stream. More must not be fed then.
+  bool HasForeignEvent() const { return m_hasForeignEvent; }
   /// Whether an incomplete event is buffered.
   bool HasPartial() const { return !m_rest.empty(); }
   /// Whether the incomplete event is longer than any that a server sends. More must not be fed
@@ -35,6 +43,7 @@
   std::string m_rest;
   std::optional<std::int64_t> m_lastEvent;
   std::int64_t m_events = 0;
+  bool m_hasForeignEvent = false;
 };
 
 } // namespace fennelline
--- a/Services/Edge/RelayAnswer.cpp
+++ b/Services/Edge/RelayAnswer.cpp
@@ -189,7 +189,7 @@
 void RequestRelay::OnStreamPart(std::string_view aPart) {
   const std::string events = m_framer.Feed(aPart);
   if (events.empty()) {
-    if (m_framer.IsOversized()) {
+    if (m_framer.IsOversized() || m_framer.HasForeignEvent()) {
       EndAttempt(AttemptOutcome::Corrupt);
     }
     return;
@@ -221,6 +221,10 @@
   if (m_ended || !m_attempt) {
     return;
   }
+  if (m_framer.HasForeignEvent()) {
+    EndAttempt(AttemptOutcome::Corrupt);
+    return;
+  }
   m_context.m_loop.Cancel(std::exchange(m_stallTimer, EventLoop::kNoTimer));
   // Another entry watches the pauses of its servers itself.
   if (!m_attempt->m_backend->m_isEntry && m_retryPolicy.HasRunLeft() &&
--- a/Services/Edge/RelayPassOn.cpp
+++ b/Services/Edge/RelayPassOn.cpp
@@ -10,6 +10,7 @@
 
 namespace {
 
+constexpr int kFirstRedirect = 300;
 constexpr int kFirstServerError = 500;
 constexpr int kUnavailable = 503;
 
@@ -91,7 +92,7 @@
   if (isServers) {
     m_context.m_peers->OnTaken(*m_attempt->m_backend);
     m_attempt->m_hasHead = true;
-    m_attempt->m_isStream = aHead.m_status < kFirstServerError && aMetadata.m_isEventStream;
+    m_attempt->m_isStream = aHead.m_status < kFirstRedirect && aMetadata.m_isEventStream;
     if (m_answerBegun && !m_attempt->m_isStream) {
       // Part of another response was already sent to the caller, and this one cannot continue it.
       EndPassedOn(EntryOutcome::Failed);
--- a/Tests/Edge/standin.py
+++ b/Tests/Edge/standin.py
@@ -309,6 +309,9 @@
         # It falls over when it turns away more than this in a second, and says so in its answers.
         self.brittle = None
         self.turned_away = []
+        # Body parts sent in place of the rest of a stream that is resumed; None for the rest.
+        self.resumption = None
+        self.resumption_status = 200
         # Values of the header Server-Limit in each answer.
         self.limits = []
         # Writes an earlier refusal of the connection again, before the next request there runs.
@@ -518,14 +521,20 @@
     def event_of(request, number):
         return f"id: {number}\ndata: {request} piece {number}\n\n".encode()
 
-    def stream_head(self, seal, framing="Transfer-Encoding: chunked\r\n"):
-        head = f"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n{framing}"
+    def stream_head(self, seal, framing="Transfer-Encoding: chunked\r\n", status=200):
+        head = f"HTTP/1.1 {status} Status\r\nContent-Type: text/event-stream\r\n{framing}"
         head += f"Fennelline-Confidence: {self.confidence}\r\n"
         head += "".join(f"{name}: {value}\r\n" for name, value in seal)
         return head.encode() + b"\r\n"
 
     async def stream(self, run, seal, fault, writer):
-        writer.write(self.stream_head(seal))
+        is_replaced = self.resumption is not None and run["first"] > 1
+        writer.write(self.stream_head(seal, status=self.resumption_status if is_replaced else 200))
+        if is_replaced:
+            for part in self.resumption:
+                writer.write(b"%x\r\n%s\r\n" % (len(part), part))
+            writer.write(b"0\r\n\r\n")
+            return
         for number in range(run["first"], self.events + 1):
             event = self.event_of(run["id"], number)
             if fault == "break" and number == self.events // 2 + 1:
--- a/Tests/Edge/stranded_entry.py
+++ b/Tests/Edge/stranded_entry.py
@@ -162,6 +162,23 @@
                 whole = b"".join(Replica.event_of(f"s{number}", event) for event in range(1, 21))
                 self.assertEqual((answer.status, answer.body, answer.whole), (200, whole, True))
 
+    async def test_an_error_typed_as_a_stream_does_not_get_into_a_stream_over_another_entry(self):
+        async with StrandedFleet(entries=2, pool=3, app=3) as fleet:
+            await fleet.until_members_known()
+            for replica in fleet.of("pool"):
+                replica.events, replica.work_s = 20, 0.1
+                replica.resumption_status = 404
+                # Its text has the form of an event that would be next.
+                replica.resumption = [b"id: 1000\ndata: no such model\n\n"]
+            front = fleet.stranded[0].address("front")
+            stream = asyncio.create_task(call(front, "/stream/x", "s1", accept=EVENTS,
+                                              deadline_ms=8000))
+            await asyncio.sleep(0.6)
+            await fleet.cut("reset")
+            answer = await stream
+            self.assertNotIn(b"no such model", answer.body)
+            self.assertFalse(answer.whole)
+
     async def test_a_caller_that_leaves_ends_the_work_at_the_server_behind_another_entry(self):
         async with StrandedFleet(entries=2, pool=3, app=3) as fleet:
             front = await self.lose_path(fleet)
--- a/Tests/LibRouting/TestEventFramer.cpp
+++ b/Tests/LibRouting/TestEventFramer.cpp
@@ -48,3 +48,25 @@
   EventFramer framer(12);
   CHECK(framer.Feed(Event(11) + Event(12) + Event(13)) == Event(13));
 }
+
+TEST_CASE("an event without an id is not passed on after one with an id") {
+  for (const std::string foreign :
+       {"event: error\ndata: x\n\n", ": comment\n\n", "text\n\nmore\n\n", "id: x\ndata: y\n\n"}) {
+    CAPTURE(foreign);
+    EventFramer framer;
+    CHECK(framer.Feed(Event(1) + foreign + Event(2)) == Event(1));
+    CHECK(framer.HasForeignEvent());
+    framer.DropPartial();
+    CHECK(!framer.HasForeignEvent());
+    CHECK(framer.Feed(Event(2)) == Event(2));
+    EventFramer resumed(12);
+    CHECK(resumed.Feed(foreign).empty());
+    CHECK(resumed.HasForeignEvent());
+  }
+}
+
+TEST_CASE("events of a stream without ids are passed on") {
+  EventFramer framer;
+  CHECK(framer.Feed("data: a\n\ndata: b\n\n") == "data: a\n\ndata: b\n\n");
+  CHECK(!framer.HasForeignEvent());
+}
