--- a/Services/Edge/OutgoingCalls.cpp
+++ b/Services/Edge/OutgoingCalls.cpp
@@ -22,10 +22,11 @@
 }
 
 void OutgoingCalls::Send(const std::string& aAddress, const std::string& aBytes, Duration aTimeout,
-                         OnResponse aOnResponse) {
+                         OnResponse aOnResponse, OnBegun aOnBegun) {
   ConnectionPool& pool = PoolOf(aAddress);
   const std::shared_ptr<Exchange> exchange = std::make_shared<Exchange>();
   exchange->m_onResponse = std::move(aOnResponse);
+  exchange->m_onBegun = std::move(aOnBegun);
   exchange->m_pool = &pool;
   Result<std::shared_ptr<ClientConnection>> connection = pool.Acquire(false);
   if (connection.IsError()) {
@@ -49,6 +50,9 @@
 
 void OutgoingCalls::OnBody(Exchange& aExchange, const std::string& aPart) {
   const Time now = m_loop.Now();
+  if (!aExchange.m_firstByteAt && aExchange.m_onBegun) {
+    aExchange.m_onBegun();
+  }
   aExchange.m_firstByteAt = aExchange.m_firstByteAt.value_or(now);
   aExchange.m_response.m_body += aPart;
   const Time extended = std::min(now + kMaxStall, *aExchange.m_firstByteAt + kMaxTransferTime);
--- a/Services/Edge/OutgoingCalls.h
+++ b/Services/Edge/OutgoingCalls.h
@@ -23,6 +23,7 @@
 class OutgoingCalls {
 public:
   using OnResponse = std::function<void(const CallResponse&)>;
+  using OnBegun = std::function<void()>;
 
   explicit OutgoingCalls(EventLoop& aLoop)
     : m_loop(aLoop) {}
@@ -30,13 +31,14 @@
   OutgoingCalls& operator=(const OutgoingCalls&) = delete;
 
   /// A response that has begun within aTimeout may take longer while its bytes keep arriving, so
-  /// that a large one is not given up over a narrow link.
+  /// that a large one is not given up over a narrow link. aOnBegun: called with its first byte.
   void Send(const std::string& aAddress, const std::string& aBytes, Duration aTimeout,
-            OnResponse aOnResponse);
+            OnResponse aOnResponse, OnBegun aOnBegun = {});
 
 private:
   struct Exchange {
     OnResponse m_onResponse;
+    OnBegun m_onBegun;
     std::shared_ptr<ClientConnection> m_connection;
     ConnectionPool* m_pool = nullptr;
     EventLoop::TimerId m_timer = EventLoop::kNoTimer;
--- a/Services/Edge/StoreClient.cpp
+++ b/Services/Edge/StoreClient.cpp
@@ -329,10 +329,17 @@
                           : std::clamp(NextStoreCheck() - sent, kMinPeerWait, kPeerWatchWait);
   WatchPeerCall(aChoice, sent,
                 sent + wait + (aChoice.m_isProbe ? kProbeOverdueTime : kPeerOverdueTime));
-  m_calls.Send(aChoice.m_peer, PeerQuery(m_mirror, wait, aChoice.m_peer), wait + kPeerAnswerTime,
-               [this, aChoice, sent, sync = m_sync](const CallResponse& aResponse) {
-                 OnPeerAnswer(aChoice, aResponse, sent, sync);
-               });
+  m_calls.Send(
+    aChoice.m_peer, PeerQuery(m_mirror, wait, aChoice.m_peer), wait + kPeerAnswerTime,
+    [this, aChoice, sent, sync = m_sync](const CallResponse& aResponse) {
+      OnPeerAnswer(aChoice, aResponse, sent, sync);
+    },
+    [this, sync = m_sync] {
+      // From now on, the call itself ends when the transfer stalls.
+      if (sync == m_sync) {
+        m_context.m_loop.Cancel(std::exchange(m_peerCallTimer, EventLoop::kNoTimer));
+      }
+    });
 }
 
 void StoreClient::WatchPeerCall(const MirrorSource::Choice& aChoice, Time aSent, Time aOverdueAt) {
--- a/Services/Edge/StoreClient.h
+++ b/Services/Edge/StoreClient.h
@@ -66,8 +66,8 @@
   /// When to look again whether the store has to be asked although a peer is.
   Time NextStoreCheck() const;
   void SyncWith(const MirrorSource::Choice& aChoice);
-  /// Goes on to another source if the peer has not answered by aOverdueAt, or if the store has to
-  /// be asked before. A later answer of the peer still counts.
+  /// Goes on to another source if the peer has not begun to answer by aOverdueAt, or if the store
+  /// has to be asked before. A later answer of the peer still counts.
   void WatchPeerCall(const MirrorSource::Choice& aChoice, Time aSent, Time aOverdueAt);
   void EndSync();
   void SyncWithStore(const MirrorSource::Choice& aChoice);
--- a/Tests/Edge/LimitedLink.h
+++ b/Tests/Edge/LimitedLink.h
@@ -16,8 +16,8 @@
   LimitedLink(EventLoop& aLoop, std::string aTarget, std::size_t aBytesPerSecond);
 
   std::string Address() const { return "127.0.0.1:" + std::to_string(LocalPort(m_listener)); }
-  /// From now on, nothing reaches the clients, and connections stay open.
-  void FallSilent() { m_bytesPerSecond = 0; }
+  /// With a rate of zero nothing reaches the clients, and connections stay open.
+  void SetRate(std::size_t aBytesPerSecond) { m_bytesPerSecond = aBytesPerSecond; }
   /// Bytes passed on to clients.
   std::size_t CountPassed() const { return m_passed; }
 
--- a/Tests/Edge/TestMirrorSpread.cpp
+++ b/Tests/Edge/TestMirrorSpread.cpp
@@ -132,7 +132,8 @@
   std::string Address() const { return m_link.Address(); }
   const LimitedLink& Link() const { return m_link; }
   /// Stands still as far as its readers see.
-  void FallSilent() { m_link.FallSilent(); }
+  void FallSilent() { m_link.SetRate(0); }
+  void SlowDown(std::size_t aBytesPerSecond) { m_link.SetRate(aBytesPerSecond); }
   bool Holds(const std::string& aKey, const std::string& aValue) const {
     const KeyValue* found = m_store.Mirror().Find(aKey);
     return found != nullptr && found->m_value == aValue;
@@ -310,6 +311,21 @@
   }
 }
 
+TEST_CASE("an update that is on its way is not asked for again elsewhere") {
+  constexpr std::size_t kServers = 400;
+  constexpr std::size_t kSlowLink = 100'000;
+  WatchedPair fleet;
+  fleet.m_first->SlowDown(kSlowLink);
+  const std::size_t before = fleet.m_second->Link().CountPassed();
+  const std::string entry(300, 'x');
+  for (std::size_t number = 0; number < kServers; ++number) {
+    fleet.m_store->Put("servers/i-" + std::to_string(number), entry);
+  }
+  fleet.m_store->Put("servers/i-1", "draining");
+  CHECK(fleet.UntilKnown("draining", Seconds(3)));
+  CHECK(fleet.m_second->Link().CountPassed() - before < kServers * entry.size() / 2);
+}
+
 TEST_CASE("a server's leaving does not wait behind a large configuration") {
   SmallFleet fleet;
   fleet.Store().Put("op/config", LargeConfiguration(2));
