Give every test process its own ports; report an entry that ends before it is ready

Its log was not kept, so the cause is not shown; the same sentence appears when an entry can't bind (tried with the real entry: "cannot bind ...: Address already in use", exit code 1). Ports were drawn at random: two of the four of an entry, the datagram port (where a stranded entry also listens for TCP) and those of tests beside it could be equal. 80 entries of a test: 4 of 400 ports twice; four processes: 796 ports drawn, 17 shared. EdgeCrashingRequest failed that way before.

An entry that ends before it is ready is reported at once with the end of its log instead of after 10 s.

--- a/Tests/Edge/fleet.py
+++ b/Tests/Edge/fleet.py
@@ -66,8 +66,7 @@
         return replica
 
     async def until_ready(self, entry):
-        await wait_until(lambda: os.path.exists(entry.log_path) and entry.lines("ready"), 10,
-                         f"{entry.name} has logged that it is ready")
+        await wait_until(entry.is_ready, 10, f"{entry.name} has logged that it is ready")
 
     async def until_members_known(self):
         await wait_until(lambda: all(len({line["member"] for line in entry.lines("member")})
--- a/Tests/Edge/standin.py
+++ b/Tests/Edge/standin.py
@@ -9,10 +9,11 @@
 import os
 import random
 import signal
-import socket
 import time
 import urllib.parse
 
+from ports import free_port
+
 HOST = "127.0.0.1"
 READ_LIMIT = 1 << 20
 
@@ -548,22 +549,6 @@
         writer.write(b"0\r\n\r\n")
 
 
-def free_port():
-    """A port that nothing uses on any address of this machine: entries have addresses of their own.
-
-    It is below the ports that the system gives to outgoing connections and to other listeners, since
-    it stays unused until the entry starts.
-    """
-    while True:
-        port = random.randint(12_000, 32_000)
-        with socket.socket() as probe:
-            try:
-                probe.bind(("", port))
-                return port
-            except OSError:
-                continue
-
-
 # An entry may use this much memory by its settings.
 MOST_MEMORY_KB = 110_000
 
@@ -626,6 +611,18 @@
         if self.process:
             await self.process.wait()
 
+    def is_ready(self):
+        """Whether it has logged that it is ready; raises AssertionError if it ended before."""
+        if not os.path.exists(self.log_path):
+            return False
+        if self.lines("ready"):
+            return True
+        if self.process.returncode is not None:
+            with open(self.log_path, encoding="utf-8") as log:
+                tail = "".join(log.readlines()[-5:])
+            raise AssertionError(f"{self.name} ended with {self.process.returncode} before it was ready:\n{tail}")
+        return False
+
     def peak_memory_kb(self):
         with open(f"/proc/{self.process.pid}/status", encoding="utf-8") as status:
             return next(int(line.split()[1]) for line in status if line.startswith("VmHWM"))
--- a/Tests/Soak/soak.py
+++ b/Tests/Soak/soak.py
@@ -209,7 +209,7 @@
             entry.starting = asyncio.Lock()
             self.entries.append(await entry.start())
         for entry in self.entries:
-            await wait_until(lambda e=entry: os.path.exists(e.log_path) and e.lines("ready"))
+            await wait_until(entry.is_ready)
 
     async def run_caller(self, seed):
         """Sends requests to random running entries until the test stops."""
