Keep a view of three claim holders until another entry can join

A quorum of three is held by two, so after a shrink to two each may lack some slots and none may be dropped without a loss.

Change: a view whose quorum is smaller than itself changes only together with a joining holder. Nothing is lost by it: the two others are a quorum with or without the third in the view.

--- a/Libraries/LibCoordination/Claims/ViewPlanner.cpp
+++ b/Libraries/LibCoordination/Claims/ViewPlanner.cpp
@@ -108,10 +108,22 @@
   return aView.m_holders.size() - QuorumOf(aView) + 1;
 }
 
-ViewPlan Replace(const ClaimView& aView, const EntryId& aEntry, const ClaimMembers& aMembers) {
+/// Whether a granted attempt has the slot of every holder of the view.
+bool HoldersHaveAllSlots(const ClaimView& aView) {
+  return QuorumOf(aView) == aView.m_holders.size();
+}
+
+/// Null if no entry can join and the view must not shrink. A view of fewer holders may only follow
+/// if each of them has all slots; otherwise slots that only one of them has would be lost with the
+/// next change. The holder that stays does no harm, since the others are still a quorum.
+std::optional<ViewPlan> Replace(const ClaimView& aView, const EntryId& aEntry,
+                                const ClaimMembers& aMembers) {
   ClaimView draft = Draft(aView, [&](const EntryId& aHolder) { return aHolder != aEntry; });
   AddJoining(draft, aView, aMembers);
-  return {.m_view = std::move(draft)};
+  if (draft.m_joining.empty() && !HoldersHaveAllSlots(aView)) {
+    return std::nullopt;
+  }
+  return ViewPlan{.m_view = std::move(draft)};
 }
 
 std::optional<ViewPlan> PlanGrowth(const ClaimView& aView, const ClaimMembers& aMembers) {
@@ -134,9 +146,9 @@
     if (seen.insert(aMembers.DataCentreOf(holder)).second) {
       continue;
     }
-    ViewPlan plan = Replace(aView, holder, aMembers);
-    const std::size_t newSpread = DataCentresOf(plan.m_view.m_holders, aMembers).size();
-    return newSpread > spread ? std::optional(plan) : std::nullopt;
+    std::optional<ViewPlan> plan = Replace(aView, holder, aMembers);
+    const bool isWider = plan && DataCentresOf(plan->m_view.m_holders, aMembers).size() > spread;
+    return isWider ? plan : std::nullopt;
   }
   return std::nullopt;
 }
--- a/Models/Claim.pml
+++ b/Models/Claim.pml
@@ -22,6 +22,7 @@
      -DRESTART_EMPTY     a holder restarts without its slots but with its previous identity
      -DSEND_ABANDONED    an attempt may be sent after it was abandoned
      -DSKIP_JOIN         view 2 is created before holder 3 has joined, and holder 3 serves regardless
+     -DSHRINK            view 1 is {0,1}, without a joining holder, and view 2 {0,4}
 
    Not modelled: liveness, expiry of slots, the outcome that is stored after execution, more than two
    attempts, and views that lose slots, which ClaimLost.pml covers. */
@@ -39,7 +40,12 @@
 bool abandoned[ATTEMPTS];
 byte sent = 0;
 
-#define IS_IN_VIEW(h, v) ((h) == 0 || ((v) < 2 && (h) == 1) || ((v) == 0 && (h) == 2) || ((v) > 0 && (h) == 3) || ((v) == 2 && (h) == 4))
+#ifdef SHRINK
+#define HAS_HOLDER3(v) false
+#else
+#define HAS_HOLDER3(v) ((v) > 0)
+#endif
+#define IS_IN_VIEW(h, v) ((h) == 0 || ((v) < 2 && (h) == 1) || ((v) == 0 && (h) == 2) || (HAS_HOLDER3(v) && (h) == 3) || ((v) == 2 && (h) == 4))
 #define HAS_BIT(m, h) (((m) >> (h)) & 1)
 #define COUNT(m) (HAS_BIT(m, 0) + HAS_BIT(m, 1) + HAS_BIT(m, 2) + HAS_BIT(m, 3) + HAS_BIT(m, 4))
 #ifdef MIXED_VIEWS
@@ -91,11 +97,16 @@
 #else
 #define COMPLETE(m) ((m) == 3)
 #endif
-#ifdef SKIP_JOIN
+#if defined(SKIP_JOIN) || defined(SHRINK)
 #define HAS_JOINED3 true
 #else
 #define HAS_JOINED3 joined3
 #endif
+#ifdef SHRINK
+#define COMPLETE4 HAS_BIT(handedOver4, 0)
+#else
+#define COMPLETE4 COMPLETE(handedOver4)
+#endif
 
 proctype ViewChanges() {
   do
@@ -122,7 +133,7 @@
   /* Holder 4 joins view 2. */
   :: atomic { view[4] == 2 && !serving[4] && !HAS_BIT(handedOver4, 0) && HAS_ADOPTED(0, 2) -> slot[4] = slot[4] | slot[0]; handedOver4 = handedOver4 | 1 }
   :: atomic { view[4] == 2 && !serving[4] && !HAS_BIT(handedOver4, 1) && HAS_ADOPTED(3, 2) && serving[3] -> slot[4] = slot[4] | slot[3]; handedOver4 = handedOver4 | 2 }
-  :: atomic { !serving[4] && COMPLETE(handedOver4) -> serving[4] = true }
+  :: atomic { !serving[4] && COMPLETE4 -> serving[4] = true }
   od
 }
 
--- a/Tests/LibCoordination/Claims/TestClaimParts.cpp
+++ b/Tests/LibCoordination/Claims/TestClaimParts.cpp
@@ -124,6 +124,33 @@
   CHECK(PlanView(JoinedView(JoiningView()), members, settings, kNow)->m_losesSlots);
 }
 
+TEST_CASE("a view of three holders keeps one that is gone or leaving until another can join") {
+  const ClaimSettings settings;
+  ClaimMembers members(settings, "a#1", "dc-0");
+  const ClaimView joined = JoinedView(JoiningView());
+  std::vector<MemberDigest> digests;
+  for (const EntryId& holder : joined.m_holders) {
+    digests.push_back({.m_entry = holder, .m_version = 1});
+  }
+  for (const MemberState state : {MemberState::Dead, MemberState::Leaving}) {
+    digests.back().m_state = state;
+    members.Update(digests, kNow);
+    CHECK_FALSE(PlanView(joined, members, settings, kNow).has_value());
+  }
+  digests.back().m_state = MemberState::Dead;
+  members.Update(digests, kNow);
+  CHECK_FALSE(PlanView(JoiningView(), members, settings, kNow).has_value());
+  // Both holders of a view that has grown to two have every slot.
+  digests[1].m_state = MemberState::Dead;
+  members.Update(digests, kNow);
+  const ClaimView grown{
+    .m_number = 5, .m_revision = 6, .m_holders = {"a#1", "b#1"}, .m_since = {1, 5}};
+  const std::optional<ViewPlan> alone = PlanView(grown, members, settings, kNow);
+  REQUIRE(alone.has_value());
+  CHECK(alone->m_view.m_holders == std::vector<EntryId>{"a#1"});
+  CHECK_FALSE(alone->m_losesSlots);
+}
+
 TEST_CASE("a serialized view parses to the same view") {
   ClaimView view = JoiningView();
   view.m_number = 0;
