--- a/Tests/LibCoordination/Fakes/SimulatedCluster.h
+++ b/Tests/LibCoordination/Fakes/SimulatedCluster.h
@@ -97,9 +97,11 @@
   }
 
   /// Pauses a process as SIGSTOP does. What arrives in the meantime is handled when it resumes. The
-  /// others consider it dead once the pause is longer than m_deathLag.
+  /// others consider it dead once the pause is longer than m_deathLag. A pause within a longer one
+  /// does not shorten it.
   void Pause(const EntryId& aEntry, Duration aLength) {
-    m_nodes.at(aEntry).m_pausedUntil = m_now + aLength;
+    Time& pausedUntil = m_nodes.at(aEntry).m_pausedUntil;
+    pausedUntil = std::max(pausedUntil, m_now + aLength);
     At(m_now + m_deathLag, [this] { TellMembers(); });
     At(m_now + aLength + m_membershipDelay, [this] { TellMembers(); });
   }
