Never share a datagram port with another socket

TestProcessBilling (known red): at the start an entry listed no member but itself, in 1 of 2 full runs; alone it passed.

Cause: datagram sockets were bound with SO_REUSEADDR. With it the system lets two sockets have the same port, and when it chooses the port itself, it does give a used one: of 2,000 such sockets 1,915 had a port of their own, of 2,000 without the option all. Only the last one bound receives anything, so an entry beside another test's entries may never hear of any member. Shown with the test: a second socket, bound to the port of one of its entries for 14 s, made it pass 12 s later (32 s instead of 20), and for 45 s made it fail. The same would happen to two processes set to one port on a machine: the first would go deaf without a word.

Change: the option is set for stream sockets only; a datagram port that is in use is an error at the start. TestDatagramSocket, "no two sockets receive on the same port", failed before.

--- a/Libraries/LibWire/Socket.cpp
+++ b/Libraries/LibWire/Socket.cpp
@@ -30,7 +30,11 @@
   if (!socket.IsOpen()) {
     return IoError("cannot create a socket");
   }
-  SetOption(socket, SOL_SOCKET, SO_REUSEADDR);
+  // On datagram sockets, the option would let two of them have the same port: the system may then
+  // even choose a used one, and only the last socket receives anything.
+  if (aType == SOCK_STREAM) {
+    SetOption(socket, SOL_SOCKET, SO_REUSEADDR);
+  }
   if (::bind(socket.Number(), Generic(address), sizeof(address)) != 0) {
     return IoError("cannot bind " + aAddress + ":" + std::to_string(aPort));
   }
--- a/Tests/LibWire/TestDatagramSocket.cpp
+++ b/Tests/LibWire/TestDatagramSocket.cpp
@@ -48,3 +48,11 @@
   CHECK(socket.Send("somewhere:9", Numbered(1)).GetError().m_code == ErrorCode::InvalidField);
   CHECK(socket.Send("127.0.0.1:70000", Numbered(1)).IsError());
 }
+
+TEST_CASE("no two sockets receive on the same port") {
+  const auto ignore = [](const MembershipDatagram&) {};
+  DatagramSocket first({.m_sharedSecrets = {"secret-number-one"}}, ignore);
+  const int port = first.Start().Take();
+  DatagramSocket second({.m_port = port, .m_sharedSecrets = {"secret-number-one"}}, ignore);
+  CHECK(second.Start().IsError());
+}
