Keep the requests of the recovered servers' test under way long enough to count them

EdgeRecoveredServer (known red; fails beside load): none of the servers that are no longer brittle runs more than its share of requests at a time.

With answers of 0.16 s two to three ran on each server at a time; nothing held them back.

Change: the answers of the burst take 3 s, so that its requests are under way together.

--- a/Tests/Edge/brittle_server.py
+++ b/Tests/Edge/brittle_server.py
@@ -45,7 +45,7 @@
         return [at for replica in self.of("app") for at in replica.crash_times if at > when]
 
 
-async def send(fleet, per_second, seconds, prefix, path="/plain/x"):
+async def send(fleet, per_second, seconds, prefix, path="/plain/x", deadline_ms=1000):
     """Sends requests to the entries in turn; returns their answers."""
     calls = []
     start = time.monotonic()
@@ -53,7 +53,7 @@
         entry = fleet.entries[number % len(fleet.entries)]
         calls.append(asyncio.create_task(call(entry.address("front"), path, f"{prefix}-{number}",
                                               body=f"{prefix}-{number}".encode(),
-                                              deadline_ms=1000)))
+                                              deadline_ms=deadline_ms)))
         await asyncio.sleep(max(0.0, start + (number + 1) / per_second - time.monotonic()))
     return await asyncio.gather(*calls)
 
@@ -102,8 +102,6 @@
             self.assertEqual([answer.status for answer in answers if not is_served(answer)], [])
             self.assertEqual(fleet.falls_since(since), [])
 
-
-class RecoveredServer(unittest.IsolatedAsyncioTestCase):
     async def test_servers_that_are_no_longer_brittle_are_used_as_before(self):
         async with BrittleFleet(3, entries=2) as fleet:
             await fleet.until_members_known()
@@ -111,7 +109,10 @@
             for replica in fleet.of("app"):
                 replica.brittle = None
             await send(fleet, 40, 1.0, "then")
-            calls = asyncio.create_task(send(fleet, 600, 0.1, "burst"))
+            # Long enough for all of them to be under way at once, also on a busy machine.
+            for replica in fleet.of("app"):
+                replica.work_s = 3.0
+            calls = asyncio.create_task(send(fleet, 600, 0.1, "burst", deadline_ms=10_000))
             await wait_until(lambda: max(replica.most_running for replica in fleet.of("app"))
                              > SLOTS)
             await calls
