Let the popular part of the refused part's test run well once before the crashes

EdgeRefusedPart (known red): the part that crashes servers is not refused in 10 s.

Cause, from the logs of a failed run: in the first 0.1 s of the fleet the first and the second sound request ran on the same two servers as the first and the second deadly one, were cut with them, and no request with the popular part had run well anywhere. Both parts had then crashed two servers of two, and the popular one, whose run came first, was refused for 5 s (refusals 2), the deadly one with it. With what the entries could know the two can't be told apart, so this isn't a fault of the refusal; a popular part is protected by runs that went well, which this fleet never had.

Change: each entry serves one request with the popular part before the other part begins to crash servers.

--- a/Tests/Edge/crashing_part.py
+++ b/Tests/Edge/crashing_part.py
@@ -153,8 +153,13 @@
     async def refuse(self, fleet):
         """Makes all entries refuse DEADLY; returns the traffic."""
         await fleet.until_members_known()
-        fleet.crash_under(DEADLY)
         traffic = Traffic(fleet, "/once/report")
+        # A part that has never run well cannot be told from one that crashes the servers it is on.
+        for _ in fleet.entries:
+            traffic.send(POPULAR)
+        for answer in await traffic.answers(lambda *_: True):
+            self.assertTrue(is_served(answer))
+        fleet.crash_under(DEADLY)
         for _ in range(6):
             traffic.send(POPULAR)
             traffic.send(POPULAR, DEADLY)
