Let servers in the soak say that they leave, or want to be left alone

Servers now carry Server-Leaving in all their answers, or reject with Retry-After for a while, beside the soak's other faults. The new ones draw from numbers of their own, so that a seed plays the same other faults as before. WishChecker knows from the entries' logs which process sent what to which server: nothing that a caller sends later than 2 s after the process passed such an answer on, and two requests at most within a wait.

--- a/Tests/Edge/standin.py
+++ b/Tests/Edge/standin.py
@@ -374,7 +374,7 @@
             writer.transport.abort()
             return
         if fault == "shed":
-            self.refused.append({"id": request, "at": time.monotonic()})
+            self.refused.append({"id": request, "at": time.monotonic(), "wait": self.retry_after})
             self.last_refusal[writer] = self.rejection(request)
             writer.write(self.last_refusal[writer])
             return
--- a/Tests/Soak/soak.py
+++ b/Tests/Soak/soak.py
@@ -3,8 +3,9 @@
 Usage: soak.py BIN --seed N [--seeds COUNT] [--seconds S] [--entries N]. Each seed determines a
 series of overlapping faults: entries are stopped, paused, killed and restarted by signals; the store
 fails, compacts its history or is partitioned from individual entries by a proxy; backend servers
-fail, deregister, restart and hang behind proxies, and some contents crash those that run them. Checker verifies the requests and responses as
-seen by the callers and the backend servers.
+fail, deregister, restart and hang behind proxies, say in their answers that they leave or want to be
+left alone, and some contents crash those that run them. Checker and WishChecker verify the requests
+and responses as seen by the callers and the backend servers.
 """
 
 import argparse
@@ -19,6 +20,7 @@
 
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "Edge"))
 from standin import Entry, Proxy, Replica, Store, call, configuration, free_port, wait_until
+from wish_checker import WishChecker
 
 EVENTS = "text/event-stream"
 # Bounds in the settings that Entry writes, in seconds, and the tolerance for the callers' clocks.
@@ -46,9 +48,10 @@
     UNASKED: a backend server executes a request that no caller sent, or an altered body.
     TWICE: a non-idempotent request is executed more than once.
     REFUSED: a non-idempotent request is executed although its caller got 408, 421, 429 or 503.
-    BUDGET: a request is executed more than three times, or a content that crashes servers is sent
-    to more of them than MAX_LATE_RETRIES.
-    DRAIN: a request reaches a backend server too long after the server began to leave.
+    BUDGET: a request is executed more than three times, a content that crashes servers is sent to
+    more of them than MAX_LATE_RETRIES, or an entry does not leave a server alone that asked for it.
+    DRAIN: a request reaches a backend server too long after the server began to leave, or an entry
+    sends one too long after it passed on an answer that says so.
     RECOVER: an entry does not serve a request after the faults have ended.
     CONFIG: a revoked key is still accepted.
     """
@@ -61,6 +64,7 @@
         # connected.
         self.bodies = {}
         self.sent_connected = set()
+        self.wishes = WishChecker()
 
     def fail(self, rule, request, detail):
         self.violations.append(f"{rule}: {request}: {detail}")
@@ -105,6 +109,12 @@
                     self.fail("DRAIN", request, f"received {run['at'] - run['leaving']:.2f} s after "
                                                 f"{replica.name} began to leave")
 
+    def check_wishes(self, replicas, entries):
+        self.wishes.read_logs(entries)
+        answers = {request: answer for request, (_, answer) in self.requests.items()}
+        for violation in self.wishes.violations(replicas, answers):
+            self.fail(*violation)
+
     def check_refusals(self, entries):
         for entry in entries:
             for line in entry.lines("content-not-run"):
@@ -126,6 +136,7 @@
 class Soak:
     def __init__(self, binary, seed, seconds, entries):
         self.random = random.Random(seed)
+        self.seed = seed
         self.seconds = seconds
         self.log_directory = tempfile.mkdtemp(prefix=f"fennelline-soak-{seed}-")
         self.binary = binary
@@ -145,10 +156,10 @@
     def log_event(self, text):
         self.event_log.append(f"{time.monotonic() - self.started:7.3f} {text}")
 
-    async def add_replica(self, service):
+    async def add_replica(self, service, rng=None):
         self.last_id += 1
         replica = Replica(self.store, f"i-{service}-{self.last_id}", service, events=8, work_s=0.01)
-        replica.random = random.Random(self.random.random())
+        replica.random = random.Random((rng or self.random).random())
         replica.crash_bodies = self.crash_bodies
         replica.on_crash = lambda crashed: self.tasks.append(
             asyncio.create_task(self.replace_crashed(crashed)))
@@ -183,6 +194,7 @@
             request = f"{kind}-crashing-{self.last_id}"
             self.checker.requests[request] = (kind, _pending_response())
             self.checker.bodies[request] = content
+            self.checker.wishes.note_sent(request, entry)
             if self.is_connected(entry):
                 self.checker.sent_connected.add(request)
             answer = await call(entry.address("front"), f"/{kind}/x", request, key="key-2",
@@ -225,6 +237,7 @@
             request = f"{kind}-{seed}-{self.last_id}"
             self.checker.requests[request] = (kind, _pending_response())
             disconnects = kind == "stream" and rng.random() < 0.05
+            self.checker.wishes.note_sent(request, entry)
             answer = await call(entry.address("front"), f"/{kind}/x", request, key="key-2",
                                 accept=EVENTS if kind == "stream" else "",
                                 stop_after=60 if disconnects else None)
@@ -267,9 +280,11 @@
                 entry.down = entry.process is process
             await self.restart(entry, process, self.random.uniform(0, 1))
         elif kind == "pause":
+            paused_at = time.monotonic()
             entry.signal(signal.SIGSTOP)
             await asyncio.sleep(duration_s)
             entry.signal(signal.SIGCONT)
+            self.checker.wishes.paused[entry.name].append((paused_at, time.monotonic()))
         elif kind == "hup":
             entry.signal(signal.SIGHUP)
         elif kind == "store":
@@ -292,16 +307,19 @@
         elif kind == "server-net":
             replica.proxy.mode = self.random.choice(["silent", "refuse", "cut-in", "cut-out", "pass"])
             replica.proxy.delay_s = self.random.choice([0, 0.02, 0.2])
+            disturbed_at = time.monotonic()
             await asyncio.sleep(duration_s)
             replica.proxy.mode, replica.proxy.delay_s = "pass", 0
             replica.proxy.reset_all()
+            self.checker.wishes.disturbed[replica.name].append((disturbed_at, time.monotonic()))
         elif kind == "leave" and replica.leaving_since is None:
             await self.add_replica(replica.service)
             if self.random.random() < 0.5:
                 replica.register("draining")
             else:
                 replica.leave()
-        elif kind == "server-restart" and replica.leaving_since is None:
+        elif kind == "server-restart" and replica.leaving_since is None and not replica.says_leaving:
+            self.checker.wishes.restarted[replica.name].append(time.monotonic())
             await replica.stop(reset=True)
             await replica.start()
             replica.born += 1000
@@ -320,10 +338,35 @@
         elif kind == "malformed-record":
             self.store.put("servers/i-odd", self.random.randbytes(20))
 
+    async def make_wishes(self, rng, end):
+        """Lets servers say that they leave, or want to be left alone, now and then.
+
+        It draws from numbers of its own, so that the other faults of a seed stay the same.
+        """
+        while time.monotonic() < end:
+            await asyncio.sleep(rng.expovariate(0.5))
+            usual = [replica for replica in self.replicas
+                     if replica.leaving_since is None and not replica.says_leaving]
+            if not usual:
+                continue
+            replica = rng.choice(usual)
+            if rng.random() < 0.4:
+                self.log_event(f"says-leaving {replica.name}")
+                await self.add_replica(replica.service, rng)
+                replica.says_leaving = True
+                continue
+            replica.retry_after = round(rng.uniform(1.0, 4.0), 1)
+            self.log_event(f"wait {replica.name} {replica.retry_after} s")
+            replica.fault, replica.fault_share = "shed", 1.0
+            await asyncio.sleep(rng.uniform(0.3, 1.5))
+            replica.fault = None
+
     async def run(self):
         await self.start()
         callers = [asyncio.create_task(self.run_caller(seed)) for seed in range(12)]
         end = time.monotonic() + self.seconds
+        self.tasks.append(asyncio.create_task(
+            self.make_wishes(random.Random(f"wishes {self.seed}"), end)))
         while time.monotonic() < end:
             self.tasks.append(asyncio.create_task(self.inject_fault()))
             await asyncio.sleep(self.random.expovariate(1.6))
@@ -335,6 +378,7 @@
         for content in self.crash_bodies:
             self.checker.check_crashes(self.replicas, content)
         self.checker.check_refusals(self.entries)
+        self.checker.check_wishes(self.replicas, self.entries)
         for task in self.tasks:
             task.cancel()
         for entry in self.entries:
@@ -355,6 +399,7 @@
                     self.last_id += 1
                     request = f"{kind}-after-{self.last_id}"
                     self.checker.requests[request] = (kind, _pending_response())
+                    self.checker.wishes.note_sent(request, entry)
                     answer = await call(entry.address("front"), f"/{kind}/x", request, key="key-2",
                                         accept=EVENTS if kind == "stream" else "")
                     self.checker.check_response(kind, request, answer)
@@ -402,7 +447,8 @@
         await soak.run()
         violations = soak.checker.violations
         verdict = "FAILED" if violations else "passed"
-        print(f"seed {seed}: {verdict} {dict(sorted(soak.checker.outcome_counts.items()))}", flush=True)
+        counts = {**soak.checker.outcome_counts, **soak.checker.wishes.checked}
+        print(f"seed {seed}: {verdict} {dict(sorted(counts.items()))}", flush=True)
         if violations:
             failed += 1
             print("\n".join(violations[:10]))
