Do not run a request again while its begun answer waits for a slow caller

A plain answer of over 256 kB is passed on as it comes, and the server is read no faster than the caller reads. The timer for silent servers went on meanwhile: after 0.65 s it ran the request on another server, whose answer could not go on where the first one was, so the caller's answer was cut and the request had run twice. The same for a server that pauses within such an answer.

Change: a plain answer that has begun stays with its server. EdgeSlowCaller, "an answer that is read late is whole and ran once", failed before; a stream that is read late was whole before, too.

--- a/Services/Edge/RelayAnswer.cpp
+++ b/Services/Edge/RelayAnswer.cpp
@@ -430,6 +430,10 @@
   if (m_ended || !m_attempt) {
     return;
   }
+  if (m_answerBegun && !m_attempt->m_isStream) {
+    // No other answer can go on where this one is. It may only wait for a caller that reads slowly.
+    return;
+  }
   const bool isBusyElsewhere = m_route->m_kind == RouteKind::Streaming &&
                                m_attempt->m_backend->m_lastReceivedAt > m_attempt->m_sentAt;
   if (isBusyElsewhere) {
--- /dev/null
+++ b/Tests/Edge/slow_caller.py
@@ -0,0 +1,92 @@
+"""Tests that callers who read slowly get their answers whole, and from one server.
+
+Run: slow_caller.py BIN [CASE...]
+"""
+
+import asyncio
+import os
+import socket
+import sys
+import unittest
+
+sys.path.insert(0, os.path.dirname(__file__))
+from fleet import Fleet
+from standin import wait_until
+
+EVENTS = "text/event-stream"
+RECEIVE_BUFFER = 4_096
+# Larger than what the system and an entry keep for one connection.
+LARGE_ANSWER = 6_000_000
+
+
+class SlowCaller:
+    """A caller with a small receive buffer that reads when it is told to."""
+
+    async def connect(self, entry):
+        self.socket = socket.socket()
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER)
+        self.socket.setblocking(False)
+        self.received = b""
+        await asyncio.get_running_loop().sock_connect(self.socket, (entry.ip, entry.ports["front"]))
+        return self
+
+    async def send(self, path, request, headers=()):
+        text = (f"POST {path} HTTP/1.1\r\nHost: a.example\r\nFennelline-Request-Id: {request}\r\n"
+                f"Fennelline-Deadline-Ms: 8000\r\nAuthorization: Bearer key-1\r\nContent-Length: 0\r\n")
+        text += "".join(f"{name}: {value}\r\n" for name, value in headers)
+        await asyncio.get_running_loop().sock_sendall(self.socket, text.encode() + b"\r\n")
+
+    async def read(self, most):
+        """Reads until it has this much, or the connection ends."""
+        while len(self.received) < most:
+            part = await asyncio.get_running_loop().sock_recv(self.socket, 1 << 20)
+            if not part:
+                break
+            self.received += part
+
+    def body(self):
+        return self.received.partition(b"\r\n\r\n")[2]
+
+
+class SlowCallers(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.fleet = await Fleet().__aenter__()
+        self.entry = self.fleet.entries[0]
+        self.caller = await SlowCaller().connect(self.entry)
+
+    async def asyncTearDown(self):
+        self.caller.socket.close()
+        await self.fleet.__aexit__()
+
+    def answer_with(self, size):
+        for replica in self.fleet.of("app"):
+            replica.body_of = lambda _: b"a" * size
+
+    def runs(self, request):
+        return sum(run["id"] == request for replica in self.fleet.replicas for run in replica.runs)
+
+    async def test_an_answer_that_is_read_late_is_whole_and_ran_once(self):
+        self.answer_with(LARGE_ANSWER)
+        await self.caller.send("/plain/x", "r1")
+        await asyncio.sleep(1.2)
+        await self.caller.read(LARGE_ANSWER)
+        await wait_until(lambda: any(line["id"] == "r1" for line in self.entry.lines("request")))
+        self.assertGreater(len(self.caller.body()), LARGE_ANSWER - 1)
+        self.assertEqual(self.runs("r1"), 1)
+
+    async def test_a_stream_that_is_read_late_is_whole_and_ran_once(self):
+        for replica in self.fleet.of("pool"):
+            replica.events, replica.work_s = 40, 0.02
+            replica.event_of = lambda request, number: (f"id: {number}\ndata: {'a' * 250_000}\n\n").encode()
+        await self.caller.send("/stream/x", "s1", headers=[("Accept", EVENTS)])
+        await asyncio.sleep(1.3)
+        await self.caller.read(40 * 250_000)
+        await wait_until(lambda: any(line["id"] == "s1" for line in self.entry.lines("request")))
+        await asyncio.sleep(0)
+        self.assertEqual([line["end"] for line in self.entry.lines("request")], ["answered"])
+        self.assertEqual(self.runs("s1"), 1)
+
+
+if __name__ == "__main__":
+    Fleet.binary = os.path.join(sys.argv.pop(1), "fennelline-edge")
+    unittest.main(verbosity=1)
