Let a closing connection wait for its peer only once everything is written

With "Connection: close", the connection was closed 1 s after the answer had been handed over, even if a part of it was still in the entry because the caller read slowly. The caller got a truncated answer.

Change: the second begins when everything is written. A caller that does not read at all is ended by the kernel's time-out as on any connection. EdgeSlowCaller, "an answer is whole if its connection closes and its rest is read late", failed before.

--- a/Libraries/LibHttp/StreamSocket.cpp
+++ b/Libraries/LibHttp/StreamSocket.cpp
@@ -13,7 +13,8 @@
 /// Size of one read, sufficient for stream events and most requests.
 constexpr std::size_t kReadBytes = 32UL * 1024;
 
-/// How long a closing connection waits for the peer to close as well.
+/// How long a closing connection waits for the peer to close as well, once everything is written. A
+/// peer that does not read ends it earlier, see SocketLimits::m_unacknowledgedTimeout.
 constexpr Duration kLingerTimeout = Seconds(1);
 
 void SetOption(int aDescriptor, int aLevel, int aOption, int aValue) {
@@ -165,6 +166,7 @@
   }
   if (m_shutdownAfterWriting) {
     ::shutdown(m_descriptor.Number(), SHUT_WR);
+    m_loop.After(kLingerTimeout, [self = shared_from_this()] { self->Close(); });
   } else if (done > 0 && m_listener->m_onDrained) {
     Notify(&SocketListener::m_onDrained);
   }
@@ -207,7 +209,6 @@
   if (!m_connecting && !m_wantsWriting) {
     Flush();
   }
-  m_loop.After(kLingerTimeout, [self = shared_from_this()] { self->Close(); });
 }
 
 } // namespace fennelline
--- a/Tests/Edge/slow_caller.py
+++ b/Tests/Edge/slow_caller.py
@@ -74,6 +74,20 @@
         self.assertGreater(len(self.caller.body()), LARGE_ANSWER - 1)
         self.assertEqual(self.runs("r1"), 1)
 
+    async def read_until_unsent_rest(self, request):
+        """Reads until the entry has the whole answer, but not all of it has left the entry."""
+        while not any(line["id"] == request for line in self.entry.lines("request")):
+            await self.caller.read(len(self.caller.received) + 1)
+        self.assertLess(len(self.caller.received), LARGE_ANSWER)
+
+    async def test_an_answer_is_whole_if_its_connection_closes_and_its_rest_is_read_late(self):
+        self.answer_with(LARGE_ANSWER)
+        await self.caller.send("/plain/x", "r1", headers=[("Connection", "close")])
+        await self.read_until_unsent_rest("r1")
+        await asyncio.sleep(1.25)
+        await self.caller.read(2 * LARGE_ANSWER)
+        self.assertTrue(self.caller.received.endswith(b"0\r\n\r\n"), "the last chunk is there")
+
     async def test_a_stream_that_is_read_late_is_whole_and_ran_once(self):
         for replica in self.fleet.of("pool"):
             replica.events, replica.work_s = 40, 0.02
