Answer every request that a planned stop meets

Found with a test of its own on the code before: - the process ended once no request was in progress, whatever was half received: a caller whose head or body was half sent was cut without an answer (3 cases); - requests still in progress at the end of the grace time were cut without an answer (2 cases, one that had run); - of 20 callers that keep their connections, 5 met the end between connect and answer: they had been taken into the listener's queue; - an answer that was not written whole was cut (EdgeSlowCaller).

Change: half-received requests and unwritten answers count as in hand. 250 ms before forced termination all requests in hand are answered: 503 where nothing ran, else 502, streams are broken off; a line "given-up" says so, and fennelline-ctl explain names the stop as the cause. Before the end the listeners are emptied and closed, and the loop turns once more.

--- a/Libraries/LibHttp/HttpServer.cpp
+++ b/Libraries/LibHttp/HttpServer.cpp
@@ -1,6 +1,7 @@
 #include "LibHttp/HttpServer.h"
 
 #include <algorithm>
+#include <vector>
 
 namespace fennelline {
 
@@ -65,10 +66,30 @@
   });
 }
 
-std::size_t HttpServer::CountBusy() const {
-  return static_cast<std::size_t>(std::count_if(
-    m_connections.begin(), m_connections.end(),
-    [](const std::shared_ptr<ServerConnection>& aConnection) { return aConnection->IsBusy(); }));
+std::size_t HttpServer::CountUnfinished() const {
+  return static_cast<std::size_t>(
+    std::count_if(m_connections.begin(), m_connections.end(),
+                  [](const std::shared_ptr<ServerConnection>& aConnection) {
+                    return aConnection->HasUnfinished();
+                  }));
+}
+
+void HttpServer::StopListening() {
+  if (!IsListening()) {
+    return;
+  }
+  AcceptPending();
+  m_loop.Unwatch(m_watch);
+  m_listener.Close();
+}
+
+void HttpServer::GiveUp() {
+  // Copied, since an answer may lead to further requests and connections.
+  const std::vector<std::shared_ptr<ServerConnection>> connections(m_connections.begin(),
+                                                                   m_connections.end());
+  for (const std::shared_ptr<ServerConnection>& connection : connections) {
+    connection->GiveUp();
+  }
 }
 
 } // namespace fennelline
--- a/Libraries/LibHttp/HttpServer.h
+++ b/Libraries/LibHttp/HttpServer.h
@@ -21,7 +21,13 @@
   Result<void> Listen(const std::string& aAddress);
   int Port() const { return LocalPort(m_listener); }
   std::size_t CountConnections() const { return m_connections.size(); }
-  std::size_t CountBusy() const;
+  /// Connections with a request in progress or partially received, or a response not yet written.
+  std::size_t CountUnfinished() const;
+  bool IsListening() const { return m_listener.IsOpen(); }
+  /// Accepts the connections that are waiting, then refuses further ones.
+  void StopListening();
+  /// Answers all requests in progress and partially received ones now.
+  void GiveUp();
   ServerContext& SharedContext() { return *m_context; }
 
 private:
--- a/Libraries/LibHttp/ServerConnection.cpp
+++ b/Libraries/LibHttp/ServerConnection.cpp
@@ -76,6 +76,7 @@
 void ServerConnection::OnEnd() {
   Release(m_buffered);
   const std::function<void()> onDisconnected = std::exchange(m_onDisconnected, {});
+  m_onGivenUp = {};
   m_onDrained = {};
   m_busy = false;
   if (onDisconnected) {
@@ -237,6 +238,7 @@
 
 void ServerConnection::Abort() {
   m_onDisconnected = {};
+  m_onGivenUp = {};
   m_onDrained = {};
   m_busy = false;
   Release(m_buffered);
@@ -245,6 +247,7 @@
 
 void ServerConnection::FinishResponse() {
   m_onDisconnected = {};
+  m_onGivenUp = {};
   m_onDrained = {};
   m_busy = false;
   Release(m_buffered);
@@ -276,6 +279,22 @@
   }
 }
 
+bool ServerConnection::HasUnfinished() const {
+  const bool isReceiving = !m_closes && !IsIdle();
+  return IsOpen() && (m_busy || isReceiving || UnsentBytes() > 0);
+}
+
+void ServerConnection::GiveUp() {
+  if (m_busy) {
+    const std::function<void()> onGivenUp = std::exchange(m_onGivenUp, {});
+    if (onGivenUp) {
+      onGivenUp();
+    }
+  } else if (IsOpen() && !m_closes && !IsIdle()) {
+    Reject(kUnavailable, "stopping");
+  }
+}
+
 void ServerConnection::CloseIfIdle() {
   if (IsIdle() && m_socket->IsOpen()) {
     m_socket->CloseAfterWriting();
--- a/Libraries/LibHttp/ServerConnection.h
+++ b/Libraries/LibHttp/ServerConnection.h
@@ -70,11 +70,17 @@
   void SetOnDisconnected(std::function<void()> aOnDisconnected) {
     m_onDisconnected = std::move(aOnDisconnected);
   }
+  /// Sets the callback for a request that must be answered at once, since the process ends. It is
+  /// called at most once.
+  void SetOnGivenUp(std::function<void()> aOnGivenUp) { m_onGivenUp = std::move(aOnGivenUp); }
   /// Sets the callback for an output buffer that has been written completely.
   void SetOnDrained(std::function<void()> aOnDrained) { m_onDrained = std::move(aOnDrained); }
   std::size_t UnsentBytes() const { return m_socket->UnsentBytes(); }
   bool IsOpen() const { return m_socket->IsOpen(); }
-  bool IsBusy() const { return m_busy; }
+  /// Whether a request is in progress or partially received, or a response not yet written.
+  bool HasUnfinished() const;
+  /// Answers the request now: in progress, by the callback; partially received, with status 503.
+  void GiveUp();
   /// Whether no request is in progress or partially received.
   bool IsIdle() const { return !m_busy && !m_parser.HasStarted() && m_socket->Input().empty(); }
   Time IdleSince() const { return m_since; }
@@ -99,6 +105,7 @@
   std::shared_ptr<StreamSocket> m_socket;
   MessageParser m_parser{MessageKind::Request};
   std::function<void()> m_onDisconnected;
+  std::function<void()> m_onGivenUp;
   std::function<void()> m_onDrained;
   /// When the current request began to arrive, or the connection became idle.
   Time m_since{};
--- a/Libraries/LibRouting/ShutdownPolicy.cpp
+++ b/Libraries/LibRouting/ShutdownPolicy.cpp
@@ -14,9 +14,11 @@
 /// grace period.
 constexpr double kIdlePartOfGrace = 0.7;
 
-/// Remaining requests are aborted this long before forced termination, so that their callers are
-/// notified.
-constexpr Duration kForcedExitMargin = Milliseconds(250);
+/// Remaining requests are answered this long before forced termination.
+constexpr Duration kGiveUpMargin = Milliseconds(250);
+
+/// Time that remains for closing connections after the last answer.
+constexpr Duration kForcedExitMargin = Milliseconds(50);
 
 bool IsWithin(Duration aTime, Duration aGrace, double aPart) {
   return InSeconds(aTime) < InSeconds(aGrace) * aPart;
@@ -36,4 +38,8 @@
   return aRequestsInHand == 0 && !IsWithin(aSinceOrder, m_grace, kIdlePartOfGrace);
 }
 
+bool ShutdownPolicy::MustGiveUp(Duration aSinceOrder) const {
+  return aSinceOrder >= m_grace - kGiveUpMargin;
+}
+
 } // namespace fennelline
--- a/Libraries/LibRouting/ShutdownPolicy.h
+++ b/Libraries/LibRouting/ShutdownPolicy.h
@@ -14,8 +14,10 @@
   /// Whether to accept a request that arrives now. A request that is not expected to finish within
   /// the grace period is refused as not run, so that its caller can retry elsewhere in time.
   bool AcceptsRequest(RouteKind aKind, Duration aSinceOrder) const;
-  /// Whether the process may exit with this many requests in flight.
+  /// Whether the process may exit with this many requests in hand.
   bool MayExit(std::size_t aRequestsInHand, Duration aSinceOrder) const;
+  /// Whether the requests in hand are to be answered now, since forced termination is near.
+  bool MustGiveUp(Duration aSinceOrder) const;
 };
 
 } // namespace fennelline
--- a/Services/Edge/EdgeProcess.cpp
+++ b/Services/Edge/EdgeProcess.cpp
@@ -478,7 +478,7 @@
   }
   m_context.m_stopRequestedAt = m_loop.Now();
   LogLine line("stop");
-  line.Count("requests-in-hand", m_callers->CountBusy() + m_entries->CountBusy());
+  line.Count("requests-in-hand", m_callers->CountUnfinished() + m_entries->CountUnfinished());
   m_context.Log(LogPriority::Notable, line);
   m_callers->SharedContext().m_closing = true;
   m_entries->SharedContext().m_closing = true;
@@ -490,12 +490,25 @@
 void EdgeProcess::CheckStop() {
   const ShutdownPolicy policy{.m_grace = m_context.m_settings.m_grace};
   const Duration since = m_loop.Now() - *m_context.m_stopRequestedAt;
-  const std::size_t busy = m_callers->CountBusy() + m_entries->CountBusy();
-  if (!policy.MayExit(busy, since)) {
+  if (policy.MustGiveUp(since)) {
+    m_callers->GiveUp();
+    m_entries->GiveUp();
+  }
+  const std::size_t inHand = m_callers->CountUnfinished() + m_entries->CountUnfinished();
+  if (!policy.MayExit(inHand, since) && !policy.MustGiveUp(since)) {
+    return;
+  }
+  if (m_callers->IsListening()) {
+    // The connections accepted last may have sent requests, which the next turns of the loop read.
+    m_callers->StopListening();
+    m_entries->StopListening();
+    return;
+  }
+  if (!policy.MayExit(inHand, since)) {
     return;
   }
   LogLine line("end");
-  line.Count("requests-in-hand", busy).Ms("since-stop", since);
+  line.Count("requests-in-hand", inHand).Ms("since-stop", since);
   m_context.Log(LogPriority::Notable, line);
   m_log.Flush();
   m_loop.Stop();
--- a/Services/Edge/RelayAnswer.cpp
+++ b/Services/Edge/RelayAnswer.cpp
@@ -414,6 +414,19 @@
   End(RequestEnd::CallerLeft, 0);
 }
 
+void RequestRelay::OnGivenUp() {
+  if (m_ended) {
+    return;
+  }
+  const NextAction action = m_attempt ? m_retryPolicy.OnRunElsewhere(m_answerBegun)
+                                      : m_retryPolicy.OnGivenUp(m_answerBegun);
+  LogLine line("given-up");
+  line.Text("id", m_metadata.m_requestId).Text("next", NameOf(kNextActionNames, action));
+  line.Count("sends", m_retryPolicy.Sends());
+  m_context.Log(LogPriority::Notable, line);
+  ExecuteAction(action);
+}
+
 void RequestRelay::OnDeadline() {
   m_deadlineTimer = EventLoop::kNoTimer;
   if (m_ended) {
--- a/Services/Edge/RequestRelay.cpp
+++ b/Services/Edge/RequestRelay.cpp
@@ -52,6 +52,7 @@
   const std::shared_ptr<RequestRelay> relay =
     std::make_shared<RequestRelay>(aContext, std::move(aCaller), std::move(aRequest), aPassedOn);
   relay->m_caller->SetOnDisconnected([relay] { relay->OnCallerGone(); });
+  relay->m_caller->SetOnGivenUp([relay] { relay->OnGivenUp(); });
   relay->Admit();
 }
 
--- a/Services/Edge/RequestRelay.h
+++ b/Services/Edge/RequestRelay.h
@@ -174,6 +174,8 @@
   void PauseForSlowCaller();
   void OnFailed(CallFailure aFailure);
   void OnCallerGone();
+  /// The process ends now.
+  void OnGivenUp();
   void OnDeadline();
   void OnStall();
   /// Learns whether the server that gave this answer limits requests.
--- a/Tests/Ctl/TestRequestExplanation.cpp
+++ b/Tests/Ctl/TestRequestExplanation.cpp
@@ -49,6 +49,11 @@
   CHECK(CauseOf(Refused("no configuration is known yet") + End("refused", 0)) ==
         RequestEndCause::NoConfiguration);
   CHECK(CauseOf(Refused("stopping") + End("refused", 0)) == RequestEndCause::Stopping);
+  const std::string givenUp = R"({"at":1400,"node":"a","event":"given-up","id":"r1"})"
+                              "\n";
+  for (const char* end : {"failed", "cut"}) {
+    CHECK(CauseOf(attempt + givenUp + End(end, 1)) == RequestEndCause::Stopping);
+  }
   CHECK(CauseOf(Refused("no backend server can take it") + End("refused", 0)) ==
         RequestEndCause::NoServer);
   CHECK(CauseOf(attempt + AttemptEnd("not-run", "refuse", 900.0) +
--- a/Tests/Edge/slow_caller.py
+++ b/Tests/Edge/slow_caller.py
@@ -5,18 +5,22 @@
 
 import asyncio
 import os
+import signal
 import socket
 import sys
+import time
 import unittest
 
 sys.path.insert(0, os.path.dirname(__file__))
 from fleet import Fleet
-from standin import wait_until
+from standin import call, wait_until
 
 EVENTS = "text/event-stream"
 RECEIVE_BUFFER = 4_096
 # Larger than what the system and an entry keep for one connection.
 LARGE_ANSWER = 6_000_000
+GRACE_S = 4.0
+IDLE_END_S = 0.7 * GRACE_S
 
 
 class SlowCaller:
@@ -100,6 +104,27 @@
         self.assertEqual([line["end"] for line in self.entry.lines("request")], ["answered"])
         self.assertEqual(self.runs("s1"), 1)
 
+    async def test_a_planned_stop_waits_for_an_answer_whose_rest_is_read_late(self):
+        self.answer_with(LARGE_ANSWER)
+        self.entry.signal(signal.SIGTERM)
+        await wait_until(lambda: self.entry.lines("stop"))
+        ordered = time.monotonic()
+        await asyncio.sleep(IDLE_END_S - 1.5)
+        await self.caller.send("/plain/x", "r1")
+        await self.read_until_unsent_rest("r1")
+        await asyncio.sleep(max(0.0, ordered + IDLE_END_S + 0.3 - time.monotonic()))
+        await self.caller.read(2 * LARGE_ANSWER)
+        self.assertTrue(self.caller.received.endswith(b"0\r\n\r\n"), "the last chunk is there")
+        await asyncio.wait_for(self.entry.process.wait(), GRACE_S)
+        self.assertLess(time.monotonic() - ordered, GRACE_S)
+
+    async def test_a_caller_that_never_reads_holds_a_planned_stop_up_for_the_grace_time_at_most(self):
+        self.answer_with(LARGE_ANSWER)
+        await self.caller.send("/plain/x", "r1")
+        self.entry.signal(signal.SIGTERM)
+        await asyncio.wait_for(self.entry.process.wait(), GRACE_S)
+        self.assertEqual((await call(f"{self.entry.ip}:{self.entry.ports['front']}", "/plain/x", "r2")).status, 0)
+
 
 if __name__ == "__main__":
     Fleet.binary = os.path.join(sys.argv.pop(1), "fennelline-edge")
--- a/Tests/LibRouting/TestSmallParts.cpp
+++ b/Tests/LibRouting/TestSmallParts.cpp
@@ -55,7 +55,10 @@
   CHECK(!plan.MayExit(0, Seconds(3)));
   CHECK(plan.MayExit(0, Seconds(6)));
   CHECK(!plan.MayExit(1, Seconds(6)));
-  CHECK(plan.MayExit(1, Milliseconds(7900)));
+  CHECK(!plan.MustGiveUp(Milliseconds(7700)));
+  CHECK(plan.MustGiveUp(Milliseconds(7800)));
+  CHECK(!plan.MayExit(1, Milliseconds(7900)));
+  CHECK(plan.MayExit(1, Milliseconds(7960)));
 }
 
 TEST_CASE("low confidence of a smaller model is accepted while servers have a backlog") {
--- a/Utilities/Ctl/RequestExplanation.cpp
+++ b/Utilities/Ctl/RequestExplanation.cpp
@@ -59,6 +59,8 @@
   /// has them.
   std::string m_content;
   bool m_isCrashing = false;
+  /// The process ended before the answer.
+  bool m_isGivenUp = false;
   int m_stalls = 0;
   int m_escalations = 0;
 };
@@ -76,6 +78,7 @@
     facts.m_lastAttemptEnd = event == "attempt-end" ? line : facts.m_lastAttemptEnd;
     facts.m_content = TextOf(line, "content").empty() ? facts.m_content : TextOf(line, "content");
     facts.m_isCrashing = facts.m_isCrashing || event == "content-not-run";
+    facts.m_isGivenUp = facts.m_isGivenUp || event == "given-up";
     facts.m_stalls += event == "stalled" ? 1 : 0;
     facts.m_escalations += event == "escalate" ? 1 : 0;
     if (event == "attempt") {
@@ -98,6 +101,9 @@
 }
 
 RequestEndCause CauseOfFailure(const RequestFacts& aFacts) {
+  if (aFacts.m_isGivenUp) {
+    return RequestEndCause::Stopping;
+  }
   const std::string outcome = TextOf(aFacts.m_lastAttemptEnd, "outcome");
   if (outcome == "spoilt") {
     return RequestEndCause::MalformedAnswer;
