Count only events and parts of answers as progress of a server

Cause: any byte of an answer marked its server as alive but busy, so that its stalled streams were not sent elsewhere. A stream whose server sent comment lines, empty lines or the beginning of an event, but no event, was never left for a sound server and ended at its deadline; comments and empty lines even went to the caller as its first event.

Change: what counts is an event, or a part of another answer. Comments and empty lines before the first event are left out. A begun stream that only trickles still ends at its deadline, broken off, as before.

TestEventFramer.

--- a/Libraries/LibRouting/EventFramer.cpp
+++ b/Libraries/LibRouting/EventFramer.cpp
@@ -38,6 +38,17 @@
   return std::nullopt;
 }
 
+/// Whether all lines are empty or comments.
+bool HoldsNothing(std::string_view aEvent) {
+  while (!aEvent.empty()) {
+    if (aEvent.find_first_of(":\r\n") != 0) {
+      return false;
+    }
+    aEvent.remove_prefix(std::min(aEvent.find('\n'), aEvent.size() - 1) + 1);
+  }
+  return true;
+}
+
 } // namespace
 
 std::string EventFramer::Feed(std::string_view aBytes) {
@@ -57,7 +68,7 @@
       break;
     }
     const bool isKnown = id && m_lastEvent && *id <= *m_lastEvent;
-    if (!isKnown) {
+    if (!isKnown && !HoldsNothing(event)) {
       whole.append(event);
       ++m_events;
       m_lastEvent = id ? id : m_lastEvent;
--- a/Libraries/LibRouting/EventFramer.h
+++ b/Libraries/LibRouting/EventFramer.h
@@ -11,8 +11,9 @@
 /// Splits an event stream into complete events, so that a caller never receives a partial one.
 /// Events that the caller already has, according to their id, are skipped.
 ///
-/// Servers number the events of a stream. After one with an id, an event without is not of this
-/// stream: it may be the error of another server that was to go on with it.
+/// Comments and empty lines before the first event are left out: a server that sends nothing else
+/// has not begun. Servers number the events of a stream. After one with an id, an event without is
+/// not of this stream: it may be the error of another server that was to go on with it.
 class EventFramer {
 public:
   /// Events with an id up to aLastEvent are skipped.
--- a/Services/Edge/BackendTable.h
+++ b/Services/Edge/BackendTable.h
@@ -57,7 +57,7 @@
   Time m_likelyPermit{};
   /// An unreadable limit of this server has been logged.
   bool m_loggedUnreadableLimit = false;
-  /// When response bytes of any request were last received from it.
+  /// When an event, or a part of another answer, was last received from it, of any request.
   Time m_lastReceivedAt{};
   ServerContact m_contact;
   /// It is another entry, which passes requests on to backend servers, see PeerRelays.
--- a/Services/Edge/RelayAnswer.cpp
+++ b/Services/Edge/RelayAnswer.cpp
@@ -142,7 +142,6 @@
   if (m_ended || !m_attempt) {
     return;
   }
-  m_attempt->m_backend->m_lastReceivedAt = m_context.m_loop.Now();
   if (m_attempt->m_entryOutcome) {
     return;
   }
@@ -153,6 +152,7 @@
     OnStreamPart(aPart);
     return;
   }
+  m_attempt->m_backend->m_lastReceivedAt = m_context.m_loop.Now();
   m_attempt->m_bodyBytes += aPart.size();
   if (m_attempt->m_notRun) {
     if (m_attempt->m_bodyBytes > kMaxRejectionBytes) {
@@ -195,6 +195,7 @@
     return;
   }
   const Time now = m_context.m_loop.Now();
+  m_attempt->m_backend->m_lastReceivedAt = now;
   if (m_attempt->m_events == 0) {
     m_attempt->m_firstEventAt = now;
     if (!m_attempt->m_backend->m_isEntry) {
--- /dev/null
+++ b/Tests/Edge/trickling_server.py
@@ -0,0 +1,86 @@
+"""Tests that streams which send bytes but no events count as stalled, and slow but sound ones do not.
+
+Run: trickling_server.py BIN [CASE...]
+"""
+
+import asyncio
+import os
+import sys
+import time
+import unittest
+
+sys.path.insert(0, os.path.dirname(__file__))
+from fleet import Fleet
+from standin import call
+
+EVENTS = "text/event-stream"
+# Bytes that are no progress, sent again and again.
+TRICKLES = {"comment": b": ping\n\n", "comment line": b":\n", "blank line": b"\n", "half event": b"d"}
+TRICKLE_INTERVAL_S = 0.1
+# Between the events of a slow stream; the route allows 1 s.
+PAUSE_S = 0.95
+DEADLINE_MS = 4000
+
+
+def chunk(data):
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+class TricklingServer(unittest.IsolatedAsyncioTestCase):
+    def trickle(self, replica, data, events_before):
+        """Lets the server answer streams with some events and then only with data."""
+        async def stream(run, seal, _, writer):
+            writer.write(replica.stream_head(seal))
+            for number in range(1, events_before + 1):
+                writer.write(chunk(replica.event_of(run["id"], number)))
+            while not writer.transport.is_closing():
+                writer.write(chunk(data))
+                await asyncio.sleep(TRICKLE_INTERVAL_S)
+
+        replica.stream = stream
+
+    async def test_a_stream_that_only_trickles_is_left_for_another_server(self):
+        for name, data in TRICKLES.items():
+            with self.subTest(name):
+                async with Fleet(pool=1) as fleet:
+                    trickling = fleet.of("pool")[0]
+                    self.trickle(trickling, data, 0)
+                    answered = asyncio.create_task(call(fleet.front, "/stream/", "s1", accept=EVENTS,
+                                                        deadline_ms=DEADLINE_MS))
+                    while not trickling.runs:
+                        await asyncio.sleep(0.01)
+                    sound = await fleet.add_replica("i-sound", "pool")
+                    answer = await answered
+                    self.assertEqual((answer.status, answer.whole), (200, True))
+                    self.assertEqual((len(trickling.runs), len(sound.runs)), (1, 1))
+
+    async def test_a_begun_stream_that_only_trickles_ends_by_its_deadline_and_not_as_complete(self):
+        for name, data in TRICKLES.items():
+            with self.subTest(name):
+                async with Fleet(pool=1) as fleet:
+                    self.trickle(fleet.of("pool")[0], data, 2)
+                    started = time.monotonic()
+                    answer = await call(fleet.front, "/stream/", "s1", accept=EVENTS, deadline_ms=DEADLINE_MS)
+                    self.assertLess(time.monotonic() - started, DEADLINE_MS / 1000 + 0.5)
+                    self.assertEqual((answer.status, answer.whole), (200, False))
+                    self.assertEqual(answer.body.count(b"\n\n"), 2)
+
+    async def test_a_slow_but_sound_stream_goes_on_at_its_server(self):
+        async def stream(run, seal, _, writer):
+            writer.write(replica.stream_head(seal))
+            for number in range(1, 6):
+                writer.write(chunk(replica.event_of(run["id"], number)))
+                await asyncio.sleep(PAUSE_S)
+            writer.write(b"0\r\n\r\n")
+
+        async with Fleet(pool=2) as fleet:
+            for replica in fleet.of("pool"):
+                replica.stream = stream
+            answer = await call(fleet.front, "/stream/", "s1", accept=EVENTS, deadline_ms=7000)
+            self.assertTrue(answer.whole)
+            self.assertEqual(len(fleet.runs("s1")), 1)
+
+
+if __name__ == "__main__":
+    Fleet.binary = os.path.join(sys.argv.pop(1), "fennelline-edge")
+    unittest.main(verbosity=1)
--- a/Tests/LibRouting/TestEventFramer.cpp
+++ b/Tests/LibRouting/TestEventFramer.cpp
@@ -70,3 +70,13 @@
   CHECK(framer.Feed("data: a\n\ndata: b\n\n") == "data: a\n\ndata: b\n\n");
   CHECK(!framer.HasForeignEvent());
 }
+
+TEST_CASE("comments and empty lines before the first event do not begin a stream") {
+  for (const char* nothing : {": ping\n\n", ":\n:\n\n", "\n\n", "\r\n\r\n", ":\r\n\r\n"}) {
+    CAPTURE(nothing);
+    EventFramer framer;
+    CHECK(framer.Feed(nothing).empty());
+    CHECK(framer.CountEvents() == 0);
+    CHECK(framer.Feed(Event(1)) == Event(1));
+  }
+}
