Let every second caller of the soak keep its connections until the entry is gone

The callers of the soak opened a connection for each request and turned away from an entry 2 s after its order to stop, so that its end never met a request on an open connection.

--- a/Tests/Soak/soak.py
+++ b/Tests/Soak/soak.py
@@ -19,7 +19,7 @@
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "Edge"))
-from standin import Entry, Proxy, Replica, Store, call, configuration, free_port, wait_until
+from standin import Entry, KeptConnections, Proxy, Replica, Store, call, configuration, free_port, wait_until
 from wish_checker import WishChecker
 
 EVENTS = "text/event-stream"
@@ -224,11 +224,16 @@
             await wait_until(entry.is_ready)
 
     async def run_caller(self, seed):
-        """Sends requests to random running entries until the test stops."""
+        """Sends requests to random running entries until the test stops.
+
+        Every second caller keeps its connections until the entries close them or are gone.
+        """
         rng = random.Random(seed)
+        kept = KeptConnections() if seed % 2 else None
         while self.running:
             await asyncio.sleep(rng.expovariate(12))
-            live_entries = [entry for entry in self.entries if not entry.down]
+            live_entries = [entry for entry in self.entries
+                            if not entry.down or (kept and entry.address("front") in kept.open)]
             if not live_entries:
                 continue
             entry = rng.choice(live_entries)
@@ -240,9 +245,11 @@
             self.checker.wishes.note_sent(request, entry)
             answer = await call(entry.address("front"), f"/{kind}/x", request, key="key-2",
                                 accept=EVENTS if kind == "stream" else "",
-                                stop_after=60 if disconnects else None)
+                                stop_after=60 if disconnects else None, kept=kept)
             if not disconnects:
                 self.checker.check_response(kind, request, answer)
+        if kept:
+            kept.close()
 
     async def restart(self, entry, process, wait_s):
         await process.wait()
