Wait for both entries' lines before explaining a request in the test

Cause: entries write their log lines every 100 ms, each at its own time, and the test waited for the lines of one of them only; the text that was explained has no line of the other one.

Change: it waits until each crashed server is in a line "server-crashed".

--- a/Tests/Edge/crashing_request.py
+++ b/Tests/Edge/crashing_request.py
@@ -321,15 +321,18 @@
                 await call(fleet.entries[number % 2].address("front"), "/once/x", f"id-{number}",
                            body=POISON)
             await fleet.until_logged("id-2")
+            # Each entry writes its lines a little later.
+            crashed = {replica.name for replica in fleet.replicas if replica.crash_times}
+            await wait_until(lambda: crashed <= {line["backend"] for entry in fleet.entries
+                                                 for line in entry.lines("server-crashed")})
             tool = await asyncio.create_subprocess_exec(
                 os.path.join(os.path.dirname(Fleet.binary), "fennelline-ctl"), "explain", "id-2",
                 "--logs=" + ",".join(entry.log_path for entry in fleet.entries),
                 stdout=asyncio.subprocess.PIPE)
             text, _ = await tool.communicate()
             self.assertIn("its content crashes servers", text.decode().splitlines()[0])
-            for replica in fleet.replicas:
-                if replica.crash_times:
-                    self.assertIn(f'"backend":"{replica.name}"', text.decode())
+            for name in crashed:
+                self.assertIn(f'"backend":"{name}"', text.decode())
 
 
 if __name__ == "__main__":
