--- a/Tests/Edge/planned_stop.py
+++ b/Tests/Edge/planned_stop.py
@@ -66,9 +66,6 @@
         await asyncio.wait_for(self.entry.process.wait(), 2 * GRACE_S)
         self.assertEqual(self.entry.process.returncode, 0)
 
-    def runs(self, request):
-        return sum(run["id"] == request for replica in self.fleet.replicas for run in replica.runs)
-
     async def connect(self):
         return await asyncio.open_connection(self.entry.ip, self.entry.ports["front"])
 
@@ -99,7 +96,7 @@
         answer = await self.read_answer(reader)
         writer.close()
         self.assertIn(answer.status, (200, 503))
-        self.assertEqual(self.runs("r1"), 1 if answer.status == 200 else 0)
+        self.assertEqual(len(self.fleet.runs("r1")), 1 if answer.status == 200 else 0)
         await self.until_gone()
 
     async def test_a_request_whose_head_is_half_read_at_the_end_is_answered(self):
@@ -116,7 +113,7 @@
         writer.write(request_text("/plain/x", "r1", body=b"x" * 1000)[:-500])
         answer = await self.read_answer(reader)
         writer.close()
-        self.assertEqual((answer.status, self.runs("r1")), (503, 0))
+        self.assertEqual((answer.status, len(self.fleet.runs("r1"))), (503, 0))
         await self.until_gone()
         self.assertLess(time.monotonic() - ordered, GRACE_S)
 
@@ -126,7 +123,7 @@
         ordered = await self.stop(2.0)
         answer = await call(self.entry.address("front"), path, "r1", deadline_ms=5000)
         self.assertLess(time.monotonic() - ordered, GRACE_S)
-        self.assertEqual((answer.status, self.runs("r1") > 0), (502, True))
+        self.assertEqual((answer.status, len(self.fleet.runs("r1")) > 0), (502, True))
         await self.until_gone()
 
     async def test_a_request_that_runs_beyond_the_grace_time_is_answered(self):
@@ -140,7 +137,7 @@
             replica.events, replica.work_s = 100, 0.1
         stream = asyncio.create_task(call(self.entry.address("front"), "/stream/x", "s1", accept=EVENTS,
                                           deadline_ms=15_000))
-        await wait_until(lambda: self.runs("s1"))
+        await wait_until(lambda: self.fleet.runs("s1"))
         ordered = await self.stop()
         answer = await stream
         self.assertGreater(time.monotonic() - ordered, 0.8 * GRACE_S)
@@ -155,14 +152,14 @@
         self.assertEqual((first.status, first.whole), (200, True))
         second = await self.read_answer(reader)
         writer.close()
-        self.assertEqual(self.runs("r2"), 1 if second.whole else 0)
+        self.assertEqual(len(self.fleet.runs("r2")), 1 if second.whole else 0)
         await self.until_gone()
 
     async def test_further_signals_and_a_configuration_during_the_stop_change_nothing(self):
         for replica in self.fleet.of("pool"):
             replica.events, replica.work_s = 20, 0.1
         stream = asyncio.create_task(call(self.entry.address("front"), "/stream/x", "s1", accept=EVENTS))
-        await wait_until(lambda: self.runs("s1"))
+        await wait_until(lambda: self.fleet.runs("s1"))
         ordered = await self.stop(0.2)
         for number, sent in enumerate((signal.SIGTERM, signal.SIGHUP, signal.SIGTERM, signal.SIGHUP)):
             self.entry.signal(sent)
--- a/Tests/Edge/slow_caller.py
+++ b/Tests/Edge/slow_caller.py
@@ -13,7 +13,7 @@
 
 sys.path.insert(0, os.path.dirname(__file__))
 from fleet import Fleet
-from standin import call, wait_until
+from standin import call, request_text, wait_until
 
 EVENTS = "text/event-stream"
 RECEIVE_BUFFER = 4_096
@@ -35,10 +35,8 @@
         return self
 
     async def send(self, path, request, headers=()):
-        text = (f"POST {path} HTTP/1.1\r\nHost: a.example\r\nFennelline-Request-Id: {request}\r\n"
-                f"Fennelline-Deadline-Ms: 8000\r\nAuthorization: Bearer key-1\r\nContent-Length: 0\r\n")
-        text += "".join(f"{name}: {value}\r\n" for name, value in headers)
-        await asyncio.get_running_loop().sock_sendall(self.socket, text.encode() + b"\r\n")
+        text = request_text(path, request, deadline_ms=8000, headers=headers, body=b"")
+        await asyncio.get_running_loop().sock_sendall(self.socket, text)
 
     async def read(self, most):
         """Reads until it has this much, or the connection ends."""
@@ -66,9 +64,6 @@
         for replica in self.fleet.of("app"):
             replica.body_of = lambda _: b"a" * size
 
-    def runs(self, request):
-        return sum(run["id"] == request for replica in self.fleet.replicas for run in replica.runs)
-
     async def test_an_answer_that_is_read_late_is_whole_and_ran_once(self):
         self.answer_with(LARGE_ANSWER)
         await self.caller.send("/plain/x", "r1")
@@ -76,7 +71,7 @@
         await self.caller.read(LARGE_ANSWER)
         await wait_until(lambda: any(line["id"] == "r1" for line in self.entry.lines("request")))
         self.assertGreater(len(self.caller.body()), LARGE_ANSWER - 1)
-        self.assertEqual(self.runs("r1"), 1)
+        self.assertEqual(len(self.fleet.runs("r1")), 1)
 
     async def read_until_unsent_rest(self, request):
         """Reads until the entry has the whole answer, but not all of it has left the entry."""
@@ -100,9 +95,8 @@
         await asyncio.sleep(1.3)
         await self.caller.read(40 * 250_000)
         await wait_until(lambda: any(line["id"] == "s1" for line in self.entry.lines("request")))
-        await asyncio.sleep(0)
         self.assertEqual([line["end"] for line in self.entry.lines("request")], ["answered"])
-        self.assertEqual(self.runs("s1"), 1)
+        self.assertEqual(len(self.fleet.runs("s1")), 1)
 
     async def test_a_planned_stop_waits_for_an_answer_whose_rest_is_read_late(self):
         self.answer_with(LARGE_ANSWER)
@@ -123,7 +117,7 @@
         await self.caller.send("/plain/x", "r1")
         self.entry.signal(signal.SIGTERM)
         await asyncio.wait_for(self.entry.process.wait(), GRACE_S)
-        self.assertEqual((await call(f"{self.entry.ip}:{self.entry.ports['front']}", "/plain/x", "r2")).status, 0)
+        self.assertEqual((await call(self.entry.address("front"), "/plain/x", "r2")).status, 0)
 
 
 if __name__ == "__main__":
