--- a/review/1/case.py
+++ b/review/1/case.py
@@ -2,16 +2,14 @@
 route. See claim.txt."""
 
 import asyncio
-import copy
-import json
 import os
 import sys
-import urllib.parse
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "lib"))
 import stage
-from standin import Replica, Store, call, configuration, encode_response
+from drill import RestorableStore
+from standin import Replica, call, configuration
 
 CONTACT_S = stage.BOUNDS["contact-ms"] / 1000
 APPLY_S = stage.BOUNDS["config-apply-ms"] / 1000
@@ -23,52 +21,6 @@
 AFTER = {"tenant-1": ("key-1",), "tenant-2": ("key-3", "key-4")}
 
 
-class RestorableStore(Store):
-    """A store that can come back from a copy of itself, as NEWS.md tells."""
-
-    def __init__(self):
-        super().__init__()
-        self.era = 1
-
-    async def handle(self, line, headers, body, reader, writer):
-        self.calls += 1
-        if self.mode == "reset":
-            writer.transport.abort()
-            return
-        method, target, _ = line.split(" ")
-        path, _, query = target.partition("?")
-        parameters = dict(urllib.parse.parse_qsl(query))
-        await asyncio.sleep(0.004)
-        era = self.era
-        status, answer = await self.answer(method, path, parameters, body)
-        if era != self.era:
-            writer.transport.abort()
-            return
-        writer.write(encode_response(status, json.dumps(answer).encode(),
-                                     [("Content-Type", "application/json"),
-                                      ("Store-Era", str(self.era))]))
-
-    async def watch(self, prefix, after, wait_ms):
-        if after > self.revision:
-            return 410, {}
-        return await super().watch(prefix, after, wait_ms)
-
-    def copy(self):
-        return copy.deepcopy((self.items, self.events, self.revision))
-
-    def go_away(self):
-        self.mode = "reset"
-        for writer in list(self.writers):
-            writer.transport.abort()
-
-    def come_back_from(self, saved):
-        self.items, self.events, self.revision = copy.deepcopy(saved)
-        self.era += 1
-        self.mode = "up"
-        self.changed.set()
-        self.changed = asyncio.Event()
-
-
 def version(number, service, tenants):
     """A configuration with the route once to the service, and tenants with their keys."""
     document = configuration(number)
