--- a/Libraries/LibCoordination/PlatformCall.h
+++ b/Libraries/LibCoordination/PlatformCall.h
@@ -22,6 +22,10 @@
 /// The revision of the key-value service. It grows by one with every accepted write to any key.
 using Revision = std::uint64_t;
 
+/// Rises each time that the service comes back from an older copy of itself. Revisions are given
+/// out again then, so those of different eras cannot be compared.
+using StoreEra = std::uint64_t;
+
 /// The expected revision of a key that must not exist yet.
 constexpr Revision kAbsent = 0;
 
@@ -91,6 +95,8 @@
   PlatformStatus m_status = PlatformStatus::Unavailable;
   /// The revision of the service at the time of the reply.
   Revision m_revision = 0;
+  /// The era of the revisions; none if the service does not name it.
+  std::optional<StoreEra> m_era;
   /// The keys read, the conflicting key, or the changes of a watch. In a watch, a removed key has
   /// an empty value and the revision of its removal.
   std::vector<KeyValue> m_keys;
--- a/Libraries/LibRouting/LargeValue.cpp
+++ b/Libraries/LibRouting/LargeValue.cpp
@@ -1,6 +1,7 @@
 #include "LibRouting/LargeValue.h"
 
 #include "LibRouting/MessagePack.h"
+#include "LibRouting/StoreEraJson.h"
 
 #include <zstd.h>
 
@@ -39,40 +40,45 @@
 }
 
 struct CompressedValue {
-  KeyValue m_key;
+  LargeValue m_value;
   json::binary_t m_bytes;
 };
 
+/// Entries of earlier releases neither send nor read the era, which is the last field.
+constexpr std::size_t kEraField = 3;
+
 } // namespace
 
 std::string EncodeLargeValueQuery(const LargeValueQuery& aQuery) {
-  return EncodeMessagePack(
-    json::array({aQuery.m_wanted.m_key, aQuery.m_wanted.m_revision, aQuery.m_from}));
+  return EncodeMessagePack(json::array({aQuery.m_wanted.m_key, aQuery.m_wanted.m_revision,
+                                        aQuery.m_from, EraToJson(aQuery.m_wanted.m_era)}));
 }
 
 Result<LargeValueQuery> DecodeLargeValueQuery(const std::string& aBytes) {
   return DecodeMessagePack<LargeValueQuery>(aBytes, [](const json& aDocument) {
     return LargeValueQuery{.m_wanted = {.m_key = aDocument.at(0).get<std::string>(),
-                                        .m_revision = aDocument.at(1).get<Revision>()},
+                                        .m_revision = aDocument.at(1).get<Revision>(),
+                                        .m_era = ReadEra(aDocument, kEraField)},
                            .m_from = aDocument.at(2).get<std::string>()};
   });
 }
 
-std::string EncodeLargeValue(const KeyValue& aValue) {
-  return EncodeMessagePack(
-    json::array({aValue.m_key, aValue.m_revision, json(Compress(aValue.m_value))}));
+std::string EncodeLargeValue(const KeyValue& aValue, std::optional<StoreEra> aEra) {
+  return EncodeMessagePack(json::array(
+    {aValue.m_key, aValue.m_revision, json(Compress(aValue.m_value)), EraToJson(aEra)}));
 }
 
-Result<KeyValue> DecodeLargeValue(const std::string& aBytes) {
+Result<LargeValue> DecodeLargeValue(const std::string& aBytes) {
   CompressedValue compressed =
     TRY(DecodeMessagePack<CompressedValue>(aBytes, [](const json& aDocument) {
-      return CompressedValue{.m_key = {.m_key = aDocument.at(0).get<std::string>(),
-                                       .m_value = {},
-                                       .m_revision = aDocument.at(1).get<Revision>()},
+      return CompressedValue{.m_value = {.m_key = {.m_key = aDocument.at(0).get<std::string>(),
+                                                   .m_value = {},
+                                                   .m_revision = aDocument.at(1).get<Revision>()},
+                                         .m_era = ReadEra(aDocument, kEraField)},
                              .m_bytes = aDocument.at(2).get_binary()};
     }));
-  compressed.m_key.m_value = TRY(Decompress(compressed.m_bytes));
-  return compressed.m_key;
+  compressed.m_value.m_key.m_value = TRY(Decompress(compressed.m_bytes));
+  return compressed.m_value;
 }
 
 } // namespace fennelline
--- a/Libraries/LibRouting/LargeValue.h
+++ b/Libraries/LibRouting/LargeValue.h
@@ -3,6 +3,7 @@
 #include "LibBase/Error.h"
 #include "LibCoordination/PlatformCall.h"
 
+#include <optional>
 #include <string>
 
 namespace fennelline {
@@ -11,6 +12,8 @@
 struct DeferredValue {
   std::string m_key;
   Revision m_revision = 0;
+  /// The era of the revision. In an update of the mirror, that of the update holds.
+  std::optional<StoreEra> m_era = {};
 
   friend bool operator==(const DeferredValue&, const DeferredValue&) = default;
 };
@@ -26,8 +29,15 @@
 std::string EncodeLargeValueQuery(const LargeValueQuery& aQuery);
 Result<LargeValueQuery> DecodeLargeValueQuery(const std::string& aBytes);
 
+/// A large value on its way from one entry to another.
+struct LargeValue {
+  KeyValue m_key;
+  /// The era of its revision; none if the sender, or its release, does not know it.
+  std::optional<StoreEra> m_era;
+};
+
 /// Encodes a key with its value compressed.
-std::string EncodeLargeValue(const KeyValue& aValue);
-Result<KeyValue> DecodeLargeValue(const std::string& aBytes);
+std::string EncodeLargeValue(const KeyValue& aValue, std::optional<StoreEra> aEra);
+Result<LargeValue> DecodeLargeValue(const std::string& aBytes);
 
 } // namespace fennelline
--- a/Libraries/LibRouting/RolloutRecord.h
+++ b/Libraries/LibRouting/RolloutRecord.h
@@ -14,8 +14,18 @@
   std::string m_service;
   std::string m_version;
   Duration m_within{0};
-  /// The store's revision of the order; a later order for the same service has a higher one.
+  /// The store's revision of the order; a later order for the same service has a higher one, within
+  /// an era of the store.
   std::uint64_t m_revision = 0;
+  /// Tells orders apart in this process. Unlike the revision, it stays when the store comes back
+  /// from a copy.
+  std::uint64_t m_serial = 0;
+
+  /// Whether both ask for the same. An order that the store has lost is written again like this.
+  bool IsSameAs(const RolloutOrder& aOther) const {
+    return m_service == aOther.m_service && m_version == aOther.m_version &&
+           m_within == aOther.m_within;
+  }
 };
 
 enum class RolloutPhase : std::uint8_t {
@@ -42,8 +52,13 @@
   std::string m_version;
   std::uint64_t m_orderRevision = 0;
   RolloutPhase m_phase = RolloutPhase::Canary;
-  /// The store's revision of this record.
+  /// The store's revision of this record, or of the older one that it has in its place.
   std::uint64_t m_revision = 0;
+  /// Whether the store has this record. It may have lost it by coming back from a copy.
+  bool m_isStored = true;
+
+  /// Whether this record continues the same order further than the other one.
+  bool IsAheadOf(const RolloutRecord& aOther) const;
 };
 
 std::string WriteRolloutRecord(const RolloutRecord& aRecord);
--- a/Libraries/LibRouting/RolloutRecordJson.cpp
+++ b/Libraries/LibRouting/RolloutRecordJson.cpp
@@ -1,11 +1,19 @@
 #include "LibBase/FieldReader.h"
 #include "LibRouting/RolloutRecord.h"
 
+#include <algorithm>
 #include <limits>
 #include <nlohmann/json.hpp>
 
 namespace fennelline {
 
+bool RolloutRecord::IsAheadOf(const RolloutRecord& aOther) const {
+  // Neither of the last two phases ever follows the other one.
+  const RolloutPhase phase = std::min(m_phase, RolloutPhase::Succeeded);
+  const RolloutPhase other = std::min(aOther.m_phase, RolloutPhase::Succeeded);
+  return m_orderRevision == aOther.m_orderRevision && phase > other;
+}
+
 std::string WriteRolloutRecord(const RolloutRecord& aRecord) {
   const nlohmann::json document = {
     {"service", aRecord.m_service},
--- a/Libraries/LibRouting/StoreMirror.cpp
+++ b/Libraries/LibRouting/StoreMirror.cpp
@@ -1,6 +1,7 @@
 #include "LibRouting/StoreMirror.h"
 
 #include "LibRouting/MessagePack.h"
+#include "LibRouting/StoreEraJson.h"
 
 #include <algorithm>
 #include <set>
@@ -82,8 +83,13 @@
 
 std::vector<KeyValue> StoreMirror::ApplyUpdate(const MirrorUpdate& aUpdate, Time aConfirmedAt) {
   if (aUpdate.m_isListing) {
-    return ApplyListing(aUpdate.m_keys, aUpdate.m_deferred, aUpdate.m_upToRevision, aConfirmedAt);
+    return ApplyListing(aUpdate.m_keys, aUpdate.m_deferred, aUpdate.m_upToRevision, aConfirmedAt,
+                        aUpdate.m_era);
   }
+  if (Compare(aUpdate.m_era) != EraOrder::Same) {
+    return {};
+  }
+  LearnEra(aUpdate.m_era);
   for (const DeferredValue& deferred : aUpdate.m_deferred) {
     Await(deferred);
     CountComplete(deferred.m_revision, aUpdate.m_upToRevision);
@@ -92,13 +98,25 @@
 }
 
 std::vector<KeyValue> StoreMirror::ApplyListing(const std::vector<KeyValue>& aKeys,
-                                                Revision aUpToRevision, Time aConfirmedAt) {
-  return ApplyListing(aKeys, {}, aUpToRevision, aConfirmedAt);
+                                                Revision aUpToRevision, Time aConfirmedAt,
+                                                std::optional<StoreEra> aEra) {
+  return ApplyListing(aKeys, {}, aUpToRevision, aConfirmedAt, aEra);
 }
 
 std::vector<KeyValue> StoreMirror::ApplyListing(const std::vector<KeyValue>& aKeys,
                                                 const std::vector<DeferredValue>& aDeferred,
-                                                Revision aUpToRevision, Time aConfirmedAt) {
+                                                Revision aUpToRevision, Time aConfirmedAt,
+                                                std::optional<StoreEra> aEra) {
+  const EraOrder order = Compare(aEra);
+  if (order == EraOrder::Earlier) {
+    return {};
+  }
+  if (order == EraOrder::Later) {
+    m_era = aEra;
+    m_hasChangedEra = true;
+    return ReplaceContents(aKeys, aDeferred, aUpToRevision, aConfirmedAt);
+  }
+  LearnEra(aEra);
   std::set<std::string> listed;
   std::vector<KeyValue> changes = aKeys;
   for (const KeyValue& key : aKeys) {
@@ -123,6 +141,62 @@
   return Apply(changes, aUpToRevision, aConfirmedAt);
 }
 
+std::vector<KeyValue> StoreMirror::ReplaceContents(const std::vector<KeyValue>& aKeys,
+                                                   const std::vector<DeferredValue>& aDeferred,
+                                                   Revision aUpToRevision, Time aConfirmedAt) {
+  std::map<std::string, KeyValue> before = std::exchange(m_keys, {});
+  std::erase_if(before, [](const std::pair<const std::string, KeyValue>& aItem) {
+    return aItem.second.m_removed;
+  });
+  m_awaited.clear();
+  m_lastChange = 0;
+  m_lastCompleteChange = 0;
+  m_upToRevision = 0;
+  m_historyStart = aUpToRevision;
+  std::vector<KeyValue> changes;
+  for (const KeyValue& key : aKeys) {
+    Merge(key);
+    CountComplete(key.m_revision, aUpToRevision);
+    const auto held = before.find(key.m_key);
+    if (held == before.end() || held->second.m_value != key.m_value) {
+      changes.push_back(key);
+    }
+    before.erase(key.m_key);
+  }
+  for (const DeferredValue& deferred : aDeferred) {
+    // The value of the earlier era stands in until the one that is listed has been fetched.
+    const auto held = before.find(deferred.m_key);
+    if (held != before.end()) {
+      held->second.m_revision = 0;
+      m_keys.insert(before.extract(held));
+    }
+    Await(deferred);
+    CountComplete(deferred.m_revision, aUpToRevision);
+  }
+  for (const auto& [name, held] : before) {
+    changes.push_back(
+      {.m_key = name, .m_value = held.m_value, .m_revision = aUpToRevision, .m_removed = true});
+  }
+  Confirm(aUpToRevision, aConfirmedAt);
+  return changes;
+}
+
+EraOrder StoreMirror::Compare(std::optional<StoreEra> aEra) const {
+  if (!aEra || !m_era || *aEra == *m_era) {
+    return EraOrder::Same;
+  }
+  return *aEra < *m_era ? EraOrder::Earlier : EraOrder::Later;
+}
+
+bool StoreMirror::HasUpdate(Revision aAfter, std::optional<Revision> aLastKnown,
+                            std::optional<StoreEra> aEra) const {
+  const EraOrder peer = Compare(aEra);
+  if (peer != EraOrder::Same) {
+    return peer == EraOrder::Earlier;
+  }
+  return m_lastCompleteChange > aAfter || (aLastKnown && m_lastChange > *aLastKnown);
+}
+
 void StoreMirror::PruneTombstones() {
   std::vector<const KeyValue*> tombstones;
   for (const auto& [name, held] : m_keys) {
@@ -157,9 +231,13 @@
   return changes;
 }
 
-MirrorUpdate StoreMirror::UpdateSince(Revision aAfter, std::size_t aMaxValueBytes) const {
-  MirrorUpdate update{.m_upToRevision = m_upToRevision};
-  std::optional<std::vector<KeyValue>> changes = ChangesSince(aAfter);
+MirrorUpdate StoreMirror::UpdateSince(Revision aAfter, std::size_t aMaxValueBytes,
+                                      std::optional<StoreEra> aEra) const {
+  MirrorUpdate update{.m_era = m_era, .m_upToRevision = m_upToRevision};
+  std::optional<std::vector<KeyValue>> changes;
+  if (Compare(aEra) == EraOrder::Same) {
+    changes = ChangesSince(aAfter);
+  }
   update.m_isListing = !changes;
   const Revision after = changes ? aAfter : 0;
   if (!changes) {
@@ -214,10 +292,10 @@
   for (const DeferredValue& value : aUpdate.m_deferred) {
     deferred.push_back(json::array({value.m_key, value.m_revision}));
   }
-  const json document =
-    json::array({aUpdate.m_isListing, aUpdate.m_upToRevision, InMilliseconds(aUpdate.m_age),
-                 InMilliseconds(aUpdate.m_sinceOutage), InMilliseconds(aUpdate.m_sinceStoreAnswer),
-                 std::move(keys), aUpdate.m_outageRevision, std::move(deferred)});
+  const json document = json::array(
+    {aUpdate.m_isListing, aUpdate.m_upToRevision, InMilliseconds(aUpdate.m_age),
+     InMilliseconds(aUpdate.m_sinceOutage), InMilliseconds(aUpdate.m_sinceStoreAnswer),
+     std::move(keys), aUpdate.m_outageRevision, std::move(deferred), EraToJson(aUpdate.m_era)});
   return EncodeMessagePack(document);
 }
 
@@ -229,9 +307,11 @@
     update.m_age = Milliseconds(aDocument.at(2).get<std::int64_t>());
     update.m_sinceOutage = Milliseconds(aDocument.at(3).get<std::int64_t>());
     update.m_sinceStoreAnswer = Milliseconds(aDocument.at(4).get<std::int64_t>());
-    // Entries of earlier releases do not send the last two fields.
+    // Entries of earlier releases do not send the last fields.
     constexpr std::size_t kOutageRevision = 6;
     constexpr std::size_t kDeferred = 7;
+    constexpr std::size_t kEra = 8;
+    update.m_era = ReadEra(aDocument, kEra);
     if (aDocument.size() > kOutageRevision) {
       update.m_outageRevision = aDocument.at(kOutageRevision).get<Revision>();
     }
--- a/Services/Edge/CrashWatch.cpp
+++ b/Services/Edge/CrashWatch.cpp
@@ -42,6 +42,8 @@
 constexpr int kMaxRecordsPerSecond = 10;
 /// The longest lease that the store grants. Records of crashes end with it.
 constexpr Duration kRecordLease = Seconds(600);
+/// Number of entries that write a record which the store has lost, in case that one fails.
+constexpr std::size_t kRecordKeepers = 2;
 
 /// Longer than an announcement takes to reach 460 entries, some of whose datagrams are lost.
 constexpr Duration kTrialStep = Milliseconds(500);
@@ -367,6 +369,13 @@
   Apply(m_history.OnRecord(aFingerprint, aRefusals, m_context.m_loop.Now()));
 }
 
+void CrashWatch::OnRecordLost(const std::string& aFingerprint, std::size_t aRefusals) {
+  // The same few entries write it, whatever the size of the fleet.
+  if (m_members.Rank() < kRecordKeepers && RefusedFor(aFingerprint) > Duration(0)) {
+    Keep(aFingerprint, aRefusals);
+  }
+}
+
 void CrashWatch::Apply(const Step<VerdictChanged>& aStep) {
   for (const VerdictChanged& outcome : aStep.m_outcomes) {
     LogLine line(outcome.m_refusals > 0 ? "content-refused" : "content-cleared");
--- a/Services/Edge/CrashWatch.h
+++ b/Services/Edge/CrashWatch.h
@@ -61,6 +61,8 @@
   void OnPeerMessage(const std::string& aBytes);
   /// The store holds a record of a cause of crashes.
   void OnRecord(const std::string& aFingerprint, std::size_t aRefusals);
+  /// The store has lost the record of a cause by coming back from a copy.
+  void OnRecordLost(const std::string& aFingerprint, std::size_t aRefusals);
 
 private:
   struct Suspicion {
--- a/Services/Edge/EdgeContext.h
+++ b/Services/Edge/EdgeContext.h
@@ -73,6 +73,8 @@
   std::uint64_t m_ownHash = 0;
   /// When the local copy of the store was last confirmed to be current.
   Time m_storeConfirmedAt{};
+  /// The last error of an era of the store that could not be read, which has been logged.
+  std::string m_unreadableEra;
   /// When shutdown was requested.
   std::optional<Time> m_stopRequestedAt;
   PrefillSpeedEstimator m_prefillSpeed;
--- a/Services/Edge/EdgeMetrics.cpp
+++ b/Services/Edge/EdgeMetrics.cpp
@@ -72,6 +72,11 @@
       .Register(*m_registry);
   m_mirrorUpdatesSent = {&mirrorUpdatesSent.Add({{"values", "small"}}),
                          &mirrorUpdatesSent.Add({{"values", "all"}})};
+  m_storeReturns = &prometheus::BuildCounter()
+                      .Name("fennelline_store_returns_total")
+                      .Help("Times that the store came back from an older copy of itself.")
+                      .Register(*m_registry)
+                      .Add({});
   m_loopHeld = &prometheus::BuildCounter()
                   .Name("fennelline_loop_held_seconds_total")
                   .Help("Time that timers of the event loop were late by, if it was long.")
@@ -169,6 +174,10 @@
   m_loopHeld->Increment(InSeconds(aTime));
 }
 
+void EdgeMetrics::OnStoreReturned() {
+  m_storeReturns->Increment();
+}
+
 void EdgeMetrics::OnLargeValueCall(LargeValueOutcome aOutcome) {
   m_largeValueCalls[static_cast<std::size_t>(aOutcome)]->Increment();
 }
--- a/Services/Edge/EdgeMetrics.h
+++ b/Services/Edge/EdgeMetrics.h
@@ -79,6 +79,8 @@
   /// values in it.
   void OnMirrorUpdateSent(bool aIsWhole);
   void OnLargeValueCall(LargeValueOutcome aOutcome);
+  /// The store came back from an older copy of itself.
+  void OnStoreReturned();
   /// The event loop ran no callback for this time, although a timer was due.
   void OnLoopHeld(Duration aTime);
   /// A server was checked after its connections broke.
@@ -117,6 +119,7 @@
   /// Updates sent without and with large values.
   std::array<prometheus::Counter*, 2> m_mirrorUpdatesSent{};
   std::array<prometheus::Counter*, kLargeValueOutcomeNames.size()> m_largeValueCalls{};
+  prometheus::Counter* m_storeReturns = nullptr;
   prometheus::Counter* m_loopHeld = nullptr;
   std::array<prometheus::Counter*, kReachabilities> m_serverChecks{};
   prometheus::Counter* m_contentRefusals = nullptr;
--- a/Services/Edge/EdgeProcess.cpp
+++ b/Services/Edge/EdgeProcess.cpp
@@ -41,7 +41,8 @@
 constexpr char kLoadMessageType = 'L';
 constexpr char kRolloutMessageType = 'R';
 constexpr char kCrashMessageType = 'C';
-/// "ADDRESS REVISION": the sender's peer address and the latest store revision that it knows.
+/// "ADDRESS REVISION [ERA]": the sender's peer address, the latest store revision that it knows and
+/// its era, if the store names one.
 constexpr char kRevisionMessageType = 'V';
 /// Messages created within this time are sent together.
 constexpr Duration kPeerMessageDelay = Milliseconds(5);
@@ -111,14 +112,10 @@
        .m_onPeerMessage = [this](const std::string& aMessage) { OnPeerMessage(aMessage); }})
   , m_store(
       m_context,
-      [this](const std::vector<KeyValue>& aChanges, Revision aLapsedUpTo) {
-        OnStoreChanges(aChanges, aLapsedUpTo);
+      [this](const std::vector<KeyValue>& aChanges, const ChangeOrigin& aOrigin) {
+        OnStoreChanges(aChanges, aOrigin);
       },
-      [this] {
-        m_members.SendToSome(m_context.m_entries, kRevisionMessageType +
-                                                    m_context.m_settings.m_peerAddress + " " +
-                                                    std::to_string(m_store.Mirror().LastChange()));
-      })
+      [this] { AnnounceRevision(); })
   , m_rollouts(m_context, m_storeView, m_members, m_store)
   , m_crashWatch(m_context, m_members, m_store,
                  [this](const std::string& aAddress, const std::string& aMessage) {
@@ -250,8 +247,9 @@
   return m_entries->Listen(settings.m_ip + ":" + std::to_string(settings.m_datagramPort));
 }
 
-void EdgeProcess::OnStoreChanges(const std::vector<KeyValue>& aChanges, Revision aLapsedUpTo) {
-  m_storeView.OnStoreChanges(aChanges, aLapsedUpTo);
+void EdgeProcess::OnStoreChanges(const std::vector<KeyValue>& aChanges,
+                                 const ChangeOrigin& aOrigin) {
+  m_storeView.OnStoreChanges(aChanges, aOrigin, m_store.Mirror());
   m_members.SetRevision(m_store.Mirror().LastChange());
   ApplyLimits();
   UpdateReadiness();
@@ -359,13 +357,33 @@
   if (!report.Get().m_entry.empty()) {
     m_rollouts.OnReport(report.Get());
   }
-  const std::size_t space = aMessage.find(' ');
-  if (aMessage.starts_with(kRevisionMessageType) && space != std::string::npos) {
-    m_store.OnPeerStoreContact(aMessage.substr(1, space - 1),
-                               std::strtoull(aMessage.c_str() + space + 1, nullptr, 10));
+  if (aMessage.starts_with(kRevisionMessageType)) {
+    OnRevisionMessage(aMessage.substr(1));
   }
 }
 
+void EdgeProcess::AnnounceRevision() {
+  const StoreMirror& mirror = m_store.Mirror();
+  std::string message = kRevisionMessageType + m_context.m_settings.m_peerAddress + " " +
+                        std::to_string(mirror.LastChange());
+  if (mirror.Era()) {
+    message += " " + std::to_string(*mirror.Era());
+  }
+  m_members.SendToSome(m_context.m_entries, message);
+}
+
+void EdgeProcess::OnRevisionMessage(const std::string& aMessage) {
+  std::istringstream fields(aMessage);
+  std::string peer;
+  Revision revision = 0;
+  if (!(fields >> peer >> revision)) {
+    return;
+  }
+  StoreEra era = 0;
+  const bool hasEra = static_cast<bool>(fields >> era);
+  m_store.OnPeerStoreContact(peer, revision, hasEra ? std::optional<StoreEra>(era) : std::nullopt);
+}
+
 void EdgeProcess::SchedulePeerMessages() {
   if (!std::exchange(m_peerMessagesScheduled, true)) {
     m_loop.After(kPeerMessageDelay, [this] { SendPeerMessages(); });
--- a/Services/Edge/EdgeProcess.h
+++ b/Services/Edge/EdgeProcess.h
@@ -47,9 +47,12 @@
   Result<void> ServeCallers();
   /// Takes requests that other entries pass on.
   Result<void> ServeEntries();
-  void OnStoreChanges(const std::vector<KeyValue>& aChanges, Revision aLapsedUpTo);
+  void OnStoreChanges(const std::vector<KeyValue>& aChanges, const ChangeOrigin& aOrigin);
   void OnMembersChanged();
   void OnPeerMessage(const std::string& aMessage);
+  /// Tells other entries up to which revision this one knows the store.
+  void AnnounceRevision();
+  void OnRevisionMessage(const std::string& aMessage);
   /// Schedules sending of the pending messages to the other entries, so that they are batched.
   void SchedulePeerMessages();
   void SendPeerMessages();
--- a/Services/Edge/LargeValues.cpp
+++ b/Services/Edge/LargeValues.cpp
@@ -1,6 +1,7 @@
 #include "Services/Edge/LargeValues.h"
 
 #include "LibHttp/MessageWriter.h"
+#include "Services/Edge/StoreReply.h"
 #include "platform/StoreCodec.h"
 
 namespace fennelline {
@@ -46,8 +47,9 @@
   }
   const auto& [key, revision] = *m_mirror.Awaited().begin();
   const Time now = m_context.m_loop.Now();
-  if (m_wanted.m_key != key || m_wanted.m_revision != revision) {
-    m_wanted = {.m_key = key, .m_revision = revision};
+  const DeferredValue wanted{.m_key = key, .m_revision = revision, .m_era = m_mirror.Era()};
+  if (m_wanted != wanted) {
+    m_wanted = wanted;
     m_wantedSince = now;
     m_attempts = 0;
     m_source.Start(m_context.m_entries, now);
@@ -85,15 +87,17 @@
     ContinueAfter(m_source.OnFailure());
     return;
   }
-  const Result<KeyValue> value = DecodeLargeValue(aResponse.m_body);
+  const Result<LargeValue> value = DecodeLargeValue(aResponse.m_body);
   if (aResponse.m_status != kOk || value.IsError()) {
     LogFailure(aPeer, aResponse,
                aResponse.m_status == kOk ? value.GetError().m_detail : "incomplete");
     ContinueAfter(m_source.OnFailure());
     return;
   }
-  m_encoded = {.m_id = {.m_key = value.Get().m_key, .m_revision = value.Get().m_revision},
-               .m_bytes = aResponse.m_body};
+  const KeyValue& key = value.Get().m_key;
+  m_encoded = {
+    .m_id = {.m_key = key.m_key, .m_revision = key.m_revision, .m_era = value.Get().m_era},
+    .m_bytes = aResponse.m_body};
   TakeValue(value.Get(), aPeer, aResponse);
 }
 
@@ -102,33 +106,42 @@
   const PlatformRequest request = GetKey{.m_key = m_wanted.m_key};
   m_calls.Send(store, platform::EncodeStoreCall(request, store), kStoreAnswerTime,
                [this, request](const CallResponse& aResponse) {
-                 OnStoreReply(
-                   platform::DecodeStoreReply(request, aResponse.m_status, aResponse.m_body),
-                   aResponse);
+                 OnStoreReply(ReadStoreReply(m_context, request, aResponse), aResponse);
                });
 }
 
 void LargeValues::OnStoreReply(const PlatformReply& aReply, const CallResponse& aResponse) {
   constexpr std::string_view kSource = "store";
-  m_context.m_metrics.OnStoreCall(aReply.m_status == PlatformStatus::Ok);
   if (aReply.m_status != PlatformStatus::Ok || aReply.m_keys.empty()) {
     LogFailure(kSource, aResponse, "not available");
     ContinueAfter(m_source.OnFailure());
     return;
   }
-  TakeValue(aReply.m_keys.front(), kSource, aResponse);
+  TakeValue({.m_key = aReply.m_keys.front(), .m_era = aReply.m_era}, kSource, aResponse);
 }
 
-void LargeValues::TakeValue(const KeyValue& aValue, std::string_view aSource,
+bool LargeValues::IsOfCurrentEra(std::optional<StoreEra> aEra) const {
+  // Entries of earlier releases do not say the era, and may not have noticed that it changed.
+  const bool isKnown = aEra || !m_mirror.HasChangedEra();
+  return isKnown && m_mirror.Compare(aEra) == EraOrder::Same;
+}
+
+void LargeValues::TakeValue(const LargeValue& aValue, std::string_view aSource,
                             const CallResponse& aResponse) {
+  if (!IsOfCurrentEra(aValue.m_era)) {
+    LogFailure(aSource, aResponse, "of another era");
+    ContinueAfter(m_source.OnFailure());
+    return;
+  }
+  const KeyValue& value = aValue.m_key;
   m_context.m_metrics.OnLargeValueCall(LargeValueOutcome::Received);
   LogLine line("large-value");
-  line.Text("key", aValue.m_key).Count("revision", aValue.m_revision);
+  line.Text("key", value.m_key).Count("revision", value.m_revision);
   line.Text("dependency", aSource).Count("bytes", aResponse.m_body.size());
-  line.Count("value-bytes", aValue.m_value.size()).Ms("transfer", aResponse.m_transferTime);
+  line.Count("value-bytes", value.m_value.size()).Ms("transfer", aResponse.m_transferTime);
   line.Ms("awaited", m_context.m_loop.Now() - m_wantedSince).Count("attempts", m_attempts);
   m_context.Log(LogPriority::Notable, line);
-  m_onReceived(aValue);
+  m_onReceived(value);
   // An older revision than the awaited one leaves it awaited.
   ContinueAfter(m_mirror.Awaited().empty() ? Duration(0) : m_source.OnFailure());
 }
@@ -162,13 +175,15 @@
     return true;
   }
   const KeyValue* held = m_mirror.Find(query.Get().m_wanted.m_key);
-  if (held == nullptr || held->m_revision < query.Get().m_wanted.m_revision) {
+  const bool isSameEra = m_mirror.Compare(query.Get().m_wanted.m_era) == EraOrder::Same;
+  if (!isSameEra || held == nullptr || held->m_revision < query.Get().m_wanted.m_revision) {
     aPeer->SendResponse({.m_status = kNotFound, .m_headers = {}}, {});
     return true;
   }
-  const DeferredValue id{.m_key = held->m_key, .m_revision = held->m_revision};
+  const DeferredValue id{
+    .m_key = held->m_key, .m_revision = held->m_revision, .m_era = m_mirror.Era()};
   if (m_encoded.m_id != id) {
-    m_encoded = {.m_id = id, .m_bytes = EncodeLargeValue(*held)};
+    m_encoded = {.m_id = id, .m_bytes = EncodeLargeValue(*held, m_mirror.Era())};
   }
   const Time now = m_context.m_loop.Now();
   if (m_sender.Start(id, query.Get().m_from, m_encoded.m_bytes.size(),
--- a/Services/Edge/LargeValues.h
+++ b/Services/Edge/LargeValues.h
@@ -18,6 +18,7 @@
 /// value is fetched at a time.
 class LargeValues {
 public:
+  /// Called with a value of the mirror's era.
   using OnReceived = std::function<void(const KeyValue&)>;
 
   LargeValues(EdgeContext& aContext, OutgoingCalls& aCalls, const StoreMirror& aMirror,
@@ -42,7 +43,9 @@
   void FetchFromStore();
   void OnPeerResponse(const std::string& aPeer, const CallResponse& aResponse);
   void OnStoreReply(const PlatformReply& aReply, const CallResponse& aResponse);
-  void TakeValue(const KeyValue& aValue, std::string_view aSource, const CallResponse& aResponse);
+  void TakeValue(const LargeValue& aValue, std::string_view aSource, const CallResponse& aResponse);
+  /// Whether the revision of a received value may be compared with the mirror's.
+  bool IsOfCurrentEra(std::optional<StoreEra> aEra) const;
   void ContinueAfter(Duration aDelay);
   void LogFailure(std::string_view aSource, const CallResponse& aResponse,
                   std::string_view aReason) const;
--- a/Services/Edge/Members.cpp
+++ b/Services/Edge/Members.cpp
@@ -72,6 +72,17 @@
   ApplyStep(m_membership.Leave(m_context.m_loop.Now()));
 }
 
+std::size_t Members::Rank() const {
+  std::size_t rank = 0;
+  for (const MemberDigest& member : All()) {
+    if (member.m_entry == Self().m_entry) {
+      return rank;
+    }
+    rank += member.m_state == MemberState::Alive ? 1 : 0;
+  }
+  return rank;
+}
+
 const std::vector<MemberDigest>& Members::All() const {
   if (!m_all) {
     m_all = m_membership.Members();
--- a/Services/Edge/Members.h
+++ b/Services/Edge/Members.h
@@ -39,6 +39,8 @@
 
   /// Members that are alive or suspected, including this entry, sorted by name.
   const std::vector<MemberDigest>& All() const;
+  /// Rank of this entry among the live ones, from 0.
+  std::size_t Rank() const;
   const MemberDigest& Self() const { return m_membership.Self(); }
 
 private:
--- a/Services/Edge/OutgoingCalls.cpp
+++ b/Services/Edge/OutgoingCalls.cpp
@@ -40,6 +40,7 @@
   CallListener listener;
   listener.m_onHead = [exchange](const MessageHead& aHead) {
     exchange->m_response.m_status = aHead.m_status;
+    exchange->m_response.m_headers = aHead.m_headers;
     return HeadAction::Accept;
   };
   listener.m_onBody = [this, exchange](const std::string& aPart) { OnBody(*exchange, aPart); };
--- a/Services/Edge/OutgoingCalls.h
+++ b/Services/Edge/OutgoingCalls.h
@@ -14,6 +14,7 @@
 struct CallResponse {
   /// 0 if no complete response was received in time.
   int m_status = 0;
+  HeaderList m_headers;
   std::string m_body;
   /// From the first to the last byte of the body.
   Duration m_transferTime{0};
--- a/Services/Edge/RolloutDriver.cpp
+++ b/Services/Edge/RolloutDriver.cpp
@@ -20,7 +20,8 @@
 /// fails.
 constexpr std::size_t kReportReceivers = 3;
 
-/// Additional delay per rank before an entry decides in place of those ranked before it.
+/// Additional delay per rank, where the first entry decides immediately, before an entry decides in
+/// place of those ranked before it.
 constexpr Duration kRankDelay = Milliseconds(700);
 
 /// Reports stop this long after the order's time limit, since nothing is decided any more.
@@ -59,7 +60,7 @@
     return;
   }
   LocalEvidence& local = m_localEvidence[aEvent.m_service];
-  if (local.m_report.m_orderRevision != order->second.m_revision) {
+  if (local.m_orderSerial != order->second.m_serial) {
     return;
   }
   const bool isStalled = aEvent.m_outcome == VersionOutcome::Stalled;
@@ -86,6 +87,12 @@
 }
 
 void RolloutDriver::OnReport(const RolloutReport& aReport) {
+  const auto order = m_storeView.Orders().find(aReport.m_service);
+  // After a return of the store, an entry that does not know of it yet may report on an order by a
+  // higher revision than the one that the order has now. Reports come again.
+  if (order == m_storeView.Orders().end() || order->second.m_revision != aReport.m_orderRevision) {
+    return;
+  }
   m_evaluators[aReport.m_service].OnReport(aReport, m_context.m_loop.Now());
 }
 
@@ -101,11 +108,16 @@
   const Time now = m_context.m_loop.Now();
   for (const auto& [service, order] : m_storeView.Orders()) {
     LocalEvidence& local = m_localEvidence[service];
-    if (local.m_report.m_orderRevision != order.m_revision) {
-      local = {.m_report = {}, .m_orderSeen = now};
+    if (local.m_orderSerial != order.m_serial) {
+      const std::uint64_t revisionBefore = local.m_report.m_orderRevision;
+      local = {.m_report = {}, .m_orderSerial = order.m_serial, .m_orderSeen = now};
       local.m_report.m_entry = m_members.Self().m_entry;
       local.m_report.m_service = service;
-      local.m_report.m_orderRevision = order.m_revision;
+      local.m_report.m_orderRevision = revisionBefore;
+    }
+    if (std::exchange(local.m_report.m_orderRevision, order.m_revision) > order.m_revision) {
+      // The store came back from a copy. The entries report all that they have seen again.
+      m_evaluators.erase(service);
     }
     const bool isReporting =
       IsInProgress(order) && now - local.m_orderSeen < order.m_within + kReportsAfterEnd;
@@ -120,17 +132,6 @@
   }
 }
 
-std::size_t RolloutDriver::Rank() const {
-  std::size_t rank = 0;
-  for (const MemberDigest& member : m_members.All()) {
-    if (member.m_entry == m_members.Self().m_entry) {
-      return rank;
-    }
-    rank += member.m_state == MemberState::Alive ? 1 : 0;
-  }
-  return rank;
-}
-
 void RolloutDriver::Report(const RolloutOrder& aOrder) {
   const LocalEvidence& local = m_localEvidence[aOrder.m_service];
   RolloutReport report = local.m_report;
@@ -169,13 +170,13 @@
     next.m_phase =
       m_evaluators[aOrder.m_service].Evaluate(aOrder, record, m_context.m_entries, now);
   }
-  const bool isDue = !hasStarted || next.m_phase != record.m_phase;
+  const bool isDue = !hasStarted || !record.m_isStored || next.m_phase != record.m_phase;
   const bool hasStatus = hasStarted && !isDue;
   if (!isDue) {
     m_dueSince.erase(aOrder.m_service);
   }
   const Time since = isDue ? m_dueSince.try_emplace(aOrder.m_service, now).first->second : now;
-  const std::size_t rank = Rank();
+  const std::size_t rank = m_members.Rank();
   if (isDue && now - since >= kRankDelay * static_cast<std::int64_t>(rank)) {
     LogLine line("rollout-decision");
     line.Text("service", aOrder.m_service).Text("version", aOrder.m_version);
--- a/Services/Edge/RolloutDriver.h
+++ b/Services/Edge/RolloutDriver.h
@@ -34,6 +34,7 @@
   struct LocalEvidence {
     /// Evidence so far. Fields that change over time are filled in when the report is sent.
     RolloutReport m_report;
+    std::uint64_t m_orderSerial = 0;
     Time m_orderSeen{};
     Time m_nextReport{};
   };
@@ -44,9 +45,6 @@
   void Advance(const RolloutOrder& aOrder);
   void Write(const RolloutRecord& aRecord, Revision aExpected);
   void WriteStatus(const RolloutRecord& aRecord);
-  /// Rank of this entry among the live ones, from 0. The first decides immediately, the others
-  /// after a delay.
-  std::size_t Rank() const;
   RolloutRecord RecordOf(const RolloutOrder& aOrder) const;
 
   EdgeContext& m_context;
--- a/Services/Edge/StoreClient.cpp
+++ b/Services/Edge/StoreClient.cpp
@@ -1,5 +1,6 @@
 #include "Services/Edge/StoreClient.h"
 
+#include "Services/Edge/StoreReply.h"
 #include "platform/StoreCodec.h"
 
 #include <algorithm>
@@ -84,12 +85,14 @@
 std::string PeerQuery(const StoreMirror& aMirror, Duration aWait, const std::string& aPeer) {
   HeaderList headers;
   headers.Add("Host", aPeer);
-  return WriteRequest("GET",
-                      std::string(kMirrorPath) + "?after=" + std::to_string(aMirror.AsOf()) +
-                        "&last-known=" + std::to_string(aMirror.LastChange()) +
-                        "&wait-ms=" + std::to_string(InMilliseconds(aWait)) +
-                        "&max-value-bytes=" + std::to_string(kMaxInlineBytes),
-                      headers, {});
+  std::string target = std::string(kMirrorPath) + "?after=" + std::to_string(aMirror.AsOf()) +
+                       "&last-known=" + std::to_string(aMirror.LastChange()) +
+                       "&wait-ms=" + std::to_string(InMilliseconds(aWait)) +
+                       "&max-value-bytes=" + std::to_string(kMaxInlineBytes);
+  if (aMirror.Era()) {
+    target += "&era=" + std::to_string(*aMirror.Era());
+  }
+  return WriteRequest("GET", target, headers, {});
 }
 
 } // namespace
@@ -213,16 +216,16 @@
                                 Time aSent) {
   EndSync();
   const Time received = SystemClock().Now();
-  const PlatformReply reply =
-    platform::DecodeStoreReply(aRequest, aResponse.m_status, aResponse.m_body);
-  m_context.m_metrics.OnStoreCall(reply.m_status == PlatformStatus::Ok);
+  const PlatformReply reply = ReadStoreReply(m_context, aRequest, aResponse);
+  if (!CheckEra(aChoice, aRequest, reply)) {
+    ScheduleSync(Duration(0));
+    return;
+  }
   if (reply.m_status == PlatformStatus::HistoryGone) {
     LogSource("history-gone", aChoice);
     OnStoreContact(m_context.m_loop.Now());
     m_source.OnAnswer(aChoice, m_storeContactAt);
-    m_needsListing = true;
-    m_pages.clear();
-    m_pageAfter.clear();
+    RestartListing();
     ScheduleSync(Duration(0));
     return;
   }
@@ -251,8 +254,9 @@
   } else {
     // The watch has just returned, so its result is current as of now.
     const Time now = m_context.m_loop.Now();
+    m_mirror.LearnEra(reply.m_era);
     const std::vector<KeyValue> changedKeys = m_mirror.Apply(reply.m_keys, reply.m_revision, now);
-    PublishChanges(changedKeys, now - m_outageEnded, m_outageRevision);
+    PublishChanges(changedKeys, OriginAfterOutage(now - m_outageEnded, m_outageRevision));
     // Tells the other entries that they need not replace the failed watcher as well.
     if (!changedKeys.empty() || aChoice.m_isFallback) {
       m_onWatchResult();
@@ -263,6 +267,47 @@
   ScheduleSync(reply.m_keys.empty() ? Duration(0) : kCoalescingDelay);
 }
 
+bool StoreClient::CheckEra(const MirrorSource::Choice& aChoice, const PlatformRequest& aRequest,
+                           const PlatformReply& aReply) {
+  const EraOrder order = m_mirror.Compare(aReply.m_era);
+  if (order == EraOrder::Earlier) {
+    if (!std::exchange(m_loggedEarlierEra, true)) {
+      LogLine line("store-era-ignored");
+      line.Count("era", *aReply.m_era).Count("known", *m_mirror.Era());
+      m_context.Log(LogPriority::Notable, line);
+    }
+    m_source.OnFailure(aChoice, m_context.m_loop.Now());
+    return false;
+  }
+  const bool isOfNoUse = order == EraOrder::Later && aReply.m_status == PlatformStatus::Ok &&
+                         !std::holds_alternative<ListKeys>(aRequest);
+  if (isOfNoUse) {
+    m_source.OnAnswer(aChoice, m_context.m_loop.Now());
+    RestartListing();
+  }
+  return !isOfNoUse;
+}
+
+void StoreClient::RestartListing() {
+  m_needsListing = true;
+  m_pages.clear();
+  m_pageAfter.clear();
+}
+
+void StoreClient::OnReturned(std::optional<StoreEra> aEraBefore, std::string_view aSource,
+                             const std::vector<KeyValue>& aChanges) {
+  m_serversAsOf = 0;
+  m_context.m_metrics.OnStoreReturned();
+  const std::size_t missing = static_cast<std::size_t>(std::count_if(
+    aChanges.begin(), aChanges.end(), [](const KeyValue& aChange) { return aChange.m_removed; }));
+  LogLine line("store-returned");
+  line.Text("dependency", aSource);
+  line.Count("era-before", *aEraBefore).Count("era", *m_mirror.Era());
+  line.Count("as-of", m_mirror.AsOf());
+  line.Count("keys-differing", aChanges.size() - missing).Count("keys-missing", missing);
+  m_context.Log(LogPriority::Notable, line);
+}
+
 void StoreClient::WatchServers() {
   const std::chrono::duration<double> largeTransfer(
     kLargestValueBytes / static_cast<double>(m_context.m_settings.m_linkBytesPerSecond));
@@ -284,20 +329,20 @@
 
 void StoreClient::OnServersAnswer(const PlatformRequest& aRequest, const CallResponse& aResponse) {
   m_isWatchingServers = false;
-  const PlatformReply reply =
-    platform::DecodeStoreReply(aRequest, aResponse.m_status, aResponse.m_body);
-  m_context.m_metrics.OnStoreCall(reply.m_status == PlatformStatus::Ok);
+  const PlatformReply reply = ReadStoreReply(m_context, aRequest, aResponse);
   const Time now = m_context.m_loop.Now();
   // After an outage, the watch of all keys decides which servers may only have expired in it. It
   // also begins this watch again.
   const bool mayHaveBeenOut = m_source.IsStoreFailing() || now - m_storeContactAt >= kMinOutage;
-  if (reply.m_status != PlatformStatus::Ok || mayHaveBeenOut) {
+  // It also finds out about a later era.
+  const bool isOfOtherEra = m_mirror.Compare(reply.m_era) != EraOrder::Same;
+  if (reply.m_status != PlatformStatus::Ok || mayHaveBeenOut || isOfOtherEra) {
     return;
   }
   OnStoreContact(now);
   m_serversAsOf = reply.m_revision;
   const std::vector<KeyValue> changes = m_mirror.ApplyAhead(reply.m_keys);
-  PublishChanges(changes, now - m_outageEnded, m_outageRevision);
+  PublishChanges(changes, OriginAfterOutage(now - m_outageEnded, m_outageRevision));
   if (!changes.empty()) {
     m_onWatchResult();
   }
@@ -306,9 +351,14 @@
 }
 
 void StoreClient::OnPage(const PlatformReply& aReply, Time aSent) {
+  const bool isFirst = m_pages.empty() && m_pageAfter.empty();
+  if (!isFirst && aReply.m_era != m_pagesEra) {
+    RestartListing();
+    return;
+  }
+  m_pagesEra = aReply.m_era;
   // Pages may be of different revisions: the watch continues from the oldest one.
-  m_pagesAsOf = m_pages.empty() && m_pageAfter.empty() ? aReply.m_revision
-                                                       : std::min(m_pagesAsOf, aReply.m_revision);
+  m_pagesAsOf = isFirst ? aReply.m_revision : std::min(m_pagesAsOf, aReply.m_revision);
   m_pages.insert(m_pages.end(), aReply.m_keys.begin(), aReply.m_keys.end());
   if (aReply.m_hasMore && !aReply.m_keys.empty()) {
     m_pageAfter = aReply.m_keys.back().m_key;
@@ -317,8 +367,20 @@
   m_needsListing = false;
   m_pageAfter.clear();
   const std::vector<KeyValue> pages = std::exchange(m_pages, {});
-  PublishChanges(m_mirror.ApplyListing(pages, m_pagesAsOf, aSent),
-                 m_context.m_loop.Now() - m_outageEnded, m_outageRevision);
+  const std::optional<StoreEra> eraBefore = m_mirror.Era();
+  const bool isReturn = m_mirror.Compare(m_pagesEra) == EraOrder::Later;
+  const std::vector<KeyValue> changes =
+    m_mirror.ApplyListing(pages, m_pagesAsOf, aSent, m_pagesEra);
+  const Time now = m_context.m_loop.Now();
+  if (!isReturn) {
+    PublishChanges(changes, OriginAfterOutage(now - m_outageEnded, m_outageRevision));
+    return;
+  }
+  m_outageEnded = now;
+  m_outageRevision = m_pagesAsOf;
+  OnReturned(eraBefore, kStoreName, changes);
+  PublishChanges(changes, {.m_lapsedUpTo = m_pagesAsOf, .m_isReturn = true});
+  m_onWatchResult();
 }
 
 void StoreClient::SyncWithPeer(const MirrorSource::Choice& aChoice) {
@@ -408,21 +470,40 @@
 
 void StoreClient::ApplyPeerChanges(const std::string& aPeer, const MirrorUpdate& aUpdate,
                                    Time aSent) {
-  const Time confirmedAt = std::max(aSent, m_context.m_loop.Now() - aUpdate.m_age);
+  const Time now = m_context.m_loop.Now();
+  const Time confirmedAt = std::max(aSent, now - aUpdate.m_age);
+  const EraOrder order = m_mirror.Compare(aUpdate.m_era);
+  // Entries of earlier releases do not say the era, and do not notice that it changes.
+  const bool isOfUnknownEra = !aUpdate.m_era && m_mirror.HasChangedEra();
+  if (order == EraOrder::Earlier || isOfUnknownEra) {
+    return;
+  }
   // A store that answers other entries is available, even if it rejects this entry.
-  OnStoreContact(m_context.m_loop.Now() - aUpdate.m_sinceStoreAnswer);
+  OnStoreContact(now - aUpdate.m_sinceStoreAnswer);
+  if (order == EraOrder::Later && aUpdate.m_isListing) {
+    const std::optional<StoreEra> eraBefore = m_mirror.Era();
+    const std::vector<KeyValue> changes = m_mirror.ApplyUpdate(aUpdate, confirmedAt);
+    m_outageEnded = now - aUpdate.m_sinceOutage;
+    m_outageRevision = aUpdate.m_outageRevision;
+    OnReturned(eraBefore, aPeer, changes);
+    const bool mayBeBack = aUpdate.m_sinceOutage < kReregistrationWindow;
+    PublishChanges(changes,
+                   {.m_lapsedUpTo = mayBeBack ? aUpdate.m_upToRevision : 0, .m_isReturn = true});
+    m_largeValues.FetchAwaited(aPeer);
+    return;
+  }
   const bool isOlder = aUpdate.m_isListing && aUpdate.m_upToRevision < m_mirror.AsOf();
   if (isOlder) {
     return;
   }
-  PublishChanges(m_mirror.ApplyUpdate(aUpdate, confirmedAt), aUpdate.m_sinceOutage,
-                 aUpdate.m_outageRevision);
+  PublishChanges(m_mirror.ApplyUpdate(aUpdate, confirmedAt),
+                 OriginAfterOutage(aUpdate.m_sinceOutage, aUpdate.m_outageRevision));
   m_largeValues.FetchAwaited(aPeer);
 }
 
 void StoreClient::OnLargeValue(const KeyValue& aValue) {
   if (m_mirror.ApplyLargeValue(aValue)) {
-    m_onStoreChanges({aValue}, 0);
+    m_onStoreChanges({aValue}, {});
   }
 }
 
@@ -442,7 +523,19 @@
   });
 }
 
-void StoreClient::OnPeerStoreContact(const std::string& aPeer, Revision aRevision) {
+void StoreClient::OnPeerStoreContact(const std::string& aPeer, Revision aRevision,
+                                     std::optional<StoreEra> aEra) {
+  const EraOrder order = m_mirror.Compare(aEra);
+  const bool isOfUse = order != EraOrder::Earlier && (aEra || !m_mirror.HasChangedEra());
+  if (!isOfUse) {
+    return;
+  }
+  if (order == EraOrder::Later) {
+    if (m_fetchingFrom.insert(aPeer).second) {
+      FetchFromPeer(aPeer);
+    }
+    return;
+  }
   if (aRevision <= m_mirror.LastChange()) {
     OnStoreContact(m_context.m_loop.Now());
     return;
@@ -467,11 +560,15 @@
                });
 }
 
-void StoreClient::PublishChanges(const std::vector<KeyValue>& aChanges, Duration aSinceOutage,
-                                 Revision aOutageRevision) {
+ChangeOrigin StoreClient::OriginAfterOutage(Duration aSinceOutage, Revision aOutageRevision) const {
+  return {.m_lapsedUpTo = aSinceOutage < kReregistrationWindow ? aOutageRevision : 0};
+}
+
+void StoreClient::PublishChanges(const std::vector<KeyValue>& aChanges,
+                                 const ChangeOrigin& aOrigin) {
   m_context.m_storeConfirmedAt = m_mirror.ConfirmedAt();
-  if (!aChanges.empty()) {
-    m_onStoreChanges(aChanges, aSinceOutage < kReregistrationWindow ? aOutageRevision : 0);
+  if (!aChanges.empty() || aOrigin.m_isReturn) {
+    m_onStoreChanges(aChanges, aOrigin);
   }
   // Last, since peers ask at once for a large value that they are told of, and applying one takes a
   // slow entry longer than they wait.
@@ -489,7 +586,8 @@
   const Time now = m_context.m_loop.Now();
   m_context.m_metrics.OnMirrorUpdateSent(!aPeer.m_maxValueBytes);
   MirrorUpdate update = m_mirror.UpdateSince(
-    aPeer.m_after, aPeer.m_maxValueBytes.value_or(std::numeric_limits<std::size_t>::max()));
+    aPeer.m_after, aPeer.m_maxValueBytes.value_or(std::numeric_limits<std::size_t>::max()),
+    aPeer.m_era);
   update.m_age = now - m_mirror.ConfirmedAt();
   update.m_sinceOutage = now - m_outageEnded;
   update.m_sinceStoreAnswer = now - m_storeContactAt;
@@ -508,6 +606,9 @@
   if (target.find("last-known=") != std::string_view::npos) {
     peer.m_lastKnown = static_cast<Revision>(QueryNumber(target, "last-known"));
   }
+  if (target.find("&era=") != std::string_view::npos) {
+    peer.m_era = static_cast<StoreEra>(QueryNumber(target, "era"));
+  }
   const std::int64_t maxValueBytes = QueryNumber(target, "max-value-bytes");
   if (maxValueBytes > 0) {
     peer.m_maxValueBytes = static_cast<std::size_t>(maxValueBytes);
@@ -518,7 +619,7 @@
 
 void StoreClient::AnswerWatch(WaitingPeer aPeer, Duration aWait) {
   const bool hasChanges =
-    !m_mirror.HasListing() || m_mirror.HasUpdate(aPeer.m_after, aPeer.m_lastKnown);
+    !m_mirror.HasListing() || m_mirror.HasUpdate(aPeer.m_after, aPeer.m_lastKnown, aPeer.m_era);
   if (hasChanges || aWait <= Duration(0)) {
     SendUpdate(aPeer);
     return;
@@ -535,7 +636,7 @@
 void StoreClient::AnswerWaitingPeers() {
   const auto first =
     std::partition(m_waiting.begin(), m_waiting.end(), [this](const WaitingPeer& aPeer) {
-      return !m_mirror.HasUpdate(aPeer.m_after, aPeer.m_lastKnown);
+      return !m_mirror.HasUpdate(aPeer.m_after, aPeer.m_lastKnown, aPeer.m_era);
     });
   for (auto peer = first; peer != m_waiting.end(); ++peer) {
     m_context.m_loop.Cancel(peer->m_timer);
@@ -548,10 +649,13 @@
   m_calls.Send(m_context.m_settings.m_storeAddress,
                platform::EncodeStoreCall(aRequest, m_context.m_settings.m_storeAddress),
                kStoreAnswerTime,
-               [this, aRequest, onReply = std::move(aOnReply)](const CallResponse& aResponse) {
-                 const PlatformReply reply =
-                   platform::DecodeStoreReply(aRequest, aResponse.m_status, aResponse.m_body);
-                 m_context.m_metrics.OnStoreCall(reply.m_status == PlatformStatus::Ok);
+               [this, aRequest, era = m_mirror.Era(),
+                onReply = std::move(aOnReply)](const CallResponse& aResponse) {
+                 PlatformReply reply = ReadStoreReply(m_context, aRequest, aResponse);
+                 const bool isOfOtherEra = reply.m_era && era && *reply.m_era != *era;
+                 if (isOfOtherEra || era != m_mirror.Era()) {
+                   reply.m_status = PlatformStatus::Unknown;
+                 }
                  onReply(reply);
                });
 }
--- a/Services/Edge/StoreClient.h
+++ b/Services/Edge/StoreClient.h
@@ -20,9 +20,8 @@
 /// the store and serves the mirror to peers. The only client of the store in this process.
 class StoreClient {
 public:
-  /// Called with changed keys. aLapsedUpTo: keys removed up to this revision may only have expired
-  /// in an outage of the store that has just ended.
-  using OnStoreChanges = std::function<void(const std::vector<KeyValue>&, Revision aLapsedUpTo)>;
+  /// Called with changed keys.
+  using OnStoreChanges = std::function<void(const std::vector<KeyValue>&, const ChangeOrigin&)>;
   using OnReply = std::function<void(const PlatformReply&)>;
 
   /// aOnWatchResult: called after the store itself reported changes, which peers may not know yet,
@@ -37,9 +36,11 @@
                 std::vector<std::string> aOthers);
   /// A peer knows the store up to this revision; if the mirror is behind, fetches the changes.
   void OnPeerRevision(const std::string& aPeer, Revision aRevision);
-  /// The store has just answered a peer, which now knows the store up to this revision.
-  void OnPeerStoreContact(const std::string& aPeer, Revision aRevision);
-  /// Sends one call to the store, such as a conditional write. It is not retried.
+  /// The store has just answered a peer, which now knows the store up to this revision of the era.
+  void OnPeerStoreContact(const std::string& aPeer, Revision aRevision,
+                          std::optional<StoreEra> aEra);
+  /// Sends one call to the store, such as a conditional write. It is not retried. If the store's
+  /// era is another one by the time of the response, the outcome is Unknown.
   void Call(const PlatformRequest& aRequest, OnReply aOnReply);
   /// Answers a peer's request for the mirror. Returns false if aTarget is not one.
   bool AnswerPeer(const std::shared_ptr<ServerConnection>& aPeer, const IncomingRequest& aRequest);
@@ -50,6 +51,8 @@
   struct WaitingPeer {
     std::shared_ptr<ServerConnection> m_channel;
     Revision m_after = 0;
+    /// The era of its revisions.
+    std::optional<StoreEra> m_era;
     /// The last change that it knows; none for an entry of an earlier release.
     std::optional<Revision> m_lastKnown;
     /// Larger values are left out of the answer. None: an entry of an earlier release, which takes
@@ -79,6 +82,14 @@
   void OnStoreAnswer(const MirrorSource::Choice& aChoice, const PlatformRequest& aRequest,
                      const CallResponse& aResponse, Time aSent);
   void OnPage(const PlatformReply& aReply, Time aSent);
+  /// Handles what the store's answer says of its era. Returns false if the answer is of no use.
+  bool CheckEra(const MirrorSource::Choice& aChoice, const PlatformRequest& aRequest,
+                const PlatformReply& aReply);
+  /// Reads all keys again with the next call to the store.
+  void RestartListing();
+  /// The mirror has been replaced by a listing of a later era.
+  void OnReturned(std::optional<StoreEra> aEraBefore, std::string_view aSource,
+                  const std::vector<KeyValue>& aChanges);
   /// aSync: the number of the synchronisation that the call began.
   void OnPeerAnswer(const MirrorSource::Choice& aChoice, const CallResponse& aResponse, Time aSent,
                     std::uint64_t aSync);
@@ -87,8 +98,8 @@
   /// Logs an update that is large or took long, and counts it.
   void RecordUpdate(std::string_view aSource, const CallResponse& aResponse, std::size_t aKeys,
                     Time aReceived);
-  void PublishChanges(const std::vector<KeyValue>& aChanges, Duration aSinceOutage,
-                      Revision aOutageRevision);
+  void PublishChanges(const std::vector<KeyValue>& aChanges, const ChangeOrigin& aOrigin);
+  ChangeOrigin OriginAfterOutage(Duration aSinceOutage, Revision aOutageRevision) const;
   /// Answers a peer once there are changes after its revision, or after aWait.
   void AnswerWatch(WaitingPeer aPeer, Duration aWait);
   void AnswerWaitingPeers();
@@ -113,6 +124,7 @@
   /// Pages of a listing in progress.
   std::vector<KeyValue> m_pages;
   Revision m_pagesAsOf = 0;
+  std::optional<StoreEra> m_pagesEra;
   std::string m_pageAfter;
   bool m_needsListing = true;
   bool m_isSyncing = false;
@@ -128,6 +140,7 @@
   /// When this entry, or a peer that it synchronised with, last received a response of the store.
   Time m_storeContactAt{};
   bool m_loggedStaleContact = false;
+  bool m_loggedEarlierEra = false;
   /// When the last store outage ended.
   Time m_outageEnded{};
   /// Revision of the store at that moment.
--- a/Services/Edge/StoreView.cpp
+++ b/Services/Edge/StoreView.cpp
@@ -17,33 +17,160 @@
 /// The platform's operators state this bound.
 constexpr Duration kReregistrationGrace = Seconds(2);
 
+/// The store removes the entry of a server that has been silent for this many heartbeats.
+constexpr std::int64_t kLeaseHeartbeats = 3;
+
 } // namespace
 
-void StoreView::OnStoreChanges(const std::vector<KeyValue>& aChanges, Revision aLapsedUpTo) {
+void StoreView::OnStoreChanges(const std::vector<KeyValue>& aChanges, const ChangeOrigin& aOrigin,
+                               const StoreMirror& aMirror) {
+  if (aOrigin.m_isReturn) {
+    OnReturn(aChanges, aOrigin.m_lapsedUpTo, aMirror);
+    return;
+  }
+  // A record of a roll-out is judged by its order, so orders go first.
+  for (const bool isRecord : {false, true}) {
+    for (const KeyValue& key : aChanges) {
+      const platform::KeyKind kind = platform::ParseKey(key.m_key).m_kind;
+      if ((kind == platform::KeyKind::RolloutRecord) == isRecord) {
+        m_withheld.erase(key.m_key);
+        Apply(key, aOrigin.m_lapsedUpTo);
+      }
+    }
+  }
+}
+
+void StoreView::Apply(const KeyValue& aKey, Revision aLapsedUpTo) {
+  const platform::StoreKey name = platform::ParseKey(aKey.m_key);
+  switch (name.m_kind) {
+    case platform::KeyKind::Configuration:
+      ApplyConfiguration(aKey);
+      break;
+    case platform::KeyKind::Replica:
+      ApplyReplica(name.m_name, aKey, aLapsedUpTo);
+      break;
+    case platform::KeyKind::RolloutOrder:
+      ApplyOrder(name.m_name, aKey);
+      break;
+    case platform::KeyKind::RolloutRecord:
+      ApplyRecord(name.m_name, aKey);
+      break;
+    case platform::KeyKind::CrashRecord:
+      ApplyCrashRecord(name.m_name, aKey);
+      break;
+    case platform::KeyKind::RolloutStatus:
+    case platform::KeyKind::Member:
+    case platform::KeyKind::Other:
+      break;
+  }
+}
+
+bool StoreView::IsSettling() const {
+  return m_context.m_loop.Now() < m_settlesAt;
+}
+
+void StoreView::OnReturn(const std::vector<KeyValue>& aChanges, Revision aLapsedUpTo,
+                         const StoreMirror& aMirror) {
+  const Duration settleTime =
+    m_context.m_settings.m_heartbeat * kLeaseHeartbeats + kReregistrationGrace;
+  m_settlesAt = m_context.m_loop.Now() + settleTime;
+  m_context.m_loop.At(m_settlesAt, [this, &aMirror] { Settle(aMirror); });
+  m_withheld.clear();
+  CompareOrders(aMirror);
+  CompareRecords(aMirror);
   for (const KeyValue& key : aChanges) {
-    const platform::StoreKey name = platform::ParseKey(key.m_key);
-    switch (name.m_kind) {
-      case platform::KeyKind::Configuration:
-        ApplyConfiguration(key);
-        break;
-      case platform::KeyKind::Replica:
-        ApplyReplica(name.m_name, key, aLapsedUpTo);
-        break;
-      case platform::KeyKind::RolloutOrder:
-        ApplyOrder(name.m_name, key);
-        break;
-      case platform::KeyKind::RolloutRecord:
-        ApplyRecord(name.m_name, key);
-        break;
-      case platform::KeyKind::CrashRecord:
-        ApplyCrashRecord(name.m_name, key);
-        break;
-      case platform::KeyKind::RolloutStatus:
-      case platform::KeyKind::Member:
-      case platform::KeyKind::Other:
-        break;
+    const platform::KeyKind kind = platform::ParseKey(key.m_key).m_kind;
+    const bool isCompared =
+      kind == platform::KeyKind::RolloutOrder || kind == platform::KeyKind::RolloutRecord;
+    if (kind == platform::KeyKind::Replica && !key.m_removed && IsOutdated(key)) {
+      m_withheld.insert(key.m_key);
+    } else if (kind == platform::KeyKind::CrashRecord && key.m_removed) {
+      RestoreCrashRecord(key);
+    } else if (!isCompared) {
+      Apply(key, aLapsedUpTo);
+    }
+  }
+  for (const std::string& key : m_withheld) {
+    LogLine line("withheld");
+    line.Text("key", key).Ms("for", settleTime);
+    m_context.Log(LogPriority::Notable, line);
+  }
+}
+
+void StoreView::CompareOrders(const StoreMirror& aMirror) {
+  for (auto& [service, order] : m_orders) {
+    const std::string name = platform::MakeKey(platform::KeyKind::RolloutOrder, service);
+    const KeyValue* key = aMirror.Find(name);
+    const Result<RolloutOrder> copied =
+      key == nullptr ? RolloutOrder{} : platform::DecodeRolloutOrder(service, key->m_value);
+    if (!copied.IsError() && order.IsSameAs(copied.Get())) {
+      Renumber(order, key->m_revision);
+    } else {
+      m_withheld.insert(name);
+    }
+  }
+  for (const KeyValue& key :
+       aMirror.FindPrefix(platform::MakeKey(platform::KeyKind::RolloutOrder, ""))) {
+    const std::string service = platform::ParseKey(key.m_key).m_name;
+    if (!m_orders.contains(service)) {
+      ApplyOrder(service, key);
+    }
+  }
+}
+
+void StoreView::CompareRecords(const StoreMirror& aMirror) {
+  for (auto& [service, record] : m_records) {
+    if (aMirror.Find(platform::MakeKey(platform::KeyKind::RolloutRecord, service)) == nullptr) {
+      record.m_revision = kAbsent;
+      record.m_isStored = false;
     }
   }
+  for (const KeyValue& key :
+       aMirror.FindPrefix(platform::MakeKey(platform::KeyKind::RolloutRecord, ""))) {
+    ApplyRecord(platform::ParseKey(key.m_key).m_name, key);
+  }
+}
+
+bool StoreView::IsOutdated(const KeyValue& aKey) const {
+  const std::string id = platform::ParseKey(aKey.m_key).m_name;
+  const Result<ReplicaRecord> record = platform::DecodeReplica(id, aKey.m_value);
+  if (record.IsError()) {
+    return false;
+  }
+  const std::shared_ptr<BackendLink> known = m_context.m_backends.Find(id);
+  if (!known) {
+    return m_departed.HasLeft(record.Get());
+  }
+  const std::int64_t knownStart = known->m_record.m_startedAtMs;
+  const bool isBeforeItsLeaving = record.Get().m_startedAtMs == knownStart &&
+                                  known->m_record.m_state == ReplicaState::Draining &&
+                                  record.Get().m_state == ReplicaState::Ready;
+  return record.Get().m_startedAtMs < knownStart || isBeforeItsLeaving;
+}
+
+void StoreView::Settle(const StoreMirror& aMirror) {
+  if (IsSettling()) {
+    // The store has returned again.
+    return;
+  }
+  for (const std::string& name : std::exchange(m_withheld, {})) {
+    const KeyValue* key = aMirror.Find(name);
+    Apply(key == nullptr ? KeyValue{.m_key = name, .m_value = {}, .m_removed = true} : *key, 0);
+  }
+}
+
+void StoreView::Renumber(RolloutOrder& aOrder, Revision aRevision) {
+  const Revision before = std::exchange(aOrder.m_revision, aRevision);
+  const auto record = m_records.find(aOrder.m_service);
+  if (record != m_records.end() && record->second.m_orderRevision == before &&
+      before != aRevision) {
+    record->second.m_orderRevision = aRevision;
+    record->second.m_isStored = false;
+  }
+  LogLine line("rollout-order-renumbered");
+  line.Text("service", aOrder.m_service).Text("version", aOrder.m_version);
+  line.Count("revision-before", before).Count("revision", aRevision);
+  m_context.Log(LogPriority::Notable, line);
 }
 
 void StoreView::LogUnreadable(const KeyValue& aKey, const Error& aError) const {
@@ -85,6 +212,9 @@
     if (mayReturn) {
       m_context.m_backends.SetExpiry(aId, now + kReregistrationGrace);
     } else {
+      if (known) {
+        m_departed.OnDeparted(known->m_record, now);
+      }
       m_context.m_backends.Remove(aId);
     }
     m_context.Log(LogPriority::Notable, line);
@@ -107,6 +237,14 @@
   m_context.m_backends.Update(record.Get());
 }
 
+void StoreView::RestoreCrashRecord(const KeyValue& aKey) const {
+  const Result<CrashRecord> record = ParseCrashRecord(aKey.m_value);
+  if (!record.IsError()) {
+    m_context.m_crashWatch->OnRecordLost(platform::ParseKey(aKey.m_key).m_name,
+                                         record.Get().m_refusals);
+  }
+}
+
 void StoreView::ApplyCrashRecord(const std::string& aFingerprint, const KeyValue& aKey) {
   if (aKey.m_removed) {
     // Its lease has ended. The entries that know of the crashes forget them by themselves.
@@ -132,6 +270,12 @@
     return;
   }
   order.Get().m_revision = aKey.m_revision;
+  const auto known = m_orders.find(aService);
+  if (IsSettling() && known != m_orders.end() && known->second.IsSameAs(order.Get())) {
+    Renumber(known->second, aKey.m_revision);
+    return;
+  }
+  order.Get().m_serial = ++m_lastOrderSerial;
   LogLine line("rollout-order");
   line.Text("service", aService).Text("version", order.Get().m_version);
   line.Ms("within", order.Get().m_within).Count("revision", aKey.m_revision);
@@ -160,15 +304,33 @@
     return;
   }
   record.Get().m_revision = aKey.m_revision;
-  LogLine line("rollout");
+  const bool isKept = IsDecisionLost(aService, record.Get());
+  LogLine line(isKept ? "rollout-ignored" : "rollout");
   line.Text("service", aService).Text("version", record.Get().m_version);
   line.Text("phase", NameOf(kRolloutPhaseNames, record.Get().m_phase));
   line.Count("revision", aKey.m_revision).Count("order", record.Get().m_orderRevision);
   m_context.Log(LogPriority::Notable, line);
+  if (isKept) {
+    m_records[aService].m_revision = aKey.m_revision;
+    m_records[aService].m_isStored = false;
+    return;
+  }
   m_records[aService] = record.Take();
   UpdateRule(aService);
 }
 
+bool StoreView::IsDecisionLost(const std::string& aService, const RolloutRecord& aStored) const {
+  const auto order = m_orders.find(aService);
+  const auto known = m_records.find(aService);
+  if (order == m_orders.end() || known == m_records.end() ||
+      known->second.m_orderRevision != order->second.m_revision) {
+    return false;
+  }
+  // The copy may be of a time when the order was not yet known, or had another revision.
+  const bool isOfOtherOrder = aStored.m_orderRevision != known->second.m_orderRevision;
+  return known->second.IsAheadOf(aStored) || (IsSettling() && isOfOtherOrder);
+}
+
 void StoreView::UpdateRule(const std::string& aService) {
   const auto order = m_orders.find(aService);
   const auto record = m_records.find(aService);
--- a/Tests/Edge/TestMirrorSpread.cpp
+++ b/Tests/Edge/TestMirrorSpread.cpp
@@ -121,7 +121,7 @@
                 .m_backends = BackendTable(aLoop),
                 .m_random = Random(1)}
     , m_store(
-        m_context, [](const std::vector<KeyValue>&, Revision) {}, [] {})
+        m_context, [](const std::vector<KeyValue>&, const ChangeOrigin&) {}, [] {})
     , m_service(aLoop,
                 [this](const std::shared_ptr<ServerConnection>& aPeer,
                        const IncomingRequest& aRequest) { m_store.AnswerPeer(aPeer, aRequest); })
--- a/Tests/Edge/standin.py
+++ b/Tests/Edge/standin.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import base64
+import copy
 import json
 import os
 import random
@@ -102,6 +103,25 @@
         self.watching = 0
         self.mode = "up"
         self.last_lease = 0
+        # Value of the header Store-Era in all answers; None for a store without eras.
+        self.era = None
+
+    def copy(self):
+        return copy.deepcopy((self.items, self.events, self.revision, self.compacted_at))
+
+    def go_away(self):
+        self.mode = "reset"
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    def come_back_from(self, saved):
+        """Loses all that was written since the copy was made; revisions are given out again."""
+        self.go_away()
+        self.items, self.events, self.revision, self.compacted_at = copy.deepcopy(saved)
+        self.era += 1
+        self.mode = "up"
+        self.changed.set()
+        self.changed = asyncio.Event()
 
     def put(self, key, value, lease=0):
         self.revision += 1
@@ -145,9 +165,15 @@
         method, target, _ = line.split(" ")
         path, _, query = target.partition("?")
         parameters = dict(urllib.parse.parse_qsl(query))
+        era = self.era
         status, answer = await self.answer(method, path, parameters, body)
+        if era != self.era:
+            # The answer is of a store that is gone.
+            writer.transport.abort()
+            return
+        named = [] if era is None else [("Store-Era", str(era))]
         writer.write(encode_response(status, json.dumps(answer).encode(),
-                                  [("Content-Type", "application/json")]))
+                                  [("Content-Type", "application/json")] + named))
 
     async def answer(self, method, path, parameters, body):
         prefix = parameters.get("path-prefix", "")
@@ -176,7 +202,7 @@
     async def watch(self, prefix, after, wait_ms):
         end = time.monotonic() + wait_ms / 1000
         while True:
-            if after < self.compacted_at:
+            if after < self.compacted_at or after > self.revision:
                 return 410, {}
             found = [e for e in self.events
                      if e["mod-revision"] > after and e["key"].startswith(prefix)]
--- a/Tests/LibRouting/TestLargeValues.cpp
+++ b/Tests/LibRouting/TestLargeValues.cpp
@@ -23,13 +23,14 @@
   for (int number = 0; number < 20'000; ++number) {
     text += "route " + std::to_string(number) + '\0';
   }
-  const std::string bytes = EncodeLargeValue({.m_key = "a", .m_value = text, .m_revision = 9});
+  const std::string bytes = EncodeLargeValue({.m_key = "a", .m_value = text, .m_revision = 9}, 3);
   CHECK(bytes.size() < text.size() / 3);
-  const Result<KeyValue> value = DecodeLargeValue(bytes);
+  const Result<LargeValue> value = DecodeLargeValue(bytes);
   REQUIRE(!value.IsError());
-  CHECK(value.Get().m_key == "a");
-  CHECK(value.Get().m_revision == 9);
-  CHECK(value.Get().m_value == text);
+  CHECK(value.Get().m_key.m_key == "a");
+  CHECK(value.Get().m_key.m_revision == 9);
+  CHECK(value.Get().m_key.m_value == text);
+  CHECK(value.Get().m_era == 3);
   CHECK(DecodeLargeValue("").IsError());
   CHECK(DecodeLargeValue("noise").IsError());
   std::size_t rejected = 0;
--- a/Tests/LibRouting/TestStoreMirror.cpp
+++ b/Tests/LibRouting/TestStoreMirror.cpp
@@ -216,3 +216,93 @@
   mirror.ApplyUpdate({.m_upToRevision = 8, .m_deferred = {{"c", 7}}}, kNow);
   CHECK(mirror.HasUpdate(5, 8));
 }
+
+TEST_CASE("a listing of a later era replaces all keys, also those of higher revisions") {
+  StoreMirror mirror;
+  mirror.ApplyListing({Put("a", "1", 10), Put("same", "s", 11), Put("lost", "l", 25)}, 26, kNow, 1);
+  mirror.Apply({Put("a", "2", 27), Removed("gone", 28)}, 28, kNow);
+  const std::vector<KeyValue> changes =
+    mirror.ApplyListing({Put("a", "1", 10), Put("same", "s", 12)}, 16, kNow, 2);
+  REQUIRE(changes.size() == 2);
+  CHECK(changes[0].m_key == "a");
+  CHECK(changes[0].m_value == "1");
+  CHECK(changes[1].m_key == "lost");
+  CHECK(changes[1].m_removed);
+  CHECK(mirror.Era() == StoreEra(2));
+  CHECK(mirror.HasChangedEra());
+  CHECK(mirror.AsOf() == 16);
+  CHECK(mirror.LastChange() == 12);
+  CHECK(mirror.Find("same")->m_revision == 12);
+  CHECK(mirror.Find("lost") == nullptr);
+  // Revisions that were given out before are given out again.
+  CHECK(mirror.Apply({Put("a", "3", 17)}, 17, kNow).size() == 1);
+}
+
+TEST_CASE("what is of an earlier era is never applied, and changes of a later one need a listing") {
+  StoreMirror mirror;
+  mirror.ApplyListing({Put("a", "1", 10)}, 10, kNow, 2);
+  CHECK(mirror.ApplyListing({Put("a", "old", 30)}, 30, kNow, 1).empty());
+  CHECK(
+    mirror.ApplyUpdate({.m_era = 1, .m_upToRevision = 30, .m_keys = {Put("a", "old", 30)}}, kNow)
+      .empty());
+  CHECK(
+    mirror.ApplyUpdate({.m_era = 3, .m_upToRevision = 12, .m_keys = {Put("a", "new", 12)}}, kNow)
+      .empty());
+  CHECK(mirror.AsOf() == 10);
+  CHECK(mirror.Find("a")->m_value == "1");
+  CHECK(mirror.Era() == StoreEra(2));
+}
+
+TEST_CASE("an era that is not known counts as the same, and is learned") {
+  StoreMirror mirror;
+  mirror.ApplyListing({Put("a", "1", 10)}, 10, kNow);
+  CHECK(mirror.Compare(5) == EraOrder::Same);
+  CHECK(mirror.ApplyUpdate({.m_era = 5, .m_upToRevision = 12, .m_keys = {Put("a", "2", 12)}}, kNow)
+          .size() == 1);
+  CHECK(mirror.Era() == StoreEra(5));
+  CHECK(!mirror.HasChangedEra());
+  CHECK(mirror.ApplyUpdate({.m_upToRevision = 13, .m_keys = {Put("a", "3", 13)}}, kNow).size() ==
+        1);
+  CHECK(mirror.Compare(4) == EraOrder::Earlier);
+}
+
+TEST_CASE(
+  "a peer of an earlier era gets a listing at once, one of a later era has nothing to learn") {
+  StoreMirror mirror;
+  mirror.ApplyListing({Put("a", "1", 10)}, 12, kNow, 2);
+  CHECK(mirror.HasUpdate(30, 30, 1));
+  CHECK(!mirror.HasUpdate(5, 5, 3));
+  CHECK(!mirror.HasUpdate(12, 12, 2));
+  CHECK(!mirror.HasUpdate(12, 12));
+  const MirrorUpdate update = mirror.UpdateSince(30, kMaxValueBytes, 1);
+  CHECK(update.m_isListing);
+  CHECK(update.m_era == StoreEra(2));
+  const Result<MirrorUpdate> read = DecodeMirrorUpdate(EncodeMirrorUpdate(update));
+  REQUIRE(!read.IsError());
+  CHECK(read.Get().m_era == StoreEra(2));
+
+  StoreMirror peer;
+  peer.ApplyListing({Put("a", "2", 20)}, 30, kNow, 1);
+  CHECK(peer.ApplyUpdate(read.Get(), kNow).size() == 1);
+  CHECK(peer.AsOf() == 12);
+}
+
+TEST_CASE("a large value of an earlier era stands in until that of the later one is fetched") {
+  StoreMirror mirror;
+  mirror.ApplyListing({Put("c", kLarge, 20), Put("d", kLarge, 21)}, 30, kNow, 1);
+  const MirrorUpdate update{.m_era = 2,
+                            .m_isListing = true,
+                            .m_upToRevision = 12,
+                            .m_deferred = {{.m_key = "c", .m_revision = 9}}};
+  const std::vector<KeyValue> changes = mirror.ApplyUpdate(update, kNow);
+  REQUIRE(changes.size() == 1);
+  CHECK(changes[0].m_key == "d");
+  REQUIRE(mirror.Find("c") != nullptr);
+  CHECK(mirror.Find("c")->m_value == kLarge);
+  REQUIRE(mirror.Awaited().contains("c"));
+  CHECK(mirror.Awaited().at("c") == 9);
+  // It is not served to peers as a value of the later era.
+  CHECK(mirror.UpdateSince(0, kLarge.size()).m_keys.empty());
+  CHECK(mirror.ApplyLargeValue(Put("c", "new", 9)));
+  CHECK(mirror.Awaited().empty());
+}
--- a/Tests/Platform/TestCodecs.cpp
+++ b/Tests/Platform/TestCodecs.cpp
@@ -327,6 +327,18 @@
   CHECK(platform::MakeKey(platform::KeyKind::RolloutStatus, "p") == "status/rollout/p");
 }
 
+TEST_CASE("the store's era is a number, or not named") {
+  HeaderList headers;
+  CHECK(!platform::DecodeStoreEra(headers).Get());
+  headers.Add("store-era", "18");
+  CHECK(platform::DecodeStoreEra(headers).Get() == StoreEra(18));
+  for (const char* text : {"", "many", "1.5", "-1", "7 ", "99999999999999999999"}) {
+    HeaderList odd;
+    odd.Add("Store-Era", text);
+    CHECK(platform::DecodeStoreEra(odd).IsError());
+  }
+}
+
 TEST_CASE("rollout orders and status, and lookups, use the platform's format") {
   const Result<RolloutOrder> order =
     platform::DecodeRolloutOrder("p", R"({"backend":"p","target":"v2","duration-s":12})");
