Tell a reset from an orderly end while a request is being written

Cause: StreamSocket wrote before it read and left errors of a write to the next read. But send() takes the pending ECONNRESET or ETIMEDOUT from the socket, and the next recv() returns 0, as after an orderly end, which completes an answer that ends with its connection. Callers' connections, servers' and those between entries share that socket.

Change: a failed write is remembered; what was received before is still read, and the end is then a failure. Two more ends of that kind: a server may be killed when its buffer is just empty, so the end of the connection does not complete an answer while the request is not wholly written; and a caller of HTTP/1.0 that shuts down its sending direction in the middle of an answer gets a reset instead of what looks like the answer's end.

The fakes that meant a reset closed in an orderly way where nothing was left unread. They now set SO_LINGER: crashing servers, proxies, the store's mode "reset", and the stream without a length, which is no longer cut inside an event as well.

--- a/Libraries/LibHttp/ClientConnection.cpp
+++ b/Libraries/LibHttp/ClientConnection.cpp
@@ -111,7 +111,10 @@
 }
 
 void ClientConnection::OnEnd(SocketEnd aEnd) {
-  const bool isComplete = m_busy && m_sawHead && aEnd == SocketEnd::Closed &&
+  // A server that is killed before it has received the whole request may also close in an orderly
+  // way, so the end of the connection only ends a response to a request that was written.
+  const bool mayEndResponse = aEnd == SocketEnd::Closed && m_socket->UnsentBytes() == 0;
+  const bool isComplete = m_busy && m_sawHead && mayEndResponse &&
                           m_parser.Head().m_bodyEndsAtClose && m_parser.FinishAtClose();
   if (isComplete) {
     m_reusable = false;
--- a/Libraries/LibHttp/ServerConnection.cpp
+++ b/Libraries/LibHttp/ServerConnection.cpp
@@ -208,6 +208,7 @@
     return;
   }
   m_closes = m_closes || m_isHttp10;
+  m_socket->SetResetOnEnd(m_isHttp10);
   std::string text = WriteHead(aHead);
   if (!m_isHttp10) {
     AppendHeader(text, "Transfer-Encoding", "chunked");
@@ -250,6 +251,7 @@
   m_onGivenUp = {};
   m_onDrained = {};
   m_busy = false;
+  m_socket->SetResetOnEnd(false);
   Release(m_buffered);
   m_since = m_loop.Now();
   m_lastIdleTimeout = m_context->m_limits.m_idleTime;
--- a/Libraries/LibHttp/StreamSocket.cpp
+++ b/Libraries/LibHttp/StreamSocket.cpp
@@ -127,11 +127,12 @@
   if (count < 0 && (errno == EAGAIN || errno == EINTR)) {
     return;
   }
-  End(count == 0 ? SocketEnd::Closed : SocketEnd::Failed);
+  const bool isOrderly = count == 0 && !m_hasFailed;
+  End(isOrderly ? SocketEnd::Closed : SocketEnd::Failed);
 }
 
 void StreamSocket::Write(std::string_view aBytes) {
-  if (!IsOpen() || m_shutdownAfterWriting) {
+  if (!IsOpen() || m_shutdownAfterWriting || m_hasFailed) {
     return;
   }
   m_output.append(aBytes);
@@ -149,19 +150,20 @@
       if (errno == EINTR) {
         continue;
       }
-      // Errors are reported by the next read.
+      // The error is taken from the socket with this, so the next read would report an orderly end.
+      m_hasFailed = errno != EAGAIN && errno != EWOULDBLOCK;
       break;
     }
     done += static_cast<std::size_t>(count);
     m_sent = true;
   }
   m_output.erase(0, done);
-  const bool wantsWriting = !m_output.empty();
+  const bool wantsWriting = !m_output.empty() && !m_hasFailed;
   if (wantsWriting != m_wantsWriting) {
     m_wantsWriting = wantsWriting;
     UpdateInterest();
   }
-  if (wantsWriting) {
+  if (!m_output.empty()) {
     return;
   }
   if (m_shutdownAfterWriting) {
@@ -175,7 +177,11 @@
 void StreamSocket::End(SocketEnd aEnd) {
   const std::shared_ptr<StreamSocket> self = shared_from_this();
   const std::shared_ptr<const SocketListener> listener = m_listener;
-  Close();
+  if (m_resetOnEnd) {
+    Reset();
+  } else {
+    Close();
+  }
   if (listener->m_onEnd) {
     listener->m_onEnd(aEnd);
   }
--- a/Libraries/LibHttp/StreamSocket.h
+++ b/Libraries/LibHttp/StreamSocket.h
@@ -68,6 +68,9 @@
   /// Pauses or resumes reading, for back-pressure.
   void SetReading(bool aReading);
 
+  /// Whether to reset the connection when the peer ends it, so that output which is lost then
+  /// cannot pass for the end of a message.
+  void SetResetOnEnd(bool aReset) { m_resetOnEnd = aReset; }
   /// Closes immediately and discards unsent output. No callback runs afterwards.
   void Close();
   /// Closes immediately with a TCP reset, so that the peer cannot mistake a truncated message for a
@@ -99,7 +102,10 @@
   bool m_reading = true;
   bool m_wantsWriting = false;
   bool m_sent = false;
+  /// A write has failed. What was received before may still be read.
+  bool m_hasFailed = false;
   bool m_lingering = false;
+  bool m_resetOnEnd = false;
   bool m_shutdownAfterWriting = false;
 };
 
--- a/Tests/Edge/crashing_request.py
+++ b/Tests/Edge/crashing_request.py
@@ -234,7 +234,7 @@
                 busy.leave()
                 await wait_until(lambda: any(line["backend"] == busy.name and line["state"] == "gone"
                                              for line in entry.lines("backend")))
-                await busy.stop(reset=True)
+                await busy.stop(is_reset=True)
                 self.assertTrue(is_served(await answer))
                 await fleet.until_logged(leaving.name)
             self.assertEqual(entry.lines("server-crashed"), [])
--- a/Tests/Edge/edge_process.py
+++ b/Tests/Edge/edge_process.py
@@ -256,7 +256,7 @@
         async with Fleet(app=1) as fleet:
             replica = fleet.of("app")[0]
             await call(fleet.front, "/plain/", "r1")
-            await replica.stop(reset=True)
+            await replica.stop(is_reset=True)
             replica.port = 0
             await replica.start()
             replica.born += 5000
--- /dev/null
+++ b/Tests/Edge/reset_answer.py
@@ -0,0 +1,133 @@
+"""Tests that no answer looks complete whose connection was reset.
+
+Run: reset_answer.py BIN [CASE...]
+"""
+
+import asyncio
+import os
+import socket
+import sys
+import unittest
+
+sys.path.insert(0, os.path.dirname(__file__))
+from fleet import Fleet
+from standin import Replica, call, configuration, reset
+from stranded_fleet import StrandedFleet
+
+EVENTS = "text/event-stream"
+# More than the buffers of a connection hold, so the rest waits in the entry while the server answers.
+LONG_BODY = b"x" * 4_000_000
+MAX_BODY_BYTES = 4_194_304
+# Windows are as small as on the platform's links.
+RECEIVE_BUFFER_BYTES = 65536
+
+
+def with_large_bodies(document):
+    document["limits"]["max-body-bytes"] = MAX_BODY_BYTES
+    for route in document["routes"]:
+        if route["name"] == "stream":
+            # May run once at most, like the route once.
+            route["resumable"] = False
+    return document
+
+
+class EarlyReplica(Replica):
+    """Answers after the head of a request, in a body without a length, and ends before it is complete.
+
+    end: "reset", or "close" as the system closes for a killed process.
+    """
+
+    def __init__(self, *arguments, end="reset", **more):
+        super().__init__(*arguments, **more)
+        self.end = end
+
+    async def start(self, port=0):
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        listener.bind(("127.0.0.1", 0))
+        # With a small limit, the rest of a long body stays unread.
+        self.server = await asyncio.start_server(self._serve, sock=listener, limit=4096)
+        self.port = listener.getsockname()[1]
+        return self
+
+    async def _serve(self, reader, writer):
+        self.writers.add(writer)
+        try:
+            head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
+            headers = dict(line.lower().split(": ", 1) for line in head[1:] if ": " in line)
+            request = headers["fennelline-request-id"]
+            self.runs.append({"id": request})
+            is_stream = "/stream/" in head[0]
+            writer.write(
+                f"HTTP/1.1 200 OK\r\nContent-Type: {EVENTS if is_stream else 'text/plain'}\r\n"
+                f"Fennelline-Request-Id: {request}\r\nFennelline-Response-Seal: seal\r\n\r\n".encode())
+            for number in range(1, 4):
+                writer.write(self.event_of(request, number))
+                await writer.drain()
+                await asyncio.sleep(0.05)
+            if self.end == "reset":
+                reset(writer)
+            else:
+                writer.transport.abort()
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            self.writers.discard(writer)
+            writer.close()
+
+
+class EarlyFleet(Fleet):
+    async def start_replica(self, name, service, **more):
+        replica = await EarlyReplica(self.store, name, service, **more).start()
+        self.replicas.append(replica)
+        return replica
+
+
+class StrandedEarlyFleet(EarlyFleet, StrandedFleet):
+    pass
+
+
+class ResetAnswer(unittest.IsolatedAsyncioTestCase):
+    async def check(self, fleet, address, prefix):
+        fleet.store.put("op/config", with_large_bodies(configuration(2)))
+        await fleet.until_version(2)
+        for end in ("reset", "close"):
+            for replica in fleet.replicas:
+                replica.end = end
+            for target in ("/stream/x", "/once/x"):
+                for number in range(3):
+                    request = f"{prefix}-{end}-{target[1:5]}-{number}"
+                    answer = await call(address, target, request, body=LONG_BODY, deadline_ms=4000,
+                                        accept=EVENTS if "stream" in target else "")
+                    self.assertFalse(answer.status == 200 and answer.whole, request)
+                    self.assertEqual(len(fleet.runs(request)), 1, request)
+                    self.assertNotIn(answer.status, (408, 421, 429, 503), request)
+
+    async def test_an_answer_cut_while_the_request_is_being_written_is_not_whole(self):
+        async with EarlyFleet() as fleet:
+            await self.check(fleet, fleet.front, "direct")
+
+    async def test_an_answer_that_another_entry_hands_on_cut_is_not_whole(self):
+        async with StrandedEarlyFleet(entries=2) as fleet:
+            await fleet.until_members_known()
+            await fleet.cut("reset")
+            for number in range(20):
+                await call(fleet.front, "/plain/x", f"lost-{number}", deadline_ms=500)
+            await self.check(fleet, fleet.front, "passed")
+            handed_on = [line["id"] for line in fleet.entries[0].lines("passed-on")]
+            self.assertTrue(any(request.startswith("passed-") for request in handed_on))
+
+    async def test_a_stream_without_a_length_that_is_reset_between_events_is_not_whole(self):
+        async with Fleet(pool=1) as fleet:
+            document = with_large_bodies(configuration(2))
+            fleet.store.put("op/config", document)
+            await fleet.until_version(2)
+            fleet.of("pool")[0].fault = "unframed-reset"
+            for number in range(10):
+                answer = await call(fleet.front, "/stream/x", f"s-{number}", accept=EVENTS)
+                self.assertFalse(answer.status == 200 and answer.whole)
+
+
+if __name__ == "__main__":
+    Fleet.binary = os.path.join(sys.argv.pop(1), "fennelline-edge")
+    unittest.main(verbosity=1)
--- a/Tests/Edge/standin.py
+++ b/Tests/Edge/standin.py
@@ -10,6 +10,8 @@
 import os
 import random
 import signal
+import socket
+import struct
 import time
 import urllib.parse
 
@@ -19,6 +21,15 @@
 READ_LIMIT = 1 << 20
 
 
+def reset(writer):
+    """Resets a connection. Without the option, one that has nothing left unread would be closed in an
+    orderly way."""
+    connection = writer.get_extra_info("socket")
+    if connection is not None and connection.fileno() >= 0:
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
 async def read_message(reader):
     """Reads one HTTP message, without chunked encoding; returns its first line, headers and body."""
     head = await reader.readuntil(b"\r\n\r\n")
@@ -61,11 +72,11 @@
         self.port = self.server.sockets[0].getsockname()[1]
         return self
 
-    async def stop(self, reset=False):
+    async def stop(self, is_reset=False):
         self.server.close()
         for writer in list(self.writers):
-            if reset:
-                writer.transport.abort()
+            if is_reset:
+                reset(writer)
             else:
                 writer.close()
 
@@ -112,7 +123,7 @@
     def go_away(self):
         self.mode = "reset"
         for writer in list(self.writers):
-            writer.transport.abort()
+            reset(writer)
 
     def come_back_from(self, saved):
         """Loses all that was written since the copy was made; revisions are given out again."""
@@ -157,7 +168,7 @@
             await asyncio.sleep(30)
             return
         if self.mode == "reset":
-            writer.transport.abort()
+            reset(writer)
             return
         if self.mode == "busy":
             writer.write(encode_response(503))
@@ -169,7 +180,7 @@
         status, answer = await self.answer(method, path, parameters, body)
         if era != self.era:
             # The answer is of a store that is gone.
-            writer.transport.abort()
+            reset(writer)
             return
         named = [] if era is None else [("Store-Era", str(era))]
         writer.write(encode_response(status, json.dumps(answer).encode(),
@@ -250,7 +261,7 @@
 
     def reset_all(self):
         for writer in list(self.writers):
-            writer.transport.abort()
+            reset(writer)
 
     async def stop(self):
         self.server.close()
@@ -259,13 +270,13 @@
     async def _accept(self, reader, writer):
         self.writers.add(writer)
         if self.mode == "refuse":
-            writer.transport.abort()
+            reset(writer)
             return
         try:
             ip, port = self.target.split(":")
             upstream_reader, upstream_writer = await asyncio.open_connection(ip, int(port))
         except OSError:
-            writer.transport.abort()
+            reset(writer)
             return
         self.writers.add(upstream_writer)
         try:
@@ -288,7 +299,7 @@
                 await writer.drain()
             writer.close()
         except (ConnectionError, asyncio.CancelledError):
-            writer.transport.abort()
+            reset(writer)
 
 
 def shared_parts(headers):
@@ -302,7 +313,7 @@
            "endless-body", "endless-chunks", "endless-extension", "endless-event",
            "endless-rejection", "endless-after")
 # Faults of a stream with neither a length nor chunks: it ends with its connection, within an event,
-# or is reset.
+# or is reset between two events.
 UNFRAMED = ("unframed", "unframed-partial", "unframed-reset")
 
 
@@ -375,7 +386,7 @@
     async def crash(self):
         """Ends like a killed process: no response, its connections reset, its port closed."""
         self.crash_times.append(time.monotonic())
-        await self.stop(reset=True)
+        await self.stop(is_reset=True)
         if self.on_crash:
             self.on_crash(self)
 
@@ -521,13 +532,16 @@
         for number in range(run["first"], self.events + 1):
             writer.write(self.event_of(run["id"], number))
             if fault != "unframed" and number == self.events // 2 + 1:
-                writer.write(self.event_of(run["id"], number + 1)[:9])
+                if fault == "unframed-partial":
+                    writer.write(self.event_of(run["id"], number + 1)[:9])
                 break
             await writer.drain()
             await asyncio.sleep(self.work_s)
         await writer.drain()
         if fault == "unframed-reset":
-            writer.transport.abort()
+            # Lets the entry read what was sent, since a reset may overtake it.
+            await asyncio.sleep(0.05)
+            reset(writer)
         else:
             writer.close()
 
--- a/Tests/Edge/stranded_entry.py
+++ b/Tests/Edge/stranded_entry.py
@@ -103,7 +103,7 @@
         async with StrandedFleet(entries=2, pool=2, app=2) as fleet:
             front = await self.lose_path(fleet)
             for replica in fleet.replicas:
-                await replica.stop(reset=True)
+                await replica.stop(is_reset=True)
             for number in range(30):
                 await call(fleet.others[0].address("front"), "/once/x", f"other-{number}")
                 await call(fleet.others[0].address("front"), "/stream/x", f"other-s{number}")
--- a/Tests/LibHttp/LoopbackServer.h
+++ b/Tests/LibHttp/LoopbackServer.h
@@ -40,9 +40,14 @@
   bool IsClosed() const { return m_isClosed; }
   bool IsReset() const { return m_isReset; }
   void Close() { m_socket.Close(); }
+  void ShutDownSending() { ::shutdown(m_socket.Number(), SHUT_WR); }
 
 private:
   void Flush() {
+    // A send, even of nothing, takes the error of a reset from the socket.
+    if (m_unsent.empty()) {
+      return;
+    }
     const ssize_t count =
       ::send(m_socket.Number(), m_unsent.data(), m_unsent.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
     if (count > 0) {
--- a/Tests/LibHttp/TestClientConnection.cpp
+++ b/Tests/LibHttp/TestClientConnection.cpp
@@ -192,6 +192,127 @@
   CHECK(exchange.m_record.m_body == "whole");
 }
 
+namespace {
+
+/// More than the buffers of a connection hold, so a part of it waits in this process.
+const std::string kLongRequest =
+  "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 16000000\r\n\r\n" + std::string(16'000'000, 'x');
+
+/// A call whose request is not wholly written while the server begins to respond.
+struct UnwrittenExchange {
+  explicit UnwrittenExchange(SocketLimits aLimits = {})
+    : m_pool(m_server.m_loop, {.m_address = m_server.m_address, .m_socket = aLimits})
+    , m_connection(m_pool.Acquire(false).Take()) {
+    m_connection->Send(kLongRequest, false, m_record.Listener("mine"));
+    m_server.Accept();
+    m_server.m_loop.RunOnce(Milliseconds(2));
+  }
+  void Respond(std::string_view aBytes) {
+    m_server.Send(aBytes);
+    REQUIRE(RunUntil(m_server.m_loop, [this] { return !m_record.m_body.empty(); }));
+  }
+  void RunUntilEnded() {
+    REQUIRE(RunUntil(m_server.m_loop, [this] { return m_record.HasEnded(); }));
+  }
+
+  ScriptedServer m_server;
+  ConnectionPool m_pool;
+  CallRecord m_record;
+  std::shared_ptr<ClientConnection> m_connection;
+};
+
+} // namespace
+
+TEST_CASE(
+  "a response without a length that is reset while the request is being written is truncated") {
+  UnwrittenExchange exchange;
+  exchange.Respond("HTTP/1.1 200 OK\r\n\r\nhalf");
+  SUBCASE("reset") {
+    exchange.m_server.Reset();
+  }
+  SUBCASE("closed with unread bytes, as when the process is killed") {
+    exchange.m_server.m_accepted.Close();
+  }
+  exchange.RunUntilEnded();
+  CHECK(!exchange.m_record.m_isComplete);
+  CHECK(exchange.m_record.m_failure == CallFailure::TruncatedResponse);
+}
+
+TEST_CASE(
+  "a response without a length is truncated if a time-out of the kernel ends the connection") {
+  UnwrittenExchange exchange({.m_unacknowledgedTimeout = Milliseconds(300)});
+  exchange.Respond("HTTP/1.1 200 OK\r\n\r\nhalf");
+  // The server reads nothing more, so its receive window stays closed.
+  exchange.RunUntilEnded();
+  CHECK(!exchange.m_record.m_isComplete);
+  CHECK(exchange.m_record.m_failure == CallFailure::TruncatedResponse);
+}
+
+TEST_CASE(
+  "a server that closes before it could receive the whole request has not responded whole") {
+  UnwrittenExchange exchange;
+  exchange.Respond("HTTP/1.1 200 OK\r\n\r\nhalf");
+  REQUIRE(::shutdown(exchange.m_server.m_accepted.Number(), SHUT_WR) == 0);
+  exchange.RunUntilEnded();
+  CHECK(!exchange.m_record.m_isComplete);
+}
+
+TEST_CASE("a response with a length is complete although the request was not read") {
+  UnwrittenExchange exchange;
+  exchange.Respond("HTTP/1.1 413 Too large\r\nContent-Length: 5\r\n\r\nwhole");
+  exchange.RunUntilEnded();
+  CHECK(exchange.m_record.m_isComplete);
+  CHECK(!exchange.m_connection->IsReusable());
+}
+
+TEST_CASE("a response whose head is cut anywhere is never complete") {
+  const std::string head = "HTTP/1.1 200 OK\r\nid: mine\r\nContent-Length: 0\r\n\r\n";
+  for (std::size_t length = 1; length < head.size(); ++length) {
+    for (const bool isReset : {false, true}) {
+      Exchange exchange;
+      exchange.m_server.Send(head.substr(0, length));
+      exchange.m_server.m_loop.RunOnce(Milliseconds(1));
+      isReset ? exchange.m_server.Reset() : exchange.m_server.m_accepted.Close();
+      exchange.RunUntilEnded();
+      CHECK_MESSAGE(!exchange.m_record.m_isComplete, "cut after ", length, " bytes");
+      CHECK(exchange.m_record.m_body.empty());
+    }
+  }
+}
+
+TEST_CASE(
+  "a head that is cut is not complete on a kept connection or beside an unwritten request") {
+  constexpr std::string_view kCut = "HTTP/1.1 200 OK\r\nid: mine\r\n";
+  SUBCASE("the second one on its connection") {
+    Exchange exchange;
+    exchange.m_server.Send("HTTP/1.1 200 OK\r\nid: mine\r\nContent-Length: 5\r\n\r\nfirst");
+    exchange.RunUntilEnded();
+    REQUIRE(exchange.m_connection->IsReusable());
+    CallRecord second;
+    exchange.m_connection->Send(kRequest, false, second.Listener("mine"));
+    exchange.m_server.Send(kCut);
+    exchange.m_server.m_accepted.Close();
+    REQUIRE(RunUntil(exchange.m_server.m_loop, [&] { return second.HasEnded(); }));
+    CHECK(!second.m_isComplete);
+  }
+  SUBCASE("while the request is being written") {
+    UnwrittenExchange exchange;
+    exchange.m_server.Send(kCut);
+    exchange.m_server.m_loop.RunOnce(Milliseconds(2));
+    SUBCASE("closed") {
+      exchange.m_server.m_accepted.Close();
+    }
+    SUBCASE("reset") {
+      exchange.m_server.Reset();
+    }
+    SUBCASE("its sending direction is shut down") {
+      REQUIRE(::shutdown(exchange.m_server.m_accepted.Number(), SHUT_WR) == 0);
+    }
+    exchange.RunUntilEnded();
+    CHECK(!exchange.m_record.m_isComplete);
+  }
+}
+
 TEST_CASE("idle connections are reused, except for a call that asks for a new one") {
   ScriptedServer server;
   ConnectionPool pool(server.m_loop, {.m_address = server.m_address});
--- a/Tests/LibHttp/TestServer.cpp
+++ b/Tests/LibHttp/TestServer.cpp
@@ -149,6 +149,22 @@
   CHECK(response.find("0\r\n\r\n") == std::string::npos);
 }
 
+TEST_CASE("a response without a length is reset if its client shuts down its sending direction") {
+  EchoServer server;
+  server.m_holdRequests = true;
+  RawClient client(server.m_address);
+  client.Send("GET /held HTTP/1.0\r\nHost: x\r\n\r\n");
+  REQUIRE(RunUntil(server.m_loop, [&] { return server.m_heldConnection != nullptr; }));
+  server.m_heldConnection->BeginResponse({.m_status = 200, .m_headers = {}});
+  server.m_heldConnection->SendBodyPart("part");
+  client.ShutDownSending();
+  CHECK(RunUntil(server.m_loop, [&] {
+    client.Receive();
+    return client.IsReset() || client.IsClosed();
+  }));
+  CHECK(client.IsReset());
+}
+
 TEST_CASE("headers that take too long get 408") {
   EchoServer server;
   server.m_context->m_limits.m_headerTime = Milliseconds(100);
--- a/Tests/Soak/soak.py
+++ b/Tests/Soak/soak.py
@@ -327,7 +327,7 @@
                 replica.leave()
         elif kind == "server-restart" and replica.leaving_since is None and not replica.says_leaving:
             self.checker.wishes.restarted[replica.name].append(time.monotonic())
-            await replica.stop(reset=True)
+            await replica.stop(is_reset=True)
             await replica.start()
             replica.born += 1000
             replica.register()
