Refuse requests during a planned stop that might be cut off at its end

Callers saw (reported by another operator, measured here before): with a grace period of 4 s and work of 2.5 s, requests that were taken after the order to stop got 502 at its end although they had run, among them ones that may run once only.

Cause: ShutdownPolicy took plain requests for three quarters of the grace period, on the assumption that each takes a second at most, whatever its route's time limit and its caller's.

Change: a request whose own time reaches past the end of the grace period is refused as not run, at once, so that its caller can go elsewhere while it still has time. Exceptions, in the first 0.3 of the grace period and 3 s at most, in which the platform's rules excuse a cut: streams, and requests that may be repeated, since most finish and a cut one can be sent again. What may run once only is never taken on that chance.

planned_stop.py: the two cases with requests that run past the end now send them before the order, since after it they are refused; what they check is unchanged. Two new cases send requests all through the stop: each ends with its server's answer, or with 503 and never ran. The case of further signals gives its last request a time of 1 s, which fits into what is left.

--- a/Libraries/LibRouting/ShutdownPolicy.cpp
+++ b/Libraries/LibRouting/ShutdownPolicy.cpp
@@ -4,11 +4,12 @@
 
 namespace {
 
-/// Streams may last as long as the grace period, so they are accepted only while most of them can
-/// still finish.
-constexpr double kStreamPartOfGrace = 0.3;
-/// Plain requests take at most a second.
-constexpr double kPlainPartOfGrace = 0.75;
+/// Requests that may take longer than the grace period are accepted only while most of them can
+/// still finish, and while the platform's rules excuse that the others are cut off.
+constexpr double kEarlyPartOfGrace = 0.3;
+constexpr Duration kMaxEarlyTime = Seconds(3);
+/// Requests that finish in time are accepted until the process has to prepare for its exit.
+constexpr double kAcceptingPartOfGrace = 0.75;
 
 /// Callers cache address lists for some seconds, so an idle process waits for this fraction of the
 /// grace period.
@@ -26,9 +27,14 @@
 
 } // namespace
 
-bool ShutdownPolicy::AcceptsRequest(RouteKind aKind, Duration aSinceOrder) const {
-  const double part = aKind == RouteKind::Streaming ? kStreamPartOfGrace : kPlainPartOfGrace;
-  return IsWithin(aSinceOrder, m_grace, part);
+bool ShutdownPolicy::AcceptsRequest(RouteKind aKind, Duration aSinceOrder,
+                                    Duration aTimeLeft) const {
+  const bool finishes = aSinceOrder + aTimeLeft <= m_grace - kGiveUpMargin;
+  if (finishes) {
+    return IsWithin(aSinceOrder, m_grace, kAcceptingPartOfGrace);
+  }
+  return aKind != RouteKind::NonIdempotent && aSinceOrder < kMaxEarlyTime &&
+         IsWithin(aSinceOrder, m_grace, kEarlyPartOfGrace);
 }
 
 bool ShutdownPolicy::MayExit(std::size_t aRequestsInHand, Duration aSinceOrder) const {
--- a/Services/Edge/RequestRelay.cpp
+++ b/Services/Edge/RequestRelay.cpp
@@ -145,9 +145,10 @@
     return;
   }
   const ShutdownPolicy shutdownPolicy{.m_grace = m_context.m_settings.m_grace};
+  const Time now = m_context.m_loop.Now();
   if (m_context.m_stopRequestedAt &&
-      !shutdownPolicy.AcceptsRequest(m_route->m_kind,
-                                     m_context.m_loop.Now() - *m_context.m_stopRequestedAt)) {
+      !shutdownPolicy.AcceptsRequest(m_route->m_kind, now - *m_context.m_stopRequestedAt,
+                                     m_retryPolicy.Promise().m_answerBy - now)) {
     Refuse("stopping", Duration(0));
     return;
   }
--- a/Tests/Edge/planned_stop.py
+++ b/Tests/Edge/planned_stop.py
@@ -21,6 +21,12 @@
 CALLERS = 20
 
 
+def with_long_timeouts(document):
+    for route in document["routes"]:
+        route["timeout-ms"] = 8000
+    return document
+
+
 class KeptCaller:
     """Sends requests one after the other and keeps its connection for as long as the entry does."""
 
@@ -118,12 +124,18 @@
         self.assertLess(time.monotonic() - ordered, GRACE_S)
 
     async def check_runs_beyond_the_grace_time(self, path):
+        """A request that was sent before the order is answered within the grace time."""
         for replica in self.fleet.replicas:
-            replica.work_s = 3.0
-        ordered = await self.stop(2.0)
-        answer = await call(self.entry.address("front"), path, "r1", deadline_ms=5000)
+            replica.work_s = 5.0
+        fleet, front = self.fleet, self.entry.address("front")
+        fleet.store.put("op/config", with_long_timeouts(configuration(2)))
+        await fleet.until_version(2)
+        request = asyncio.create_task(call(front, path, "r1", deadline_ms=8000))
+        await wait_until(lambda: fleet.runs("r1"))
+        ordered = await self.stop()
+        answer = await request
         self.assertLess(time.monotonic() - ordered, GRACE_S)
-        self.assertEqual((answer.status, len(self.fleet.runs("r1")) > 0), (502, True))
+        self.assertEqual((answer.status, len(fleet.runs("r1")) > 0), (502, True))
         await self.until_gone()
 
     async def test_a_request_that_runs_beyond_the_grace_time_is_answered(self):
@@ -132,6 +144,29 @@
     async def test_a_request_that_runs_beyond_the_grace_time_and_cannot_be_repeated_is_answered(self):
         await self.check_runs_beyond_the_grace_time("/once/x")
 
+    async def check_sent_after_the_order(self, path, first_s):
+        """Requests that arrive after the order end with an answer of their server, or were not run."""
+        for replica in self.fleet.replicas:
+            replica.work_s = 2.5
+        ordered = await self.stop(first_s)
+        calls = []
+        while time.monotonic() < ordered + IDLE_END_S - 0.2:
+            request = f"r{len(calls)}"
+            calls.append((request, asyncio.create_task(
+                call(self.entry.address("front"), path, request, deadline_ms=5000))))
+            await asyncio.sleep(0.1)
+        for request, task in calls:
+            answer = await task
+            runs = len(self.fleet.runs(request))
+            self.assertIn((answer.status, answer.whole, runs), ((200, True, 1), (503, True, 0)), request)
+        await self.until_gone()
+
+    async def test_a_request_sent_after_the_order_that_cannot_be_repeated_is_not_cut_off(self):
+        await self.check_sent_after_the_order("/once/x", 0.0)
+
+    async def test_a_request_sent_late_after_the_order_is_not_cut_off(self):
+        await self.check_sent_after_the_order("/plain/x", 0.3 * GRACE_S)
+
     async def test_a_stream_that_lasts_beyond_the_grace_time_does_not_look_complete(self):
         for replica in self.fleet.of("pool"):
             replica.events, replica.work_s = 100, 0.1
@@ -167,7 +202,7 @@
             await asyncio.sleep(0.1)
         answer = await stream
         self.assertTrue(answer.whole)
-        plain = await call(self.entry.address("front"), "/plain/x", "r1")
+        plain = await call(self.entry.address("front"), "/plain/x", "r1", deadline_ms=1000)
         self.assertEqual((plain.status, plain.headers.get("connection")), (200, "close"))
         await self.until_gone()
         self.assertGreater(time.monotonic() - ordered, IDLE_END_S - 0.1)
--- a/Tests/LibRouting/TestSmallParts.cpp
+++ b/Tests/LibRouting/TestSmallParts.cpp
@@ -48,10 +48,10 @@
 TEST_CASE(
   "a stopping entry accepts plain requests longer than streams and exits within its grace period") {
   const ShutdownPolicy plan{.m_grace = Seconds(8)};
-  CHECK(plan.AcceptsRequest(RouteKind::Streaming, Seconds(2)));
-  CHECK(!plan.AcceptsRequest(RouteKind::Streaming, Seconds(3)));
-  CHECK(plan.AcceptsRequest(RouteKind::Idempotent, Seconds(5)));
-  CHECK(!plan.AcceptsRequest(RouteKind::NonIdempotent, Seconds(7)));
+  CHECK(plan.AcceptsRequest(RouteKind::Streaming, Seconds(2), Seconds(25)));
+  CHECK(!plan.AcceptsRequest(RouteKind::Streaming, Seconds(3), Seconds(25)));
+  CHECK(plan.AcceptsRequest(RouteKind::Idempotent, Seconds(5), Seconds(1)));
+  CHECK(!plan.AcceptsRequest(RouteKind::NonIdempotent, Seconds(7), Seconds(1)));
   CHECK(!plan.MayExit(0, Seconds(3)));
   CHECK(plan.MayExit(0, Seconds(6)));
   CHECK(!plan.MayExit(1, Seconds(6)));
@@ -61,6 +61,22 @@
   CHECK(plan.MayExit(1, Milliseconds(7960)));
 }
 
+TEST_CASE("a stopping entry refuses requests that it might have to cut off") {
+  const ShutdownPolicy plan{.m_grace = Seconds(8)};
+  // What may run once only is accepted if its own time ends before the entry gives up.
+  CHECK(plan.AcceptsRequest(RouteKind::NonIdempotent, Seconds(1), Milliseconds(6700)));
+  CHECK(!plan.AcceptsRequest(RouteKind::NonIdempotent, Seconds(1), Milliseconds(6800)));
+  CHECK(!plan.AcceptsRequest(RouteKind::NonIdempotent, Seconds(0), Seconds(8)));
+  // What may be repeated is also accepted early on, since it probably finishes.
+  CHECK(plan.AcceptsRequest(RouteKind::Idempotent, Seconds(2), Seconds(8)));
+  CHECK(!plan.AcceptsRequest(RouteKind::Idempotent, Seconds(3), Seconds(8)));
+  CHECK(plan.AcceptsRequest(RouteKind::Streaming, Seconds(4), Seconds(3)));
+  CHECK(!plan.AcceptsRequest(RouteKind::Streaming, Seconds(4), Seconds(4)));
+  // A long grace period does not extend the time in which the platform excuses what is cut off.
+  const ShutdownPolicy slow{.m_grace = Seconds(30)};
+  CHECK(!slow.AcceptsRequest(RouteKind::Streaming, Seconds(4), Seconds(40)));
+}
+
 TEST_CASE("low confidence of a smaller model is accepted while servers have a backlog") {
   const EscalationPolicy plan;
   CHECK(plan.IsDoubtful(30, 0.0));
