Check that a server lives whose stream ended with its connection

What callers saw: a stream with neither a length nor chunks, whose server's process was killed between two events, looked complete in its middle: the system of a killed process closes its connections in an orderly way where nothing was left unread. On machines, servers die like that more often than by a reset; it may be what the users saw, which their record does not tell.

Change: when such a stream ends, the entry opens a connection to its server. If nothing listens there, the stream has broken off, and is resumed elsewhere or broken off for the caller. The connection serves the next request, in place of the one that ended. A server known to be leaving closes its listener before its last answers end, so it is not asked. A stream that ends like that without any event, and that does not resume another one, has broken off too.

Before: 2 of 2 new cases of EdgeResetAnswer failed.

Not covered: a server that is killed and at once replaced on its address, and one that dies between the end and the check's connection being refused.

--- a/Services/Edge/EdgeMetrics.h
+++ b/Services/Edge/EdgeMetrics.h
@@ -83,7 +83,7 @@
   void OnStoreReturned();
   /// The event loop ran no callback for this time, although a timer was due.
   void OnLoopHeld(Duration aTime);
-  /// A server was checked after its connections broke.
+  /// A server was checked after its connections broke, or after one ended a stream.
   void OnServerCheck(Reachability aResult);
   /// A request was not sent, or not sent again, because its content crashes servers.
   void OnContentRefused();
--- a/Services/Edge/RelayAnswer.cpp
+++ b/Services/Edge/RelayAnswer.cpp
@@ -252,6 +252,43 @@
     EndAttempt(AttemptOutcome::Corrupt);
     return;
   }
+  if (m_attempt->m_isStream && m_attempt->m_head.m_bodyEndsAtClose) {
+    CheckEndOfStream();
+    return;
+  }
+  CompleteAnswer();
+}
+
+void RequestRelay::CheckEndOfStream() {
+  const bool isEmpty = m_framer.CountEvents() == 0 && !m_metadata.m_lastEvent;
+  if (isEmpty) {
+    m_attempt->m_failure = CallFailure::TruncatedResponse;
+    EndAttempt(AttemptOutcome::Lost);
+    return;
+  }
+  const std::shared_ptr<BackendLink> backend = m_attempt->m_backend;
+  if (backend->IsLeaving(m_context.m_loop.Now())) {
+    CompleteAnswer();
+    return;
+  }
+  // The system of a server whose process is killed may close its connections in an orderly way.
+  // The connection of the check serves the next request.
+  backend->m_pool.CheckReachability(
+    [self = shared_from_this(), channel = m_attempt->m_channel](Reachability aResult) {
+      if (self->m_ended || !self->m_attempt || self->m_attempt->m_channel != channel) {
+        return;
+      }
+      self->m_context.m_metrics.OnServerCheck(aResult);
+      if (aResult == Reachability::Refuses) {
+        self->m_attempt->m_failure = CallFailure::TruncatedResponse;
+        self->EndAttempt(AttemptOutcome::Lost);
+      } else {
+        self->CompleteAnswer();
+      }
+    });
+}
+
+void RequestRelay::CompleteAnswer() {
   if (!m_attempt->m_isStream && m_attempt->m_head.m_status >= kFirstServerError && !m_answerBegun) {
     m_failure =
       FailureAnswer{.m_head = std::move(m_attempt->m_head), .m_body = std::move(m_attempt->m_body)};
--- a/Services/Edge/RequestRelay.h
+++ b/Services/Edge/RequestRelay.h
@@ -170,6 +170,10 @@
   HeadAction OnHead(const MessageHead& aHead);
   void OnBody(std::string_view aPart);
   void OnComplete();
+  /// A stream without a length has ended with its connection: tells whether its server still lives.
+  void CheckEndOfStream();
+  /// The server's answer is complete.
+  void CompleteAnswer();
   void OnStreamPart(std::string_view aPart);
   void PauseForSlowCaller();
   void OnFailed(CallFailure aFailure);
--- a/Tests/Edge/reset_answer.py
+++ b/Tests/Edge/reset_answer.py
@@ -117,6 +117,32 @@
             handed_on = [line["id"] for line in fleet.entries[0].lines("passed-on")]
             self.assertTrue(any(request.startswith("passed-") for request in handed_on))
 
+    async def test_a_stream_of_a_server_that_is_killed_between_events_is_resumed_or_not_whole(self):
+        for resumable in (True, False):
+            async with Fleet(pool=4) as fleet:
+                document = configuration(2)
+                for route in document["routes"]:
+                    route["resumable"] = resumable
+                fleet.store.put("op/config", document)
+                await fleet.until_version(2)
+                dying = fleet.of("pool")[0]
+                dying.fault = "unframed-killed"
+                for number in range(12):
+                    request = f"s-{number}"
+                    answer = await call(fleet.front, "/stream/x", request, accept=EVENTS)
+                    whole = b"".join(Replica.event_of(request, event) for event in range(1, 6))
+                    if resumable:
+                        self.assertEqual((answer.status, answer.whole, answer.body), (200, True, whole))
+                    self.assertEqual(answer.whole, answer.body == whole)
+                self.assertTrue(dying.runs)
+
+    async def test_a_stream_without_a_length_that_ends_before_its_first_event_is_not_whole(self):
+        async with Fleet(pool=2) as fleet:
+            for replica in fleet.of("pool"):
+                replica.fault, replica.events = "unframed", 0
+            answer = await call(fleet.front, "/stream/x", "s1", accept=EVENTS)
+            self.assertFalse(answer.status == 200 and answer.whole)
+
     async def test_a_stream_without_a_length_that_is_reset_between_events_is_not_whole(self):
         async with Fleet(pool=1) as fleet:
             document = with_large_bodies(configuration(2))
--- a/Tests/Edge/standin.py
+++ b/Tests/Edge/standin.py
@@ -483,7 +483,7 @@
         if fault in ENDLESS:
             await self.send_without_end(fault, request, seal, writer)
             return
-        if fault in UNFRAMED:
+        if fault in UNFRAMED or fault == "unframed-killed":
             await self.stream_until_close(run, seal, fault, writer)
             return
         if fault == "unsealed":
@@ -537,12 +537,15 @@
         for number in range(run["first"], self.events + 1):
             writer.write(self.event_of(run["id"], number))
             if fault != "unframed" and number == self.events // 2 + 1:
+                # A killed process ends between two events, in an orderly way, and listens no more.
                 if fault == "unframed-partial":
                     writer.write(self.event_of(run["id"], number + 1)[:9])
                 break
             await writer.drain()
             await asyncio.sleep(self.work_s)
         await writer.drain()
+        if fault == "unframed-killed":
+            self.server.close()
         if fault == "unframed-reset":
             # Lets the entry read what was sent, since a reset may overtake it.
             await asyncio.sleep(0.05)
