Keep large request bodies within an entry's memory

Cause: bytes were counted as they arrived, so a dozen bodies were begun that could not all be held; the buffer of each grew to twice its length; a rejected body was no longer counted but kept while its connection lingered; callers and requests of other entries had a budget each; freed bodies stayed in the heap, whose threshold for separate blocks rises with each large block. And callers that were rejected were not told when to return.

Change: a body counts with its announced length from its head on, so what does not fit is rejected before it is read, and what was begun is never rejected for want of memory. Its buffer is allocated once. Both servers share one budget. Blocks over 128 kB go back to the system.

--- a/Libraries/LibHttp/MessageParser.h
+++ b/Libraries/LibHttp/MessageParser.h
@@ -56,6 +56,8 @@
   MessageHead& Head() { return m_head; }
   /// Returns the body bytes parsed since the last call.
   std::string TakeBody() { return std::exchange(m_body, {}); }
+  /// Allocates memory for a body of a known length.
+  void ReserveBody(std::size_t aBytes) { m_body.reserve(aBytes); }
   std::size_t BodySize() const { return m_body.size(); }
 
 private:
--- a/Libraries/LibHttp/ServerConnection.cpp
+++ b/Libraries/LibHttp/ServerConnection.cpp
@@ -51,7 +51,7 @@
   , m_since(aLoop.Now()) {}
 
 ServerConnection::~ServerConnection() {
-  Release(m_buffered);
+  Release(m_reserved);
 }
 
 void ServerConnection::Start() {
@@ -69,12 +69,12 @@
 }
 
 void ServerConnection::Release(std::size_t aBytes) {
-  m_context->m_bufferedBytes -= aBytes;
-  m_buffered -= aBytes;
+  m_context->m_bodies->m_usedBytes -= aBytes;
+  m_reserved -= aBytes;
 }
 
 void ServerConnection::OnEnd() {
-  Release(m_buffered);
+  Release(m_reserved);
   const std::function<void()> onDisconnected = std::exchange(m_onDisconnected, {});
   m_onGivenUp = {};
   m_onDrained = {};
@@ -108,9 +108,6 @@
   }
   m_socket->Input().erase(0, taken.Get());
   m_headerBytes += hadHead ? 0 : taken.Get() - m_parser.BodySize();
-  const std::size_t body = m_parser.BodySize();
-  m_context->m_bufferedBytes += body - m_buffered;
-  m_buffered = body;
   if (!IsWithinLimits()) {
     return false;
   }
@@ -130,16 +127,32 @@
     return false;
   }
   const std::string* length = m_parser.Head().m_headers.Find("content-length");
-  const bool announcesTooMuch = m_parser.HasHead() && length != nullptr &&
-                                std::strtoull(length->c_str(), nullptr, 10) > limits.m_bodyBytes;
-  if (announcesTooMuch || m_buffered > limits.m_bodyBytes) {
+  const std::size_t announced =
+    m_parser.HasHead() && length != nullptr ? std::strtoull(length->c_str(), nullptr, 10) : 0;
+  const std::size_t body = std::max(announced, m_parser.BodySize());
+  if (body > limits.m_bodyBytes) {
     Reject(kContentTooLarge, "request body exceeds the size limit");
     return false;
   }
-  if (m_context->m_bufferedBytes > m_context->m_maxBufferedBytes) {
+  if (!ReserveBody(body)) {
     Reject(kUnavailable, "memory limit for request bodies reached");
     return false;
   }
+  if (announced > 0) {
+    // A growing buffer would take up to twice as much.
+    m_parser.ReserveBody(announced);
+  }
+  return true;
+}
+
+bool ServerConnection::ReserveBody(std::size_t aBytes) {
+  BodyBudget& bodies = *m_context->m_bodies;
+  const std::size_t more = aBytes - std::min(aBytes, m_reserved);
+  if (bodies.m_usedBytes + more > bodies.m_maxBytes) {
+    return false;
+  }
+  bodies.m_usedBytes += more;
+  m_reserved += more;
   return true;
 }
 
@@ -176,7 +189,13 @@
   }
   m_busy = true;
   m_closes = true;
-  SendResponse({.m_status = aStatus, .m_headers = {}}, {});
+  // The connection may linger, and its body no longer counts.
+  m_parser.TakeBody();
+  ResponseHead head{.m_status = aStatus, .m_headers = {}};
+  if (aStatus == kUnavailable && m_context->m_onRejectedForNow) {
+    m_context->m_onRejectedForNow(head.m_headers);
+  }
+  SendResponse(head, {});
 }
 
 std::string ServerConnection::WriteHead(const ResponseHead& aHead) {
@@ -242,7 +261,7 @@
   m_onGivenUp = {};
   m_onDrained = {};
   m_busy = false;
-  Release(m_buffered);
+  Release(m_reserved);
   m_socket->Reset();
 }
 
@@ -252,7 +271,7 @@
   m_onDrained = {};
   m_busy = false;
   m_socket->SetResetOnEnd(false);
-  Release(m_buffered);
+  Release(m_reserved);
   m_since = m_loop.Now();
   m_lastIdleTimeout = m_context->m_limits.m_idleTime;
   if (m_closes) {
--- a/Libraries/LibHttp/ServerConnection.h
+++ b/Libraries/LibHttp/ServerConnection.h
@@ -33,15 +33,23 @@
 
 class ServerConnection;
 
+/// Memory for request bodies, which several servers may share.
+struct BodyBudget {
+  std::size_t m_usedBytes = 0;
+  std::size_t m_maxBytes = 32UL * 1024 * 1024;
+};
+
 /// State shared by all connections of a server.
 struct ServerContext {
   std::function<void(const std::shared_ptr<ServerConnection>&, IncomingRequest)> m_onRequest;
   /// Called with status and reason when a request is rejected before m_onRequest.
   std::function<void(int, std::string_view)> m_onRejected;
+  /// Adds headers to the rejection of a request that may come again later.
+  std::function<void(HeaderList&)> m_onRejectedForNow;
   ServerLimits m_limits;
-  /// Buffered request body bytes over all connections, and their limit.
-  std::size_t m_bufferedBytes = 0;
-  std::size_t m_maxBufferedBytes = 32UL * 1024 * 1024;
+  /// A body counts with the length that its request announces, or with what has arrived of it,
+  /// until its response has been sent.
+  std::shared_ptr<BodyBudget> m_bodies = std::make_shared<BodyBudget>();
   /// Set while the server shuts down: every response closes its connection.
   bool m_closing = false;
 };
@@ -93,6 +101,8 @@
   void OnEnd();
   bool FeedParser();
   bool IsWithinLimits();
+  /// Counts the body of the current request. Returns false if there is no memory left for it.
+  bool ReserveBody(std::size_t aBytes);
   void OnHead();
   void TakeRequest();
   void Reject(int aStatus, std::string_view aReason);
@@ -113,7 +123,8 @@
   /// been lowered since.
   Duration m_lastIdleTimeout{0};
   std::size_t m_headerBytes = 0;
-  std::size_t m_buffered = 0;
+  /// What the current request takes of the budget for bodies.
+  std::size_t m_reserved = 0;
   bool m_sawHead = false;
   bool m_busy = false;
   bool m_closes = false;
--- a/Services/Edge/EdgeProcess.cpp
+++ b/Services/Edge/EdgeProcess.cpp
@@ -6,6 +6,7 @@
 #include "Services/Edge/Hash.h"
 #include "Services/Edge/RequestRelay.h"
 #include "platform/DirectoryCodec.h"
+#include "platform/RequestCodec.h"
 #include "platform/SettingsCodec.h"
 
 #include <algorithm>
@@ -59,7 +60,7 @@
 
 /// Fraction of the file descriptors for callers; the rest is for backend servers and peers.
 constexpr double kCallerDescriptorFraction = 0.6;
-/// Fraction of the memory for incomplete request bodies.
+/// Fraction of the memory for request bodies. Each is held twice while it is being sent.
 constexpr double kBodyMemoryFraction = 0.25;
 
 /// Chooses the entries that watch the store. Deterministic: every entry with the same members,
@@ -218,7 +219,10 @@
     m_context.Log(LogPriority::Notable, line);
     m_metrics.OnRequestEnded(RouteKind::NonIdempotent, RequestEnd::Rejected);
   };
-  context->m_maxBufferedBytes = static_cast<std::size_t>(
+  context->m_onRejectedForNow = [this](HeaderList& aHeaders) {
+    platform::AddRetryAfter(aHeaders, SpreadRetryAfter(m_context.m_random));
+  };
+  context->m_bodies->m_maxBytes = static_cast<std::size_t>(
     static_cast<double>(m_context.m_settings.m_memoryBytes) * kBodyMemoryFraction);
   m_callers = std::make_unique<HttpServer>(
     m_loop, std::move(context),
@@ -241,7 +245,7 @@
     }
     RequestRelay::Start(m_context, aPeer, std::move(aRequest), passedOn.Get());
   };
-  context->m_maxBufferedBytes = m_callers->SharedContext().m_maxBufferedBytes;
+  context->m_bodies = m_callers->SharedContext().m_bodies;
   m_entries = std::make_unique<HttpServer>(m_loop, std::move(context), kMaxInternalChannels);
   const DeploymentSettings& settings = m_context.m_settings;
   return m_entries->Listen(settings.m_ip + ":" + std::to_string(settings.m_datagramPort));
--- a/Services/Edge/Main.cpp
+++ b/Services/Edge/Main.cpp
@@ -5,6 +5,7 @@
 #include <cstdlib>
 #include <gflags/gflags.h>
 #include <iostream>
+#include <malloc.h>
 
 DEFINE_string(settings, "",
               "settings file; defaults to the path in the platform's environment variable");
@@ -35,6 +36,9 @@
   std::signal(SIGPIPE, SIG_IGN);
 }
 
+/// Larger blocks of memory are given back to the system as soon as they are freed.
+constexpr int kSeparateBlockBytes = 128 * 1024;
+
 int Fail(const fennelline::Error& aError) {
   std::cerr << "fennelline-edge: " << aError.m_detail << '\n';
   return 1;
@@ -43,6 +47,9 @@
 } // namespace
 
 int main(int aCount, char** aArguments) {
+  // By default, the threshold rises with the largest block that was freed. Large bodies would then
+  // come from the heap, whose gaps are not given back.
+  mallopt(M_MMAP_THRESHOLD, kSeparateBlockBytes);
   gflags::SetUsageMessage("Routes requests to backend servers: fennelline-edge [flags]");
   gflags::ParseCommandLineFlags(&aCount, &aArguments, true);
   const char* fromEnvironment = std::getenv(fennelline::platform::kSettingsVariable);
--- a/Services/Edge/RequestRelay.cpp
+++ b/Services/Edge/RequestRelay.cpp
@@ -443,11 +443,15 @@
   End(RequestEnd::Failed, status);
 }
 
-Duration RequestRelay::RetryAfter() const {
-  const double spread = m_context.m_random.Uniform();
+Duration SpreadRetryAfter(Random& aRandom) {
+  const double spread = aRandom.Uniform();
   return kMinRetryAfter + std::chrono::duration_cast<Duration>(kRetryAfterSpread * spread);
 }
 
+Duration RequestRelay::RetryAfter() const {
+  return SpreadRetryAfter(m_context.m_random);
+}
+
 void RequestRelay::Refuse(std::string_view aReason, Duration aRetryAfter) {
   LogLine line("refused");
   line.Text("id", m_metadata.m_requestId).Text("reason", aReason).Ms("retry-after", aRetryAfter);
--- a/Services/Edge/RequestRelay.h
+++ b/Services/Edge/RequestRelay.h
@@ -35,6 +35,10 @@
   {EntryOutcome::Failed, "failed"},
 }};
 
+/// When a caller should send a request again that was refused for now. Spread, so that the callers
+/// do not all return at once.
+Duration SpreadRetryAfter(Random& aRandom);
+
 /// Forwards one request to backend servers and the response to the caller. RetryPolicy decides on
 /// retries and Placement on the server; this class performs the I/O.
 class RequestRelay : public std::enable_shared_from_this<RequestRelay> {
--- a/Tests/LibHttp/TestServer.cpp
+++ b/Tests/LibHttp/TestServer.cpp
@@ -84,6 +84,32 @@
   CHECK(server.m_targets.empty());
 }
 
+TEST_CASE("a body for which there is no memory is rejected by its announced length") {
+  EchoServer server;
+  server.m_holdRequests = true;
+  server.m_context->m_bodies->m_maxBytes = 1000;
+  server.m_context->m_onRejectedForNow = [](HeaderList& aHeaders) {
+    aHeaders.Add("Retry-After", "0.5");
+  };
+  const std::string large = "POST /large HTTP/1.1\r\nHost: x\r\nContent-Length: 700\r\n\r\n";
+  RawClient first(server.m_address);
+  first.Send(large + "part");
+  REQUIRE(RunUntil(server.m_loop, [&] { return server.m_context->m_bodies->m_usedBytes == 700; }));
+  // The rest of it is not awaited, and the rejected one uses nothing.
+  const std::string rejected = server.SendRequest(large);
+  CHECK(rejected.starts_with("HTTP/1.1 503"));
+  CHECK(rejected.find("Retry-After: 0.5") != std::string::npos);
+  CHECK(server.m_context->m_bodies->m_usedBytes == 700);
+  RawClient small(server.m_address);
+  small.Send("POST /small HTTP/1.1\r\nHost: x\r\nContent-Length: 300\r\n\r\n" +
+             std::string(300, 'x'));
+  CHECK(RunUntil(server.m_loop, [&] { return server.m_targets.size() == 1; }));
+  CHECK(server.m_context->m_bodies->m_usedBytes == 1000);
+  first.Close();
+  small.Close();
+  CHECK(RunUntil(server.m_loop, [&] { return server.m_context->m_bodies->m_usedBytes == 0; }));
+}
+
 TEST_CASE("pipelined requests on one connection are answered in order") {
   EchoServer server;
   RawClient client(server.m_address);
