Let a server read a long request as late as the call lasts

Cause: TCP_USER_TIMEOUT is 1.5 s on all connections. On Linux it also ends a connection whose peer keeps its window closed for as long, although the peer acknowledges each probe and sends data.

Change: for a request of over 16 kB, which may not fit into a server's window, the time-out is the time that the call has left; the next shorter request on the connection has the usual one again. So a path that is lost under a long request is found out by its deadline only, unless the stall policy sends the request elsewhere before; shorter ones as before.

--- a/Libraries/LibHttp/ClientConnection.cpp
+++ b/Libraries/LibHttp/ClientConnection.cpp
@@ -13,6 +13,10 @@
 /// are no answer.
 constexpr std::size_t kMaxSkippedBytes = 1024UL * 1024;
 
+/// Shorter requests fit into the receive window of any server, so what stays unacknowledged was not
+/// received.
+constexpr std::size_t kLongRequestBytes = 16UL * 1024;
+
 /// Returns the "timeout" parameter (whole seconds) of the Keep-Alive header, or zero if absent.
 Duration ParseKeepAlive(const HeaderList& aHeaders) {
   const std::string* value = aHeaders.Find("keep-alive");
@@ -29,8 +33,10 @@
 
 } // namespace
 
-ClientConnection::ClientConnection(EventLoop& aLoop, std::shared_ptr<StreamSocket> aSocket)
+ClientConnection::ClientConnection(EventLoop& aLoop, std::shared_ptr<StreamSocket> aSocket,
+                                   const SocketLimits& aLimits)
   : m_loop(aLoop)
+  , m_limits(aLimits)
   , m_socket(std::move(aSocket))
   , m_idleSince(aLoop.Now()) {}
 
@@ -40,7 +46,7 @@
                                                                     const SocketLimits& aLimits) {
   std::shared_ptr<StreamSocket> socket = TRY(StreamSocket::Connect(aLoop, aAddress, aLimits));
   std::shared_ptr<ClientConnection> connection =
-    std::make_shared<ClientConnection>(aLoop, std::move(socket));
+    std::make_shared<ClientConnection>(aLoop, std::move(socket), aLimits);
   connection->Start(aConnectTimeout);
   return connection;
 }
@@ -63,8 +69,15 @@
   });
 }
 
-void ClientConnection::Send(std::string_view aRequest, bool aIsHeadRequest,
-                            CallListener aListener) {
+void ClientConnection::Send(std::string_view aRequest, bool aIsHeadRequest, CallListener aListener,
+                            Duration aMaxTime) {
+  const bool mayWaitForWindow =
+    aRequest.size() > kLongRequestBytes && aMaxTime > m_limits.m_unacknowledgedTimeout;
+  if (mayWaitForWindow || m_waitsForWindow) {
+    m_socket->SetUnacknowledgedTimeout(mayWaitForWindow ? aMaxTime
+                                                        : m_limits.m_unacknowledgedTimeout);
+  }
+  m_waitsForWindow = mayWaitForWindow;
   m_listener = std::make_shared<const CallListener>(std::move(aListener));
   m_busy = true;
   ++m_calls;
--- a/Libraries/LibHttp/ClientConnection.h
+++ b/Libraries/LibHttp/ClientConnection.h
@@ -54,10 +54,13 @@
                                                            const std::string& aAddress,
                                                            Duration aConnectTimeout,
                                                            const SocketLimits& aLimits);
-  ClientConnection(EventLoop& aLoop, std::shared_ptr<StreamSocket> aSocket);
+  ClientConnection(EventLoop& aLoop, std::shared_ptr<StreamSocket> aSocket,
+                   const SocketLimits& aLimits);
 
   /// Sends a complete request. aIsHeadRequest marks a HEAD request, whose response has no body.
-  void Send(std::string_view aRequest, bool aIsHeadRequest, CallListener aListener);
+  /// aMaxTime: how long the call may take. A server may read a long request as late as that.
+  void Send(std::string_view aRequest, bool aIsHeadRequest, CallListener aListener,
+            Duration aMaxTime = Duration(0));
   /// Resets the connection. No listener callback runs afterwards.
   void Abort();
   void SetReading(bool aReading) { m_socket->SetReading(aReading); }
@@ -89,6 +92,7 @@
   CallFailure FailureAt(SocketEnd aEnd) const;
 
   EventLoop& m_loop;
+  SocketLimits m_limits;
   std::shared_ptr<StreamSocket> m_socket;
   MessageParser m_parser{MessageKind::Response};
   /// Shared, because a callback may end the call while it runs.
@@ -101,6 +105,8 @@
   bool m_busy = false;
   bool m_isHeadRequest = false;
   bool m_reusable = true;
+  /// The current request may wait for the server's receive window.
+  bool m_waitsForWindow = false;
   std::uint64_t m_calls = 0;
   bool m_sawBytes = false;
   bool m_sawHead = false;
--- a/Libraries/LibHttp/StreamSocket.cpp
+++ b/Libraries/LibHttp/StreamSocket.cpp
@@ -58,6 +58,13 @@
   return socket;
 }
 
+void StreamSocket::SetUnacknowledgedTimeout(Duration aTimeout) {
+  if (IsOpen()) {
+    SetOption(m_descriptor.Number(), IPPROTO_TCP, TCP_USER_TIMEOUT,
+              static_cast<int>(InMilliseconds(aTimeout)));
+  }
+}
+
 void StreamSocket::Start() {
   m_watch =
     m_loop.Watch(m_descriptor.Number(), [self = shared_from_this()](const Readiness& aReadiness) {
--- a/Libraries/LibHttp/StreamSocket.h
+++ b/Libraries/LibHttp/StreamSocket.h
@@ -68,6 +68,9 @@
   /// Pauses or resumes reading, for back-pressure.
   void SetReading(bool aReading);
 
+  /// Changes SocketLimits::m_unacknowledgedTimeout. A peer that keeps its receive window closed for
+  /// as long counts as unresponsive too, although it acknowledges each probe.
+  void SetUnacknowledgedTimeout(Duration aTimeout);
   /// Whether to reset the connection when the peer ends it, so that output which is lost then
   /// cannot pass for the end of a message.
   void SetResetOnEnd(bool aReset) { m_resetOnEnd = aReset; }
--- a/Services/Edge/RequestRelay.cpp
+++ b/Services/Edge/RequestRelay.cpp
@@ -375,7 +375,8 @@
       self->m_context.m_crashWatch->OnTrialSent(self->m_crashTrial);
     }
   });
-  m_attempt->m_channel->Send(bytes, isHead, MakeListener());
+  m_attempt->m_channel->Send(bytes, isHead, MakeListener(),
+                             m_retryPolicy.Promise().m_answerBy - m_context.m_loop.Now());
   if (m_retryPolicy.HasRunLeft() && m_route->m_objective > Duration(0)) {
     const double fraction =
       m_route->m_kind == RouteKind::Streaming ? kStreamStallFraction : kStallFraction;
--- a/Tests/LibHttp/TestClientConnection.cpp
+++ b/Tests/LibHttp/TestClientConnection.cpp
@@ -257,6 +257,36 @@
   CHECK(!exchange.m_record.m_isComplete);
 }
 
+TEST_CASE("a server may read the rest of a long request late, while it responds or is silent") {
+  ScriptedServer server;
+  ConnectionPool pool(server.m_loop, {.m_address = server.m_address,
+                                      .m_socket = {.m_unacknowledgedTimeout = Milliseconds(300)}});
+  CallRecord record;
+  const std::shared_ptr<ClientConnection> connection = pool.Acquire(false).Take();
+  connection->Send(kLongRequest, false, record.Listener("mine"), Seconds(30));
+  server.Accept();
+  const SystemClock clock;
+  SUBCASE("it responds") {
+    server.Send("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwho");
+  }
+  SUBCASE("it is silent") {}
+  const Time readsOnAt = clock.Now() + Milliseconds(1500);
+  RunUntil(server.m_loop, [&] { return record.HasEnded() || clock.Now() > readsOnAt; });
+  REQUIRE(!record.HasEnded());
+  std::string buffer(1UL << 20, '\0');
+  std::size_t received = 0;
+  RunUntil(server.m_loop, [&] {
+    const ssize_t count =
+      ::recv(server.m_accepted.Number(), buffer.data(), buffer.size(), MSG_DONTWAIT);
+    received += count > 0 ? static_cast<std::size_t>(count) : 0;
+    return received == kLongRequest.size();
+  });
+  CHECK(received == kLongRequest.size());
+  server.Send(record.m_status == 0 ? "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole" : "le");
+  REQUIRE(RunUntil(server.m_loop, [&] { return record.HasEnded(); }));
+  CHECK(record.m_isComplete);
+}
+
 TEST_CASE("a response with a length is complete although the request was not read") {
   UnwrittenExchange exchange;
   exchange.Respond("HTTP/1.1 413 Too large\r\nContent-Length: 5\r\n\r\nwhole");
--- a/Tests/Soak/soak.py
+++ b/Tests/Soak/soak.py
@@ -432,13 +432,14 @@
             self.store.go_away()
             await asyncio.sleep(rng.uniform(0.1, 1.0))
             lost = self.store.come_back_from(saved)
-            self.checker.store_returns.append(time.monotonic())
+            returned_at = time.monotonic()
+            self.checker.store_returns.append(returned_at)
             await asyncio.sleep(rng.uniform(0.0, 0.5))
             gone = self.write_again(lost)
             self.faults_in_progress["store"] -= 1
             self.last_fault_ended["store"] = time.monotonic()
             # Entries of servers that are gone expire.
-            await asyncio.sleep(EXPIRY_S)
+            await asyncio.sleep(max(0.0, returned_at + EXPIRY_S - time.monotonic()))
             for key in gone:
                 self.store.delete(key)
 
