Believe the store's copy only once the mirror is current again

When it went on, it ended the time in which it withholds what only the copy lists before it had read a change that removed the entry, used the server, and took the removal that followed for a lapse in an outage, with two seconds of grace.

Change: the time ends only once the mirror was confirmed after it. For that, the age that a peer gives of its mirror counts as it is: until now the mirror was also taken for current as of the moment at which the peer had been asked, whatever the peer knew.

Before: the new case of EdgeStoreReturn failed.

--- a/Services/Edge/StoreClient.cpp
+++ b/Services/Edge/StoreClient.cpp
@@ -442,7 +442,7 @@
     m_source.OnFailure(aChoice, m_context.m_loop.Now());
   } else {
     m_source.OnAnswer(aChoice, m_context.m_loop.Now());
-    ApplyPeerChanges(aChoice.m_peer, update.Get(), aSent);
+    ApplyPeerChanges(aChoice.m_peer, update.Get());
     RecordUpdate(aChoice.m_peer, aResponse, update.Get().m_keys.size(), received);
   }
   if (isAwaited) {
@@ -468,10 +468,9 @@
   m_context.Log(LogPriority::Notable, line);
 }
 
-void StoreClient::ApplyPeerChanges(const std::string& aPeer, const MirrorUpdate& aUpdate,
-                                   Time aSent) {
+void StoreClient::ApplyPeerChanges(const std::string& aPeer, const MirrorUpdate& aUpdate) {
   const Time now = m_context.m_loop.Now();
-  const Time confirmedAt = std::max(aSent, now - aUpdate.m_age);
+  const Time confirmedAt = now - aUpdate.m_age;
   const EraOrder order = m_mirror.Compare(aUpdate.m_era);
   // Entries of earlier releases do not say the era, and do not notice that it changes.
   const bool isOfUnknownEra = !aUpdate.m_era && m_mirror.HasChangedEra();
@@ -552,7 +551,7 @@
                  const Time received = SystemClock().Now();
                  const Result<MirrorUpdate> update = DecodeMirrorUpdate(aResponse.m_body);
                  if (aResponse.m_status == kOk && !update.IsError()) {
-                   ApplyPeerChanges(aPeer, update.Get(), sent);
+                   ApplyPeerChanges(aPeer, update.Get());
                    RecordUpdate(aPeer, aResponse, update.Get().m_keys.size(), received);
                  } else {
                    LogFailedPeer({.m_peer = aPeer}, aResponse, sent);
--- a/Services/Edge/StoreClient.h
+++ b/Services/Edge/StoreClient.h
@@ -94,7 +94,7 @@
   void OnPeerAnswer(const MirrorSource::Choice& aChoice, const CallResponse& aResponse, Time aSent,
                     std::uint64_t aSync);
   void FetchFromPeer(const std::string& aPeer);
-  void ApplyPeerChanges(const std::string& aPeer, const MirrorUpdate& aUpdate, Time aSent);
+  void ApplyPeerChanges(const std::string& aPeer, const MirrorUpdate& aUpdate);
   /// Logs an update that is large or took long, and counts it.
   void RecordUpdate(std::string_view aSource, const CallResponse& aResponse, std::size_t aKeys,
                     Time aReceived);
--- a/Services/Edge/StoreView.cpp
+++ b/Services/Edge/StoreView.cpp
@@ -17,6 +17,9 @@
 /// The platform's operators state this bound.
 constexpr Duration kReregistrationGrace = Seconds(2);
 
+/// Interval of checks whether the mirror is current again.
+constexpr Duration kSettleRetryDelay = Milliseconds(250);
+
 /// The store removes the entry of a server that has been silent for this many heartbeats.
 constexpr std::int64_t kLeaseHeartbeats = 3;
 
@@ -154,6 +157,11 @@
     // The store has returned again.
     return;
   }
+  if (!m_withheld.empty() && aMirror.ConfirmedAt() < m_settlesAt) {
+    // What the mirror has may have been removed meanwhile.
+    m_context.m_loop.After(kSettleRetryDelay, [this, &aMirror] { Settle(aMirror); });
+    return;
+  }
   for (const std::string& name : std::exchange(m_withheld, {})) {
     const KeyValue* key = aMirror.Find(name);
     Apply(key == nullptr ? KeyValue{.m_key = name, .m_value = {}, .m_removed = true} : *key, 0);
--- a/Tests/Edge/store_return.py
+++ b/Tests/Edge/store_return.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import os
+import signal
 import sys
 import time
 import unittest
@@ -20,6 +21,10 @@
 AWAY_S = 0.5
 # Servers write their entries again within this time.
 REREGISTRATION_S = 2.0
+# The store removes the entry of a silent server after three heartbeats. An entry believes what the
+# copy lists so long after the return, and the time to register again.
+EXPIRY_S = 3.6
+SETTLE_S = EXPIRY_S + REREGISTRATION_S
 
 
 class ReturningFleet(Fleet):
@@ -165,6 +170,34 @@
                 self.assertEqual(await fleet.statuses("/plain/", f"r-{number}"), [200] * 3)
             self.assertEqual([run["id"] for run in late.runs if run["at"] > gone], [])
 
+    async def test_an_entry_that_stood_still_since_a_return_uses_no_server_that_has_left(self):
+        async with ReturningFleet(entries=3, app=3) as fleet:
+            await fleet.until_members_known()
+            saved = fleet.store.copy()
+            left = fleet.of("app")[0]
+            left.leave()
+            await wait_until(lambda: all(entry.lines("backend")[-1]["state"] == "gone"
+                                         for entry in fleet.entries))
+            await fleet.return_from(saved)
+            await fleet.until_era_known()
+            for entry in fleet.entries:
+                entry.signal(signal.SIGSTOP)
+            fleet.store.go_away()
+            await asyncio.sleep(EXPIRY_S)
+            left.leave()
+            # The entries go on when they would believe the copy, before they hear of the store again.
+            await asyncio.sleep(SETTLE_S - EXPIRY_S + 0.5)
+            for entry in fleet.entries:
+                entry.signal(signal.SIGCONT)
+            await asyncio.sleep(0.3)
+            for number in range(4):
+                await fleet.statuses("/plain/", f"still-{number}")
+            fleet.store.mode = "up"
+            await asyncio.sleep(1.0)
+            for number in range(4):
+                await fleet.statuses("/plain/", f"after-{number}")
+            self.assertEqual(left.runs, [])
+
     async def load(self, fleet, stop):
         """Streams through all entries until stop is set."""
         number = 0
--- a/Tests/Soak/soak.py
+++ b/Tests/Soak/soak.py
@@ -435,7 +435,7 @@
             returned_at = time.monotonic()
             self.checker.store_returns.append(returned_at)
             await asyncio.sleep(rng.uniform(0.0, 0.5))
-            gone = self.write_again(lost)
+            gone = self.write_again(lost, saved[2])
             self.faults_in_progress["store"] -= 1
             self.last_fault_ended["store"] = time.monotonic()
             # Entries of servers that are gone expire.
@@ -443,11 +443,13 @@
             for key in gone:
                 self.store.delete(key)
 
-    def write_again(self, lost):
+    def write_again(self, lost, revision):
         """Writes what the operator and the servers had written; returns the keys that they had removed."""
         for key, item in lost.items():
-            known = self.store.items.get(key, {}).get("value")
-            if key.startswith(("op/", "servers/")) and known != item["value"]:
+            # Some have written since the store came back from the copy of this revision.
+            known = self.store.items.get(key, {"mod-revision": 0, "value": None})
+            is_current = known["mod-revision"] > revision or known["value"] == item["value"]
+            if key.startswith(("op/", "servers/")) and not is_current:
                 self.store.put(key, base64.b64decode(item["value"]))
         return [key for key in self.store.items if key.startswith("servers/") and key not in lost]
 
