--- a/Tests/Soak/soak.py
+++ b/Tests/Soak/soak.py
@@ -128,7 +128,8 @@
                 is_late = run["leaving"] and run["at"] - run["leaving"] > DRAIN_LIMIT_S
                 is_copied = any(0 < run["at"] - returned_at < EXPIRY_S + CONTACT_S
                                 for returned_at in self.store_returns)
-                is_excused = is_copied and self.wishes.has_just_started(request, CONTACT_S)
+                is_excused = is_copied and self.wishes.has_just_started(request, replica, run["at"],
+                                                                        CONTACT_S)
                 if is_late and not is_excused:
                     self.fail("DRAIN", request, f"received {run['at'] - run['leaving']:.2f} s after "
                                                 f"{replica.name} began to leave")
--- a/Tests/Soak/wish_checker.py
+++ b/Tests/Soak/wish_checker.py
@@ -38,9 +38,11 @@
     def note_sent(self, request, entry):
         self.sent[request] = (entry.name, time.monotonic())
 
-    def has_just_started(self, request, within_s):
-        entry, sent_at = self.sent[request]
-        return any(0 <= sent_at - start < within_s for start in self.starts[entry])
+    def has_just_started(self, request, server, at, within_s):
+        """Whether the entry that sent the request to the server had just started."""
+        sender = self.sender(request, server, at)
+        return (sender is not None and sender.start > 0
+                and at - self.starts[sender.entry][sender.start - 1] < within_s)
 
     def read_logs(self, entries):
         for entry in entries:
