Judge slow answers against those that could be compared

Cause, one of two: answers whose time could not be compared with the old version's counted as good ones in the test of slowness ("55 good and 9 bad answers, 42 not compared" is 9 of 22, and was judged as 9 of 64).

Change: slow answers are counted apart and judged against those that could be compared; failures are judged against all, as before, since a crash fails a few answers of any version.

The new case of TestRolloutEvaluator fails without the change of the evaluator.

--- a/Libraries/LibRouting/RolloutEvaluator.cpp
+++ b/Libraries/LibRouting/RolloutEvaluator.cpp
@@ -74,6 +74,7 @@
         sum->m_newGood += row.m_newGood;
         sum->m_newNotCompared += row.m_newNotCompared;
         sum->m_newBad += row.m_newBad;
+        sum->m_newSlow += row.m_newSlow;
         sum->m_oldGood += row.m_oldGood;
         sum->m_oldBad += row.m_oldBad;
       }
@@ -90,6 +91,7 @@
   // that only a version whose streams are slow on most servers, or at most times, stands out.
   for (const auto& [place, isNew] : slow) {
     ++(isNew ? pool[""].m_newBad : pool[""].m_oldBad);
+    pool[""].m_newSlow += isNew ? 1 : 0;
   }
   return pool;
 }
@@ -101,9 +103,14 @@
   const std::int64_t old = aEvidence.m_oldGood + aEvidence.m_oldBad;
   SequentialTestPlan plan;
   plan.m_goodRate = GoodClusterRate(old, aEvidence.m_oldBad, kMinGoodRate);
-  SequentialTest test(plan);
-  test.Add(aEvidence.m_newGood + aEvidence.m_newBad, aEvidence.m_newBad);
-  return test.Verdict() == ExposureVerdict::Withdraw;
+  SequentialTest all(plan);
+  all.Add(aEvidence.m_newGood + aEvidence.m_newBad, aEvidence.m_newBad);
+  SequentialTest slow(plan);
+  if (aEvidence.m_newSlow >= kMinBad) {
+    slow.Add(aEvidence.m_newGood - aEvidence.m_newNotCompared + aEvidence.m_newSlow,
+             aEvidence.m_newSlow);
+  }
+  return all.Verdict() == ExposureVerdict::Withdraw || slow.Verdict() == ExposureVerdict::Withdraw;
 }
 
 bool RolloutEvaluator::IsOldIdle(const RolloutRecord& aRecord, std::size_t aEntries,
--- a/Libraries/LibRouting/RolloutEvidence.cpp
+++ b/Libraries/LibRouting/RolloutEvidence.cpp
@@ -9,8 +9,8 @@
 std::string EncodeRolloutReport(const RolloutReport& aReport) {
   json routes = json::array();
   for (const auto& [name, row] : aReport.m_routes) {
-    routes.push_back(
-      {name, row.m_newGood, row.m_newBad, row.m_oldGood, row.m_oldBad, row.m_newNotCompared});
+    routes.push_back({name, row.m_newGood, row.m_newBad, row.m_oldGood, row.m_oldBad,
+                      row.m_newNotCompared, row.m_newSlow});
   }
   json broken = json::array();
   for (const auto& [server, isNew] : aReport.m_failedServers) {
@@ -38,11 +38,14 @@
     report.m_orderAge = Milliseconds(aDocument.at("ageMs").get<std::int64_t>());
     report.m_oldVersionRunning = aDocument.at("runningOld").get<std::int64_t>();
     report.m_recordRevision = aDocument.at("record").get<std::uint64_t>();
+    constexpr std::size_t kNewSlowField = 6;
     for (const json& row : aDocument.at("routes")) {
       report.m_routes[row.at(0).get<std::string>()] = {
         .m_newGood = row.at(1).get<std::int64_t>(),
         .m_newNotCompared = row.at(5).get<std::int64_t>(),
         .m_newBad = row.at(2).get<std::int64_t>(),
+        // Entries of earlier releases do not send it.
+        .m_newSlow = row.size() > kNewSlowField ? row.at(kNewSlowField).get<std::int64_t>() : 0,
         .m_oldGood = row.at(3).get<std::int64_t>(),
         .m_oldBad = row.at(4).get<std::int64_t>(),
       };
--- a/Libraries/LibRouting/RolloutEvidence.h
+++ b/Libraries/LibRouting/RolloutEvidence.h
@@ -16,6 +16,8 @@
   /// Those of m_newGood whose time could not be compared with that of the old version.
   std::int64_t m_newNotCompared = 0;
   std::int64_t m_newBad = 0;
+  /// Those of m_newBad that were slow. They are judged against the answers that could be compared.
+  std::int64_t m_newSlow = 0;
   std::int64_t m_oldGood = 0;
   std::int64_t m_oldBad = 0;
 };
--- a/Services/Edge/RolloutDriver.cpp
+++ b/Services/Edge/RolloutDriver.cpp
@@ -80,6 +80,7 @@
     local.m_report.m_failedServers[aEvent.m_server] = isNew;
   } else if (isNew) {
     ++(isBad ? evidence.m_newBad : evidence.m_newGood);
+    evidence.m_newSlow += isSlow ? 1 : 0;
     evidence.m_newNotCompared += isBad || isCompared ? 0 : 1;
   } else {
     ++(isBad ? evidence.m_oldBad : evidence.m_oldGood);
--- a/Tests/LibRouting/TestRolloutEvaluator.cpp
+++ b/Tests/LibRouting/TestRolloutEvaluator.cpp
@@ -86,6 +86,27 @@
   CHECK(evaluator.Evaluate(kOrder, moving, 1, now + Seconds(8)) == RolloutPhase::Succeeded);
 }
 
+TEST_CASE(
+  "slow answers are judged against those that could be compared, and failures against all") {
+  const Time now{Seconds(100)};
+  const RolloutRecord moving = RecordIn(RolloutPhase::Moving, 7);
+  RouteEvidence evidence = {
+    .m_newGood = 55, .m_newNotCompared = 42, .m_newBad = 9, .m_newSlow = 9, .m_oldGood = 600};
+  RolloutEvaluator slow;
+  slow.OnReport(ReportOf("a", evidence, Seconds(23)), now);
+  CHECK(slow.Evaluate(kOrder, moving, 1, now) == RolloutPhase::RolledBack);
+  // A crash fails a few answers of any version, whether or not the others could be compared.
+  evidence = {.m_newGood = 96, .m_newNotCompared = 90, .m_newBad = 4, .m_oldGood = 600};
+  RolloutEvaluator failing;
+  failing.OnReport(ReportOf("a", evidence, Seconds(12)), now);
+  CHECK(failing.Evaluate(kOrder, moving, 1, now) == RolloutPhase::Moving);
+  // What an entry reports reaches the others.
+  RolloutReport report = ReportOf("a", {.m_newBad = 9, .m_newSlow = 7}, Seconds(1));
+  const Result<RolloutReport> read = DecodeRolloutReport(EncodeRolloutReport(report));
+  REQUIRE(!read.IsError());
+  CHECK(read.Get().m_routes.at("r").m_newSlow == 7);
+}
+
 TEST_CASE(
   "a version with few answers, most of them bad, does not get all requests and is rolled back") {
   RolloutEvaluator evaluator;
