Keep what is withheld through a second return of the store

Found at reading: a second return before the first one had settled forgot which servers were withheld. They are in the mirror already, so the second listing does not differ in them, and a sound one among them would not have been used until it wrote its entry again. They now stay withheld, and are used once the time is over. An order that is listed as it is known is no longer withheld.

Also: a call of the store whose era was not known when it was sent is no longer of unknown outcome for that, and an order whose revision is the same is not logged as renumbered.

--- a/Services/Edge/StoreClient.cpp
+++ b/Services/Edge/StoreClient.cpp
@@ -651,8 +651,9 @@
                [this, aRequest, era = m_mirror.Era(),
                 onReply = std::move(aOnReply)](const CallResponse& aResponse) {
                  PlatformReply reply = ReadStoreReply(m_context, aRequest, aResponse);
-                 const bool isOfOtherEra = reply.m_era && era && *reply.m_era != *era;
-                 if (isOfOtherEra || era != m_mirror.Era()) {
+                 const bool isOfOtherEra =
+                   era && (era != m_mirror.Era() || (reply.m_era && reply.m_era != era));
+                 if (isOfOtherEra) {
                    reply.m_status = PlatformStatus::Unknown;
                  }
                  onReply(reply);
--- a/Services/Edge/StoreView.cpp
+++ b/Services/Edge/StoreView.cpp
@@ -78,7 +78,7 @@
     m_context.m_settings.m_heartbeat * kLeaseHeartbeats + kReregistrationGrace;
   m_settlesAt = m_context.m_loop.Now() + settleTime;
   m_context.m_loop.At(m_settlesAt, [this, &aMirror] { Settle(aMirror); });
-  m_withheld.clear();
+  // What an earlier copy had as well is no change, and stays withheld.
   CompareOrders(aMirror);
   CompareRecords(aMirror);
   for (const KeyValue& key : aChanges) {
@@ -108,6 +108,7 @@
       key == nullptr ? RolloutOrder{} : platform::DecodeRolloutOrder(service, key->m_value);
     if (!copied.IsError() && order.IsSameAs(copied.Get())) {
       Renumber(order, key->m_revision);
+      m_withheld.erase(name);
     } else {
       m_withheld.insert(name);
     }
@@ -170,9 +171,11 @@
 
 void StoreView::Renumber(RolloutOrder& aOrder, Revision aRevision) {
   const Revision before = std::exchange(aOrder.m_revision, aRevision);
+  if (before == aRevision) {
+    return;
+  }
   const auto record = m_records.find(aOrder.m_service);
-  if (record != m_records.end() && record->second.m_orderRevision == before &&
-      before != aRevision) {
+  if (record != m_records.end() && record->second.m_orderRevision == before) {
     record->second.m_orderRevision = aRevision;
     record->second.m_isStored = false;
   }
--- a/Tests/Edge/store_return.py
+++ b/Tests/Edge/store_return.py
@@ -126,6 +126,27 @@
             await asyncio.sleep(APPLY_S)
             self.assertEqual(await fleet.statuses("/plain/", "old", key="key-2"), [401] * 4)
 
+    async def test_a_server_withheld_through_two_returns_is_used_once_it_proves_to_live(self):
+        async with ReturningFleet(entries=3, app=3) as fleet:
+            await fleet.until_members_known()
+            silent = fleet.of("app")[0]
+            saved = fleet.store.copy()
+            # Its entry expired, and the copies have it again.
+            fleet.store.delete(f"servers/{silent.name}")
+            await wait_until(lambda: all(entry.lines("backend")[-1]["state"] == "gone"
+                                         for entry in fleet.entries))
+            for _ in range(2):
+                await fleet.return_from(saved)
+                await fleet.until_era_known()
+            returned = time.monotonic()
+            for number in range(4):
+                await fleet.statuses("/plain/", f"early-{number}")
+            self.assertEqual(silent.runs, [])
+            await asyncio.sleep(max(0, returned + SETTLE_S + 0.5 - time.monotonic()))
+            for number in range(8):
+                await fleet.statuses("/plain/", f"late-{number}")
+            self.assertEqual({run["id"].rsplit("edge", 1)[1] for run in silent.runs}, {"-0", "-1", "-2"})
+
     async def test_what_the_copy_has_again_stays_out_until_it_is_written_again(self):
         async with ReturningFleet(entries=4, app=4) as fleet:
             await fleet.until_members_known()
