--- a/Tests/LibHttp/TestClientConnection.cpp
+++ b/Tests/LibHttp/TestClientConnection.cpp
@@ -195,8 +195,13 @@
 namespace {
 
 /// More than the buffers of a connection hold, so a part of it waits in this process.
-const std::string kLongRequest =
-  "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 16000000\r\n\r\n" + std::string(16'000'000, 'x');
+const std::string kLongRequest = [] {
+  constexpr std::size_t kBodyBytes = 16'000'000;
+  std::string request =
+    "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: " + std::to_string(kBodyBytes) + "\r\n\r\n";
+  request.append(kBodyBytes, 'x');
+  return request;
+}();
 
 /// A call whose request is not wholly written while the server begins to respond.
 struct UnwrittenExchange {
