Keep the ports of fakes that are away for a moment

EdgeCrashingRequest, test_a_request_that_crashed_a_server_twice_under_one_id_is_refused, failed once on beside another run (1 crash instead of 2, KNOWN-RED).

Cause: a fault of the test. A fake that crashes is away for 2 s, and the system gives its port to any other listener of the machine meanwhile; the fake then cannot come back, and the task that brings it back swallowed the error, so that the server never crashed a second time.

Change: fakes and proxies reserve their ports until the test process ends, and a fleet of crashing servers reports what went wrong when one was brought back.

--- a/Tests/Edge/crashing_fleet.py
+++ b/Tests/Edge/crashing_fleet.py
@@ -34,6 +34,9 @@
         for task in self.returns:
             task.cancel()
         await super().__aexit__(*arguments)
+        for outcome in await asyncio.gather(*self.returns, return_exceptions=True):
+            if isinstance(outcome, Exception):
+                raise outcome
 
     async def add_replica(self, name, service, **more):
         replica = await super().add_replica(name, service, **more)
--- a/Tests/Edge/ports.py
+++ b/Tests/Edge/ports.py
@@ -1,4 +1,4 @@
-"""Ports for the entries of a test, which no test process beside it uses."""
+"""Ports for the entries and the fakes of a test, which no test process beside it uses."""
 
 import itertools
 import socket
@@ -57,3 +57,19 @@
     if _block is None:
         _block = PortBlock()
     return _block.take()
+
+
+# Open until the process ends.
+_reservations = []
+
+
+def reserve_port(host):
+    """A port of this host that the system gives to nobody else, also while no socket listens there.
+
+    Listeners need SO_REUSEADDR, which asyncio sets.
+    """
+    reservation = socket.socket()
+    reservation.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    reservation.bind((host, 0))
+    _reservations.append(reservation)
+    return reservation.getsockname()[1]
--- a/Tests/Edge/standin.py
+++ b/Tests/Edge/standin.py
@@ -15,7 +15,7 @@
 import time
 import urllib.parse
 
-from ports import free_port
+from ports import free_port, reserve_port
 
 HOST = "127.0.0.1"
 READ_LIMIT = 1 << 20
@@ -67,9 +67,8 @@
         return any(not writer.transport.is_closing() for writer in self.writers)
 
     async def start(self, port=0):
-        self.server = await asyncio.start_server(self._serve, HOST, port or self.port,
-                                                 limit=READ_LIMIT)
-        self.port = self.server.sockets[0].getsockname()[1]
+        self.port = port or self.port or reserve_port(HOST)
+        self.server = await asyncio.start_server(self._serve, HOST, self.port, limit=READ_LIMIT)
         return self
 
     async def stop(self, is_reset=False):
@@ -260,8 +259,9 @@
         self.address = ""
 
     async def start(self):
-        self.server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
-        self.address = "127.0.0.1:%d" % self.server.sockets[0].getsockname()[1]
+        port = reserve_port(HOST)
+        self.server = await asyncio.start_server(self._accept, HOST, port)
+        self.address = f"{HOST}:{port}"
         return self
 
     def reset_all(self):
