Move requests to a new version in a ramp, and compare the pace of its servers

Cause: (1) all requests moved at once for the last 3.3 s of 16 s, 20% of the order's requests, where 15% and 30 are allowed. (2) A stream was compared by itself and with the quickest of its gaps; beside some slow requests all streams of a server are delayed, most by less than a single one needs to stand out. (3) When time was up, the evidence had to be as strong as before then: 6 bad of 34 compared was a success.

Change: before all requests move, 30% of the sessions go to the new version for 22% of the order's time (3.5 s at most), on so few servers that each has about its usual load. The median of each new stream's first gaps is compared with the old version's; most streams delayed on most of three or more servers is a reason to roll back. When time is up, an error of one in ten suffices instead of one in a hundred.

New cases of TestRolloutEvaluator and TestSmallParts.

--- a/Libraries/LibRouting/LatencyBaseline.cpp
+++ b/Libraries/LibRouting/LatencyBaseline.cpp
@@ -14,6 +14,7 @@
 /// mean and never beyond three times the usual deviation.
 constexpr double kSlowFactor = 3.5;
 constexpr double kSlowDeviations = 3.0;
+constexpr double kAboveMeanFactor = 1.6;
 constexpr double kMinSeconds = 1e-4;
 
 } // namespace
@@ -34,13 +35,21 @@
 }
 
 bool LatencyBaseline::IsSlow(const std::string& aKind, Duration aTime) const {
+  return IsBeyond(aKind, aTime, kSlowFactor, kSlowDeviations);
+}
+
+bool LatencyBaseline::IsAboveMean(const std::string& aKind, Duration aTime) const {
+  return IsBeyond(aKind, aTime, kAboveMeanFactor, 0.0);
+}
+
+bool LatencyBaseline::IsBeyond(const std::string& aKind, Duration aTime, double aFactor,
+                               double aDeviations) const {
   if (!Knows(aKind)) {
     return false;
   }
   const auto found = m_kinds.find(aKind);
   const double value = std::log(std::max(InSeconds(aTime), kMinSeconds));
-  const double limit =
-    std::max(std::log(kSlowFactor), kSlowDeviations * found->second.m_logDeviation);
+  const double limit = std::max(std::log(aFactor), aDeviations * found->second.m_logDeviation);
   return value - found->second.m_logMean > limit;
 }
 
--- a/Libraries/LibRouting/LatencyBaseline.h
+++ b/Libraries/LibRouting/LatencyBaseline.h
@@ -16,6 +16,9 @@
   bool Knows(const std::string& aKind) const;
   /// Returns false until there are enough samples.
   bool IsSlow(const std::string& aKind, Duration aTime) const;
+  /// Whether it is clearly above the mean, as about one in five is. Returns false until there are
+  /// enough samples.
+  bool IsAboveMean(const std::string& aKind, Duration aTime) const;
 
 private:
   struct Baseline {
@@ -23,6 +26,8 @@
     double m_logDeviation = 0.0;
     int m_count = 0;
   };
+  bool IsBeyond(const std::string& aKind, Duration aTime, double aFactor, double aDeviations) const;
+
   std::map<std::string, Baseline> m_kinds;
 };
 
--- a/Libraries/LibRouting/RolloutEvaluator.cpp
+++ b/Libraries/LibRouting/RolloutEvaluator.cpp
@@ -2,6 +2,7 @@
 
 #include "LibDecision/ExposureGate.h"
 #include "LibDecision/SequentialTest.h"
+#include "LibRouting/VersionRule.h"
 
 #include <algorithm>
 
@@ -41,6 +42,15 @@
 /// Minimum number of bad answers before a version is considered bad; single ones are caused by
 /// crashes.
 constexpr std::int64_t kMinBad = 4;
+/// Minimum number of streams of a server, and of such servers, before their pace is judged.
+constexpr std::int64_t kMinComparedStreams = 3;
+constexpr double kMinComparedServers = 3;
+/// Share of a server's streams, and of the servers, that counts as most of them.
+constexpr double kMostStreams = 0.5;
+constexpr double kMostServers = 0.66;
+/// Probability that a good version is rolled back when its time is up. It is higher than before
+/// then, since what is not rolled back now runs without the version before.
+constexpr double kLastFalseAlarm = 0.1;
 
 } // namespace
 
@@ -96,13 +106,14 @@
   return pool;
 }
 
-bool RolloutEvaluator::IsBad(const RouteEvidence& aEvidence) const {
+bool RolloutEvaluator::IsBad(const RouteEvidence& aEvidence, bool aIsLast) const {
   if (aEvidence.m_newBad < kMinBad) {
     return false;
   }
   const std::int64_t old = aEvidence.m_oldGood + aEvidence.m_oldBad;
   SequentialTestPlan plan;
   plan.m_goodRate = GoodClusterRate(old, aEvidence.m_oldBad, kMinGoodRate);
+  plan.m_falseAlarm = aIsLast ? kLastFalseAlarm : plan.m_falseAlarm;
   SequentialTest all(plan);
   all.Add(aEvidence.m_newGood + aEvidence.m_newBad, aEvidence.m_newBad);
   SequentialTest slow(plan);
@@ -113,6 +124,27 @@
   return all.Verdict() == ExposureVerdict::Withdraw || slow.Verdict() == ExposureVerdict::Withdraw;
 }
 
+bool RolloutEvaluator::AreServersDelayed() const {
+  std::map<std::uint64_t, PaceEvidence> servers;
+  for (const auto& [entry, stored] : m_reports) {
+    for (const auto& [server, evidence] : stored.m_report.m_paces) {
+      servers[server].m_streams += evidence.m_streams;
+      servers[server].m_delayed += evidence.m_delayed;
+    }
+  }
+  double compared = 0;
+  double delayed = 0;
+  for (const auto& [server, evidence] : servers) {
+    if (evidence.m_streams >= kMinComparedStreams) {
+      ++compared;
+      const double share =
+        static_cast<double>(evidence.m_delayed) / static_cast<double>(evidence.m_streams);
+      delayed += share > kMostStreams ? 1 : 0;
+    }
+  }
+  return compared >= kMinComparedServers && delayed >= kMostServers * compared;
+}
+
 bool RolloutEvaluator::IsOldIdle(const RolloutRecord& aRecord, std::size_t aEntries,
                                  Time aNow) const {
   std::size_t idle = 0;
@@ -140,9 +172,12 @@
   if (isOver) {
     return aRecord.m_phase;
   }
+  const double age = InSeconds(OrderAge(aNow));
+  const double within = InSeconds(aOrder.m_within);
+  const bool isLast = age >= within - InSeconds(kFinalMargin);
   std::map<std::string, RouteEvidence> pool = Pool();
   for (const auto& [route, evidence] : pool) {
-    if (IsBad(evidence)) {
+    if (IsBad(evidence, isLast)) {
       m_reason = (route.empty() ? "all routes" : route) + ": new version " +
                  std::to_string(evidence.m_newBad) + " bad of " +
                  std::to_string(evidence.m_newGood + evidence.m_newBad) + ", old version " +
@@ -151,15 +186,16 @@
       return RolloutPhase::RolledBack;
     }
   }
+  if (AreServersDelayed()) {
+    m_reason = "streams are delayed on most servers of the new version";
+    return RolloutPhase::RolledBack;
+  }
   const RouteEvidence& all = pool[""];
-  const double age = InSeconds(OrderAge(aNow));
-  const double within = InSeconds(aOrder.m_within);
   m_reason = std::to_string(all.m_newGood) + " good and " + std::to_string(all.m_newBad) +
              " bad answers from the new version, " + std::to_string(all.m_newNotCompared) +
              " not compared";
   const std::int64_t comparedGood = all.m_newGood - all.m_newNotCompared;
   const bool hasEnough = comparedGood + all.m_newBad >= kMinTrialAnswers;
-  const bool isLast = age >= within - InSeconds(kFinalMargin);
   // Too few answers for a verdict, but most of those that could be compared are bad.
   const bool hasManyBad = all.m_newBad * kDoubtfulDivisor >= all.m_newGood + all.m_newBad;
   const bool isDoubtful = !hasEnough && hasManyBad && all.m_newBad > comparedGood;
@@ -167,12 +203,14 @@
     return RolloutPhase::RolledBack;
   }
   if (aRecord.m_phase == RolloutPhase::Canary) {
-    const double latest = std::max(within * kLatestMoveFraction,
-                                   within - InSeconds(kMinMovingTime + kFinalMargin + kMoveMargin));
-    const bool isTime = age >= (hasEnough ? within * kTrialFraction : latest);
+    const double latest =
+      std::max(within * kLatestMoveFraction,
+               within - InSeconds(kMinMovingTime + kFinalMargin + kMoveMargin)) -
+      InSeconds(RampTime(aOrder.m_within));
+    const bool isTime = age >= within * kTrialFraction && (hasEnough || age >= latest);
     return isTime && !isDoubtful ? RolloutPhase::Moving : RolloutPhase::Canary;
   }
-  const bool hasMoved = aNow - m_phaseSince >= kMinMovingTime;
+  const bool hasMoved = aNow - m_phaseSince >= RampTime(aOrder.m_within) + kMinMovingTime;
   const bool mayEnd = isLast || (hasMoved && hasEnough && IsOldIdle(aRecord, aEntries, aNow));
   return mayEnd ? RolloutPhase::Succeeded : RolloutPhase::Moving;
 }
--- a/Libraries/LibRouting/RolloutEvaluator.h
+++ b/Libraries/LibRouting/RolloutEvaluator.h
@@ -27,7 +27,10 @@
     RolloutReport m_report;
     Time m_at{};
   };
-  bool IsBad(const RouteEvidence& aEvidence) const;
+  bool IsBad(const RouteEvidence& aEvidence, bool aIsLast) const;
+  /// Whether most streams are delayed on most servers of the new version. A single server may be
+  /// delayed by other causes.
+  bool AreServersDelayed() const;
   std::map<std::string, RouteEvidence> Pool() const;
   bool IsOldIdle(const RolloutRecord& aRecord, std::size_t aEntries, Time aNow) const;
 
--- a/Libraries/LibRouting/RolloutEvidence.cpp
+++ b/Libraries/LibRouting/RolloutEvidence.cpp
@@ -20,12 +20,20 @@
   for (const auto& [place, isNew] : aReport.m_slowServers) {
     slow.push_back({place.first, place.second, isNew});
   }
-  const json document = {
-    {"entry", aReport.m_entry},          {"service", aReport.m_service},
-    {"order", aReport.m_orderRevision},  {"ageMs", InMilliseconds(aReport.m_orderAge)},
-    {"routes", std::move(routes)},       {"broken", std::move(broken)},
-    {"slow", std::move(slow)},           {"runningOld", aReport.m_oldVersionRunning},
-    {"record", aReport.m_recordRevision}};
+  json paces = json::array();
+  for (const auto& [server, evidence] : aReport.m_paces) {
+    paces.push_back({server, evidence.m_streams, evidence.m_delayed});
+  }
+  const json document = {{"entry", aReport.m_entry},
+                         {"service", aReport.m_service},
+                         {"order", aReport.m_orderRevision},
+                         {"ageMs", InMilliseconds(aReport.m_orderAge)},
+                         {"routes", std::move(routes)},
+                         {"broken", std::move(broken)},
+                         {"slow", std::move(slow)},
+                         {"runningOld", aReport.m_oldVersionRunning},
+                         {"record", aReport.m_recordRevision},
+                         {"paces", std::move(paces)}};
   return EncodeMessagePack(document);
 }
 
@@ -57,6 +65,11 @@
       report.m_slowServers[{row.at(0).get<std::uint64_t>(), row.at(1).get<std::int64_t>()}] =
         row.at(2).get<bool>();
     }
+    // Entries of earlier releases do not send it.
+    for (const json& row : aDocument.value("paces", json::array())) {
+      report.m_paces[row.at(0).get<std::uint64_t>()] = {.m_streams = row.at(1).get<std::int64_t>(),
+                                                        .m_delayed = row.at(2).get<std::int64_t>()};
+    }
     return report;
   });
 }
--- a/Libraries/LibRouting/RolloutEvidence.h
+++ b/Libraries/LibRouting/RolloutEvidence.h
@@ -22,6 +22,13 @@
   std::int64_t m_oldBad = 0;
 };
 
+/// Streams of one backend server that runs the new version, compared with those of the old one.
+struct PaceEvidence {
+  std::int64_t m_streams = 0;
+  /// Those whose events came at longer intervals than is usual.
+  std::int64_t m_delayed = 0;
+};
+
 /// What one entry has observed of a roll-out since it was ordered. Counters only grow, so the next
 /// report makes up for a lost one.
 struct RolloutReport {
@@ -37,6 +44,9 @@
   /// Backend servers with slow streams, by the hash of their identity and the second after the
   /// order was given, and whether they run the new version.
   std::map<std::pair<std::uint64_t, std::int64_t>, bool> m_slowServers;
+  /// Streams of servers of the new version, by the hash of the server's identity. They are compared
+  /// while both versions run requests, since the load is not the same later.
+  std::map<std::uint64_t, PaceEvidence> m_paces;
   /// Number of the entry's requests still running on the old version.
   std::int64_t m_oldVersionRunning = 0;
   /// Revision of the roll-out record that the entry acts on.
--- a/Libraries/LibRouting/StreamPace.cpp
+++ b/Libraries/LibRouting/StreamPace.cpp
@@ -12,13 +12,20 @@
 }
 
 Duration StreamPace::Value() const {
-  if (m_count < kMinGaps) {
-    return Duration(0);
-  }
+  return m_count < kMinGaps ? Duration(0) : Ranked(m_count, m_count / kQuantileDivisor);
+}
+
+Duration StreamPace::LeastMedian() const {
+  const std::size_t count = std::min(m_count, kMedianGaps);
+  const std::size_t missing = kMedianGaps - count;
+  return count <= kMedianGaps / 2 ? Duration(0) : Ranked(count, kMedianGaps / 2 - missing);
+}
+
+Duration StreamPace::Ranked(std::size_t aCount, std::size_t aIndex) const {
   std::array<Duration, kMaxGaps> sorted = m_gaps;
-  const auto quantile = sorted.begin() + static_cast<std::ptrdiff_t>(m_count / kQuantileDivisor);
-  std::nth_element(sorted.begin(), quantile, sorted.begin() + static_cast<std::ptrdiff_t>(m_count));
-  return *quantile;
+  const auto ranked = sorted.begin() + static_cast<std::ptrdiff_t>(aIndex);
+  std::nth_element(sorted.begin(), ranked, sorted.begin() + static_cast<std::ptrdiff_t>(aCount));
+  return *ranked;
 }
 
 } // namespace fennelline
--- a/Libraries/LibRouting/StreamPace.h
+++ b/Libraries/LibRouting/StreamPace.h
@@ -15,13 +15,22 @@
   void OnEvent(Time aNow);
   /// Zero until there are enough events to tell.
   Duration Value() const;
+  /// The least that the median of the first gaps can be, given those seen so far. Unlike Value(),
+  /// it includes what delays the events.
+  Duration LeastMedian() const;
+  /// Whether LeastMedian() is the median.
+  bool HasMedian() const { return m_count >= kMedianGaps; }
 
 private:
   static constexpr std::size_t kMinGaps = 3;
+  static constexpr std::size_t kMedianGaps = 8;
   static constexpr std::size_t kMaxGaps = 16;
   /// One gap in so many may be shorter than the quantile.
   static constexpr std::size_t kQuantileDivisor = 4;
 
+  /// Of the first aCount gaps, one that aIndex others do not exceed.
+  Duration Ranked(std::size_t aCount, std::size_t aIndex) const;
+
   std::array<Duration, kMaxGaps> m_gaps{};
   std::size_t m_count = 0;
   Time m_lastEvent{};
--- a/Libraries/LibRouting/VersionRule.h
+++ b/Libraries/LibRouting/VersionRule.h
@@ -3,6 +3,7 @@
 #include "LibBase/NameTable.h"
 #include "LibBase/Time.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 
@@ -35,8 +36,22 @@
   /// Start of the canary phase. By then sessions from before the order have ended or have been
   /// seen.
   Time m_trialFrom{};
+  /// End of the ramp, in which a part of the requests still goes to the version before although the
+  /// new one is preferred.
+  Time m_rampUntil{};
 };
 
+/// Share of a service's sessions routed to the new version in the ramp.
+constexpr double kRampShare = 0.3;
+
+/// Duration of the ramp between the canary and the move of all requests. aWithin: time that the
+/// order allows.
+constexpr Duration RampTime(Duration aWithin) {
+  constexpr Duration kMaxRampTime = Milliseconds(3500);
+  constexpr std::int64_t kRampPercent = 22;
+  return std::min(kMaxRampTime, aWithin * kRampPercent / 100);
+}
+
 /// Share of the exposure limit that the canary uses; retries and random variation add to it.
 constexpr double kUsedShareOfExposure = 0.6;
 
--- a/Services/Edge/EdgeContext.h
+++ b/Services/Edge/EdgeContext.h
@@ -32,6 +32,8 @@
 enum class VersionOutcome : std::uint8_t {
   /// It was answered, or runs and is already slow.
   Answered,
+  /// It runs, and the usual time between its events is known.
+  Paced,
   Failed,
   /// It was given up, because no event had come for too long.
   Stalled,
@@ -81,6 +83,8 @@
   std::function<void(const VersionEvidenceEvent&)> m_onEvidence;
   /// Whether a latency of this kind of request is several times the usual one.
   std::function<bool(const std::string&, Duration)> m_isSlow;
+  /// Whether the events of a stream of this kind come clearly later than usual.
+  std::function<bool(const std::string&, Duration)> m_isDelayed;
   /// Requests received before the first configuration; called once a configuration is known.
   std::vector<std::function<void()>> m_waitingForConfiguration;
   /// Announces to the other entries a long prompt sent to a backend server.
--- a/Services/Edge/EdgeProcess.cpp
+++ b/Services/Edge/EdgeProcess.cpp
@@ -144,6 +144,9 @@
   m_context.m_isSlow = [this](const std::string& aKind, Duration aLatency) {
     return m_rollouts.IsSlow(aKind, aLatency);
   };
+  m_context.m_isDelayed = [this](const std::string& aKind, Duration aGap) {
+    return m_rollouts.IsDelayed(aKind, aGap);
+  };
   m_context.m_onLoad = [this](const LoadUpdate& aLoad) {
     m_pendingLoads.push_back(aLoad);
     SchedulePeerMessages();
--- a/Services/Edge/RelayAnswer.cpp
+++ b/Services/Edge/RelayAnswer.cpp
@@ -217,7 +217,7 @@
   m_attempt->m_events += 1;
   m_attempt->m_pace.OnEvent(now);
   ReportProvenRun();
-  ReportSlowStream();
+  ReportPace();
   m_caller->SendBodyPart(events);
   if (m_ended || !m_attempt) {
     return;
@@ -528,7 +528,14 @@
   }
 }
 
-void RequestRelay::ReportSlowStream() {
+void RequestRelay::ReportPace() {
+  const StreamPace& gaps = m_attempt->m_pace;
+  const Duration median = gaps.LeastMedian();
+  const bool isKnown = gaps.HasMedian() || (median > Duration(0) && m_context.m_isDelayed &&
+                                            m_context.m_isDelayed(LatencyKind(), median));
+  if (isKnown && !std::exchange(m_attempt->m_hasReportedPace, true)) {
+    SendEvidence(VersionOutcome::Paced, median);
+  }
   const Duration pace = m_attempt->m_pace.Value();
   if (pace > Duration(0) && m_context.m_isSlow && m_context.m_isSlow(LatencyKind(), pace)) {
     ReportEvidence(VersionOutcome::Answered);
@@ -536,16 +543,22 @@
 }
 
 void RequestRelay::ReportEvidence(VersionOutcome aOutcome) {
+  if (!std::exchange(m_attempt->m_hasReported, true)) {
+    SendEvidence(aOutcome, MeasuredLatency());
+  }
+}
+
+void RequestRelay::SendEvidence(VersionOutcome aOutcome, Duration aLatency) {
   // The entry that sent it to a server reports what it shows of the server's version.
   const bool isOther = m_attempt->m_backend->m_isEntry;
-  if (isOther || !m_context.m_onEvidence || std::exchange(m_attempt->m_hasReported, true)) {
+  if (isOther || !m_context.m_onEvidence) {
     return;
   }
   m_context.m_onEvidence({.m_service = m_service,
                           .m_version = m_attempt->m_backend->m_record.m_version,
                           .m_route = m_route->m_name,
                           .m_kind = LatencyKind(),
-                          .m_latency = MeasuredLatency(),
+                          .m_latency = aLatency,
                           .m_outcome = aOutcome,
                           .m_isStream = m_attempt->m_isStream,
                           .m_server = m_attempt->m_backend->m_identity,
--- a/Services/Edge/RelayPlacement.cpp
+++ b/Services/Edge/RelayPlacement.cpp
@@ -109,6 +109,8 @@
   }
   if (rule.m_preference == VersionPreference::Trial) {
     LimitTrialServers(ofVersion, TrialShare(m_context.m_settings.m_exposedShare), now);
+  } else if (rule.m_preference == VersionPreference::Prefer && now < rule.m_rampUntil) {
+    LimitTrialServers(ofVersion, kRampShare, now);
   }
   return ofVersion;
 }
--- a/Services/Edge/RequestRelay.cpp
+++ b/Services/Edge/RequestRelay.cpp
@@ -167,6 +167,8 @@
     const bool isChosen = !m_excludedFromTrial && !runsElsewhere &&
                           IsInTrial(m_hash, TrialShare(m_context.m_settings.m_exposedShare));
     rule.m_preference = isChosen ? VersionPreference::Trial : VersionPreference::Never;
+  } else if (m_context.m_loop.Now() < rule.m_rampUntil && !IsInTrial(m_hash, kRampShare)) {
+    rule.m_preference = VersionPreference::Never;
   }
   return rule;
 }
--- a/Services/Edge/RequestRelay.h
+++ b/Services/Edge/RequestRelay.h
@@ -65,6 +65,7 @@
     StreamPace m_pace;
     /// Its evidence for or against the server's version has been reported.
     bool m_hasReported = false;
+    bool m_hasReportedPace = false;
     /// The response head; valid if m_hasHead.
     MessageHead m_head;
     ResponseMetadata m_metadata;
@@ -196,7 +197,7 @@
   /// Reports a stream whose server has sent events for a while: nothing in its prompt crashes it.
   void ReportProvenRun();
   /// Reports a stream that is slower than usual while it runs: it may end late, or never.
-  void ReportSlowStream();
+  void ReportPace();
   std::string LatencyKind() const;
   void EndAttempt(AttemptOutcome aOutcome);
   void ReleaseAttempt();
@@ -209,6 +210,7 @@
   void End(RequestEnd aEnd, int aStatus);
   void StartStallTimer(Duration aTime);
   void ReportEvidence(VersionOutcome aOutcome);
+  void SendEvidence(VersionOutcome aOutcome, Duration aLatency);
   Duration RetryAfter() const;
 
   EdgeContext& m_context;
--- a/Services/Edge/RolloutDriver.cpp
+++ b/Services/Edge/RolloutDriver.cpp
@@ -45,7 +45,32 @@
   return found == m_storeView.Records().end() ? RolloutRecord{} : found->second;
 }
 
+void RolloutDriver::OnPace(const VersionEvidenceEvent& aEvent) {
+  const auto order = m_storeView.Orders().find(aEvent.m_service);
+  const bool isNew =
+    order != m_storeView.Orders().end() && order->second.m_version == aEvent.m_version;
+  if (!isNew) {
+    m_paces.Learn(aEvent.m_kind, aEvent.m_latency);
+    return;
+  }
+  LocalEvidence& local = m_localEvidence[aEvent.m_service];
+  const VersionRule& rule = m_context.m_versions[aEvent.m_service];
+  const bool haveAllMoved =
+    rule.m_preference == VersionPreference::Prefer && m_context.m_loop.Now() >= rule.m_rampUntil;
+  if (local.m_orderSerial != order->second.m_serial || haveAllMoved ||
+      !m_paces.Knows(aEvent.m_kind)) {
+    return;
+  }
+  PaceEvidence& evidence = local.m_report.m_paces[aEvent.m_server];
+  ++evidence.m_streams;
+  evidence.m_delayed += IsDelayed(aEvent.m_kind, aEvent.m_latency) ? 1 : 0;
+}
+
 void RolloutDriver::OnEvidence(const VersionEvidenceEvent& aEvent) {
+  if (aEvent.m_outcome == VersionOutcome::Paced) {
+    OnPace(aEvent);
+    return;
+  }
   const bool hasLatency =
     aEvent.m_outcome == VersionOutcome::Answered && aEvent.m_latency > Duration(0);
   const bool isCompared = hasLatency && m_baseline.Knows(aEvent.m_kind);
--- a/Services/Edge/RolloutDriver.h
+++ b/Services/Edge/RolloutDriver.h
@@ -29,6 +29,9 @@
   bool IsSlow(const std::string& aKind, Duration aLatency) const {
     return m_baseline.IsSlow(aKind, aLatency);
   }
+  bool IsDelayed(const std::string& aKind, Duration aGap) const {
+    return m_paces.IsAboveMean(aKind, aGap);
+  }
 
 private:
   struct LocalEvidence {
@@ -39,6 +42,7 @@
     Time m_nextReport{};
   };
 
+  void OnPace(const VersionEvidenceEvent& aEvent);
   void Tick();
   bool IsInProgress(const RolloutOrder& aOrder) const;
   void Report(const RolloutOrder& aOrder);
@@ -55,6 +59,8 @@
   std::map<std::string, RolloutEvaluator> m_evaluators;
   SendReport m_send;
   LatencyBaseline m_baseline;
+  /// Paces of streams that have just begun; those of finished ones are in m_baseline.
+  LatencyBaseline m_paces;
   /// A write to the store is in progress.
   bool m_isWritingRollout = false;
   /// When a change to another phase first became due, by service.
--- a/Services/Edge/StoreView.cpp
+++ b/Services/Edge/StoreView.cpp
@@ -361,7 +361,13 @@
       rule.m_preference = VersionPreference::Trial;
       break;
     case RolloutPhase::Moving:
+      if (rule.m_preference != VersionPreference::Prefer) {
+        rule.m_rampUntil = m_context.m_loop.Now() + RampTime(order->second.m_within);
+      }
+      rule.m_preference = VersionPreference::Prefer;
+      break;
     case RolloutPhase::Succeeded:
+      rule.m_rampUntil = {};
       rule.m_preference = VersionPreference::Prefer;
       break;
     case RolloutPhase::RolledBack:
--- a/Tests/LibRouting/TestRolloutEvaluator.cpp
+++ b/Tests/LibRouting/TestRolloutEvaluator.cpp
@@ -1,4 +1,5 @@
 #include "LibRouting/RolloutEvaluator.h"
+#include "LibRouting/VersionRule.h"
 
 #include "LibBase/Random.h"
 
@@ -53,7 +54,7 @@
   busy.m_oldVersionRunning = 3;
   evaluator.OnReport(busy, now);
   CHECK(evaluator.Evaluate(kOrder, moving, 1, now) == RolloutPhase::Moving);
-  now += Seconds(4);
+  now += Seconds(7);
   evaluator.OnReport(busy, now);
   CHECK(evaluator.Evaluate(kOrder, moving, 1, now) == RolloutPhase::Moving);
   busy.m_oldVersionRunning = 0;
@@ -70,10 +71,12 @@
   const RouteEvidence evidence = {.m_newGood = 60, .m_newNotCompared = 40, .m_oldGood = 600};
   evaluator.OnReport(ReportOf("a", evidence, Seconds(13)), now);
   CHECK(evaluator.Evaluate(kOrder, canary, 1, now) == RolloutPhase::Canary);
-  evaluator.OnReport(ReportOf("a", evidence, Seconds(19)), now);
+  // The new version gets all requests after the ramp, not before 19 s.
+  const Duration ramp = RampTime(kOrder.m_within);
+  evaluator.OnReport(ReportOf("a", evidence, Seconds(19) - ramp), now);
   CHECK(evaluator.Evaluate(kOrder, canary, 1, now) == RolloutPhase::Canary);
   // A good version must get all requests in time, also where few answers can be compared.
-  evaluator.OnReport(ReportOf("a", evidence, Seconds(20)), now);
+  evaluator.OnReport(ReportOf("a", evidence, Seconds(20) - ramp), now);
   CHECK(evaluator.Evaluate(kOrder, canary, 1, now) == RolloutPhase::Moving);
   RolloutReport idle = ReportOf("a", evidence, Seconds(20));
   idle.m_recordRevision = 7;
@@ -150,15 +153,62 @@
   CHECK(evaluator.Evaluate(kOrder, moving, 2, now) == RolloutPhase::RolledBack);
 }
 
+TEST_CASE("a version whose streams are delayed on most of its servers is rolled back, and one with "
+          "a slow server is not") {
+  const Time now{Seconds(100)};
+  const RolloutRecord moving = RecordIn(RolloutPhase::Moving, 7);
+  const auto phaseWith = [&](std::map<std::uint64_t, PaceEvidence> aFirst,
+                             std::map<std::uint64_t, PaceEvidence> aSecond) {
+    RolloutEvaluator evaluator;
+    RolloutReport report = ReportOf("a", {.m_newGood = 20, .m_oldGood = 600}, Seconds(16));
+    report.m_paces = std::move(aFirst);
+    evaluator.OnReport(report, now);
+    report.m_entry = "b";
+    report.m_paces = std::move(aSecond);
+    evaluator.OnReport(report, now);
+    return evaluator.Evaluate(kOrder, moving, 2, now);
+  };
+  const PaceEvidence usual = {.m_streams = 4, .m_delayed = 1};
+  const PaceEvidence delayed = {.m_streams = 4, .m_delayed = 3};
+  CHECK(phaseWith({{1, delayed}, {2, delayed}}, {{3, usual}}) == RolloutPhase::RolledBack);
+  CHECK(phaseWith({{1, delayed}, {2, usual}}, {{3, usual}}) == RolloutPhase::Moving);
+  // Entries see a few streams of a server each.
+  const PaceEvidence one = {.m_streams = 2, .m_delayed = 2};
+  CHECK(phaseWith({{1, one}, {2, one}, {3, one}}, {}) == RolloutPhase::Moving);
+  CHECK(phaseWith({{1, one}, {2, one}, {3, one}}, {{1, one}, {2, one}, {3, one}}) ==
+        RolloutPhase::RolledBack);
+  // Two servers may be slow by chance.
+  CHECK(phaseWith({{1, delayed}, {2, delayed}}, {}) == RolloutPhase::Moving);
+}
+
+TEST_CASE("when its time is up, a version is rolled back on less evidence than before") {
+  RolloutEvaluator evaluator;
+  const Time now{Seconds(100)};
+  const RolloutRecord moving = RecordIn(RolloutPhase::Moving, 7);
+  const RouteEvidence evidence = {.m_newGood = 72,
+                                  .m_newNotCompared = 44,
+                                  .m_newBad = 6,
+                                  .m_newSlow = 6,
+                                  .m_oldGood = 1267,
+                                  .m_oldBad = 24};
+  evaluator.OnReport(ReportOf("a", evidence, Seconds(20)), now);
+  CHECK(evaluator.Evaluate(kOrder, moving, 1, now) == RolloutPhase::Moving);
+  evaluator.OnReport(ReportOf("a", evidence, Seconds(23)), now);
+  CHECK(evaluator.Evaluate(kOrder, moving, 1, now) == RolloutPhase::RolledBack);
+}
+
 TEST_CASE("a report survives the wire") {
   RolloutReport report = ReportOf("a", {.m_newGood = 9, .m_newNotCompared = 4}, Seconds(16));
   report.m_slowServers[{~0ULL, 3}] = true;
   report.m_failedServers[7] = false;
+  report.m_paces[~0ULL] = {.m_streams = 5, .m_delayed = 2};
   const Result<RolloutReport> read = DecodeRolloutReport(EncodeRolloutReport(report));
   REQUIRE(!read.IsError());
   CHECK(read.Get().m_routes.at("r").m_newNotCompared == 4);
   CHECK(read.Get().m_slowServers == report.m_slowServers);
   CHECK(read.Get().m_failedServers == report.m_failedServers);
+  CHECK(read.Get().m_paces.at(~0ULL).m_streams == 5);
+  CHECK(read.Get().m_paces.at(~0ULL).m_delayed == 2);
   CHECK(DecodeRolloutReport("").IsError());
 }
 
--- a/Tests/LibRouting/TestSmallParts.cpp
+++ b/Tests/LibRouting/TestSmallParts.cpp
@@ -162,6 +162,9 @@
   CHECK(!usual.IsSlow("k", Milliseconds(30)));
   CHECK(usual.IsSlow("k", Milliseconds(120)));
   CHECK(!usual.IsSlow("other", Milliseconds(120)));
+  CHECK(!usual.IsAboveMean("k", Milliseconds(18)));
+  CHECK(usual.IsAboveMean("k", Milliseconds(30)));
+  CHECK(!usual.IsAboveMean("other", Milliseconds(120)));
 }
 
 TEST_CASE("the canary receives its share of the sessions") {
@@ -174,6 +177,17 @@
   CHECK(chosen > 0.15 * 20'000 * 0.5);
 }
 
+TEST_CASE("the canary and the ramp stay below the exposure limit, also of short orders") {
+  constexpr double kExposedShare = 0.15;
+  for (const int seconds : {3, 8, 16, 60}) {
+    const Duration within = Seconds(seconds);
+    const double ramp = kRampShare * InSeconds(RampTime(within)) / InSeconds(within);
+    // The canary gets no requests in the first part of the order.
+    CHECK(ramp + TrialShare(kExposedShare) / 2 < kExposedShare);
+    CHECK(RampTime(within) < within / 4);
+  }
+}
+
 TEST_CASE("a session on the old version is remembered until its requests stop") {
   RecentSessions memory;
   memory.OnServed(7, kNow);
@@ -249,6 +263,26 @@
   CHECK(pace.Value() == Milliseconds(40));
 }
 
+TEST_CASE("the median of the first gaps is known early if they are long") {
+  StreamPace pace;
+  Time now{Seconds(10)};
+  pace.OnEvent(now);
+  for (const int milliseconds : {300, 300, 20, 310, 320}) {
+    CHECK(pace.LeastMedian() == Duration(0));
+    now += Milliseconds(milliseconds);
+    pace.OnEvent(now);
+  }
+  // Whatever the three gaps to come, half of the first eight are at least as long as the shortest.
+  CHECK(pace.LeastMedian() == Milliseconds(300));
+  CHECK(!pace.HasMedian());
+  for (const int milliseconds : {20, 20, 20, 20, 20}) {
+    now += Milliseconds(milliseconds);
+    pace.OnEvent(now);
+  }
+  CHECK(pace.HasMedian());
+  CHECK(pace.LeastMedian() == Milliseconds(300));
+}
+
 TEST_CASE("the pace of a stream whose events are all slow is slow") {
   StreamPace pace;
   Time now{Seconds(10)};
