Tell entries that start after a return of the store which servers are withheld

When the store removed its entry in a second outage, the new entry took that for a lapse with two seconds of grace.

An entry that has compared the copy itself goes by that. A server that others withhold is left alone for that time, and its removal is final.

--- a/Services/Edge/BackendTable.cpp
+++ b/Services/Edge/BackendTable.cpp
@@ -8,10 +8,6 @@
 
 namespace {
 
-std::uint64_t IdentityOf(const ReplicaRecord& aRecord) {
-  return HashOf(aRecord.m_id + "@" + std::to_string(aRecord.m_startedAtMs));
-}
-
 ConnectionPoolSettings PoolSettings(const ReplicaRecord& aRecord) {
   ConnectionPoolSettings settings;
   settings.m_address = aRecord.m_address;
@@ -20,6 +16,10 @@
 
 } // namespace
 
+std::uint64_t IdentityOf(const ReplicaRecord& aRecord) {
+  return HashOf(aRecord.m_id + "@" + std::to_string(aRecord.m_startedAtMs));
+}
+
 BackendLink::BackendLink(EventLoop& aLoop, ReplicaRecord aRecord)
   : m_record(std::move(aRecord))
   , m_identity(IdentityOf(m_record))
@@ -75,9 +75,11 @@
   return m_wishes.OnLeaving(aIdentity, m_loop.Now());
 }
 
-void BackendTable::LeaveAlone(BackendLink& aLink, Time aUntil) {
-  m_wishes.OnWait(aLink.m_identity, aUntil);
-  aLink.m_leftAloneUntil = m_wishes.LeftAloneUntil(aLink.m_identity);
+void BackendTable::LeaveAlone(std::uint64_t aIdentity, Time aUntil) {
+  m_wishes.OnWait(aIdentity, aUntil);
+  if (const std::shared_ptr<BackendLink> link = FindIdentity(aIdentity)) {
+    link->m_leftAloneUntil = m_wishes.LeftAloneUntil(aIdentity);
+  }
 }
 
 std::shared_ptr<BackendLink> BackendTable::Find(const std::string& aId) const {
--- a/Services/Edge/BackendTable.h
+++ b/Services/Edge/BackendTable.h
@@ -73,6 +73,9 @@
   bool TakesRequests(Time aNow) const { return !IsLeaving(aNow) && aNow >= m_leftAloneUntil; }
 };
 
+/// Identity of one start of a backend server.
+std::uint64_t IdentityOf(const ReplicaRecord& aRecord);
+
 /// The backend servers known to this entry.
 class BackendTable {
 public:
@@ -91,8 +94,8 @@
   /// A server, given by its identity, has said that it is leaving. Returns whether it was not
   /// known.
   bool MarkLeaving(std::uint64_t aIdentity);
-  /// The server wants no requests of this entry before aUntil.
-  void LeaveAlone(BackendLink& aLink, Time aUntil);
+  /// The server, given by its identity and perhaps not known yet, gets no requests before aUntil.
+  void LeaveAlone(std::uint64_t aIdentity, Time aUntil);
 
   std::shared_ptr<BackendLink> Find(const std::string& aId) const;
   std::shared_ptr<BackendLink> FindIdentity(std::uint64_t aIdentity) const;
--- a/Services/Edge/EdgeProcess.cpp
+++ b/Services/Edge/EdgeProcess.cpp
@@ -127,7 +127,8 @@
   , m_peers(m_context, m_members)
   , m_room(aLoop)
   , m_sessions(m_context, m_members)
-  , m_leaving(m_context, m_members) {
+  , m_leaving(m_context, m_members)
+  , m_withheld(m_context, m_members, m_storeView) {
   m_context.m_crashWatch = &m_crashWatch;
   m_context.m_permits = &m_permits;
   m_context.m_paths = &m_paths;
@@ -257,6 +258,9 @@
 void EdgeProcess::OnStoreChanges(const std::vector<KeyValue>& aChanges,
                                  const ChangeOrigin& aOrigin) {
   m_storeView.OnStoreChanges(aChanges, aOrigin, m_store.Mirror());
+  if (aOrigin.m_isReturn) {
+    m_withheld.OnReturn();
+  }
   m_members.SetRevision(m_store.Mirror().LastChange());
   ApplyLimits();
   UpdateReadiness();
@@ -331,6 +335,7 @@
   m_permits.OnMembersChanged();
   m_sessions.OnMembersChanged();
   m_peers.OnMembersChanged();
+  m_withheld.OnMembersChanged();
 }
 
 void EdgeProcess::OnPeerMessage(const std::string& aMessage) {
@@ -339,7 +344,7 @@
     return;
   }
   if (m_permits.OnPeerMessage(aMessage) || m_sessions.OnPeerMessage(aMessage) ||
-      m_leaving.OnPeerMessage(aMessage)) {
+      m_leaving.OnPeerMessage(aMessage) || m_withheld.OnPeerMessage(aMessage)) {
     return;
   }
   const Time now = m_loop.Now();
--- a/Services/Edge/EdgeProcess.h
+++ b/Services/Edge/EdgeProcess.h
@@ -14,6 +14,7 @@
 #include "Services/Edge/SessionKeeper.h"
 #include "Services/Edge/StoreClient.h"
 #include "Services/Edge/StoreView.h"
+#include "Services/Edge/WithheldNotices.h"
 
 #include <memory>
 #include <string>
@@ -85,6 +86,7 @@
   RoomQueue m_room;
   SessionKeeper m_sessions;
   LeavingNotices m_leaving;
+  WithheldNotices m_withheld;
   std::unique_ptr<HttpServer> m_callers;
   std::unique_ptr<HttpServer> m_entries;
   std::vector<std::unique_ptr<HttpServer>> m_servers;
--- a/Services/Edge/RelayLimits.cpp
+++ b/Services/Edge/RelayLimits.cpp
@@ -65,10 +65,11 @@
   }
   if (aMetadata.m_wait && *aMetadata.m_wait > Duration(0)) {
     const Time now = m_context.m_loop.Now();
-    m_context.m_backends.LeaveAlone(backend, EndOfWait(*aMetadata.m_wait, now, m_context.m_random));
+    const Time until = EndOfWait(*aMetadata.m_wait, now, m_context.m_random);
+    m_context.m_backends.LeaveAlone(backend.m_identity, until);
     LogLine line("server-wait");
     line.Text("id", m_metadata.m_requestId).Text("backend", backend.m_record.m_id);
-    line.Ms("asked", *aMetadata.m_wait).Ms("wait", backend.m_leftAloneUntil - now);
+    line.Ms("asked", *aMetadata.m_wait).Ms("wait", until - now);
     m_context.Log(LogPriority::Notable, line);
   }
 }
--- a/Services/Edge/StoreView.cpp
+++ b/Services/Edge/StoreView.cpp
@@ -85,15 +85,19 @@
     const platform::KeyKind kind = platform::ParseKey(key.m_key).m_kind;
     const bool isCompared =
       kind == platform::KeyKind::RolloutOrder || kind == platform::KeyKind::RolloutRecord;
-    if (kind == platform::KeyKind::Replica && !key.m_removed && IsOutdated(key)) {
-      m_withheld.insert(key.m_key);
+    const Result<ReplicaRecord> replica =
+      kind == platform::KeyKind::Replica && !key.m_removed
+        ? platform::DecodeReplica(platform::ParseKey(key.m_key).m_name, key.m_value)
+        : Error{};
+    if (!replica.IsError() && IsOutdated(replica.Get())) {
+      m_withheld.insert_or_assign(key.m_key, IdentityOf(replica.Get()));
     } else if (kind == platform::KeyKind::CrashRecord && key.m_removed) {
       RestoreCrashRecord(key);
     } else if (!isCompared) {
       Apply(key, aLapsedUpTo);
     }
   }
-  for (const std::string& key : m_withheld) {
+  for (const auto& [key, server] : m_withheld) {
     LogLine line("withheld");
     line.Text("key", key).Ms("for", settleTime);
     m_context.Log(LogPriority::Notable, line);
@@ -110,7 +114,7 @@
       Renumber(order, key->m_revision);
       m_withheld.erase(name);
     } else {
-      m_withheld.insert(name);
+      m_withheld.try_emplace(name);
     }
   }
   for (const KeyValue& key :
@@ -135,22 +139,34 @@
   }
 }
 
-bool StoreView::IsOutdated(const KeyValue& aKey) const {
-  const std::string id = platform::ParseKey(aKey.m_key).m_name;
-  const Result<ReplicaRecord> record = platform::DecodeReplica(id, aKey.m_value);
-  if (record.IsError()) {
-    return false;
+std::vector<std::uint64_t> StoreView::WithheldServers() const {
+  std::vector<std::uint64_t> servers;
+  for (const auto& [key, server] : m_withheld) {
+    if (server) {
+      servers.push_back(*server);
+    }
   }
-  const std::shared_ptr<BackendLink> known = m_context.m_backends.Find(id);
+  return servers;
+}
+
+void StoreView::OnWithheldByOthers(std::uint64_t aServer, Time aUntil) {
+  const Time now = m_context.m_loop.Now();
+  std::erase_if(m_withheldByOthers, [now](const auto& aEntry) { return aEntry.second <= now; });
+  m_withheldByOthers[aServer] = aUntil;
+  m_context.m_backends.LeaveAlone(aServer, aUntil);
+}
+
+bool StoreView::IsOutdated(const ReplicaRecord& aCopied) const {
+  const std::shared_ptr<BackendLink> known = m_context.m_backends.Find(aCopied.m_id);
   if (!known) {
     // It had left before the return, unless it has started since.
     return true;
   }
   const std::int64_t knownStart = known->m_record.m_startedAtMs;
-  const bool isBeforeItsLeaving = record.Get().m_startedAtMs == knownStart &&
+  const bool isBeforeItsLeaving = aCopied.m_startedAtMs == knownStart &&
                                   known->m_record.m_state == ReplicaState::Draining &&
-                                  record.Get().m_state == ReplicaState::Ready;
-  return record.Get().m_startedAtMs < knownStart || isBeforeItsLeaving;
+                                  aCopied.m_state == ReplicaState::Ready;
+  return aCopied.m_startedAtMs < knownStart || isBeforeItsLeaving;
 }
 
 void StoreView::Settle(const StoreMirror& aMirror) {
@@ -163,7 +179,7 @@
     m_context.m_loop.After(kSettleRetryDelay, [this, &aMirror] { Settle(aMirror); });
     return;
   }
-  for (const std::string& name : std::exchange(m_withheld, {})) {
+  for (const auto& [name, server] : std::exchange(m_withheld, {})) {
     const KeyValue* key = aMirror.Find(name);
     Apply(key == nullptr ? KeyValue{.m_key = name, .m_value = {}, .m_removed = true} : *key, 0);
   }
@@ -218,8 +234,11 @@
   line.Text("backend", aId).Count("revision", aKey.m_revision);
   if (aKey.m_removed) {
     const std::shared_ptr<BackendLink> known = m_context.m_backends.Find(aId);
-    const bool mayReturn =
-      aKey.m_revision <= aLapsedUpTo && known && known->m_record.m_state == ReplicaState::Ready;
+    const auto withheld =
+      known ? m_withheldByOthers.find(known->m_identity) : m_withheldByOthers.end();
+    const bool isWithheld = withheld != m_withheldByOthers.end() && now < withheld->second;
+    const bool mayReturn = aKey.m_revision <= aLapsedUpTo && known && !isWithheld &&
+                           known->m_record.m_state == ReplicaState::Ready;
     line.Text("state", mayReturn ? "lapsed" : "gone");
     if (mayReturn) {
       m_context.m_backends.SetExpiry(aId, now + kReregistrationGrace);
--- a/Services/Edge/StoreView.h
+++ b/Services/Edge/StoreView.h
@@ -6,7 +6,7 @@
 #include "Services/Edge/EdgeContext.h"
 
 #include <map>
-#include <set>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -26,6 +26,14 @@
   void OnStoreChanges(const std::vector<KeyValue>& aChanges, const ChangeOrigin& aOrigin,
                       const StoreMirror& aMirror);
 
+  /// Whether the store has just come back from a copy that may lack what is to be written again.
+  bool IsSettling() const;
+  Time SettlesAt() const { return m_settlesAt; }
+  /// Identities of the backend servers that only the copy lists, until the store is believed.
+  std::vector<std::uint64_t> WithheldServers() const;
+  /// Other entries withhold the server until then.
+  void OnWithheldByOthers(std::uint64_t aServer, Time aUntil);
+
   const std::map<std::string, RolloutOrder>& Orders() const { return m_orders; }
   /// Rollout progress by service.
   const std::map<std::string, RolloutRecord>& Records() const { return m_records; }
@@ -37,11 +45,10 @@
                 const StoreMirror& aMirror);
   void CompareOrders(const StoreMirror& aMirror);
   void CompareRecords(const StoreMirror& aMirror);
-  bool IsSettling() const;
   /// Applies what the store has of the keys that were not written again.
   void Settle(const StoreMirror& aMirror);
   /// Whether a server's record in the store's copy may be older than what this entry knows.
-  bool IsOutdated(const KeyValue& aKey) const;
+  bool IsOutdated(const ReplicaRecord& aCopied) const;
   void Renumber(RolloutOrder& aOrder, Revision aRevision);
   void ApplyConfiguration(const KeyValue& aKey);
   void ApplyReplica(const std::string& aId, const KeyValue& aKey, Revision aLapsedUpTo);
@@ -60,9 +67,12 @@
   std::map<std::string, RolloutOrder> m_orders;
   std::map<std::string, RolloutRecord> m_records;
   std::uint64_t m_lastOrderSerial = 0;
-  /// Keys that the store has, or lacks, only because it came back from a copy.
-  std::set<std::string> m_withheld;
-  /// Until when that is believed.
+  /// Keys that the store has, or lacks, only because it came back from a copy, with the identity of
+  /// a backend server.
+  std::map<std::string, std::optional<std::uint64_t>> m_withheld;
+  /// Servers that others withhold, and until when.
+  std::map<std::uint64_t, Time> m_withheldByOthers;
+  /// Until when what the copy has is not believed.
   Time m_settlesAt{};
 };
 
--- a/Tests/Edge/fleet.py
+++ b/Tests/Edge/fleet.py
@@ -19,6 +19,7 @@
         self.store = Store()
         self.replicas = []
         self.entries = []
+        self.datagram_port = 0
 
     async def __aenter__(self):
         entries, pool, app = self.counts
@@ -28,13 +29,9 @@
             await self.add_replica(f"i-pool-{number}", "pool")
         for number in range(app):
             await self.add_replica(f"i-app-{number}", "app")
-        port = free_port()
-        for number in range(entries):
-            seeds = [entry.address("control") for entry in self.entries[:3]]
-            options = {"first": False, "session_s": self.session_s, "store_address": self.store.address,
-                       **self.entry_options(number)}
-            self.entries.append(Entry(self.binary, self.folder, number, datagram_port=port,
-                                      seeds=seeds, **options))
+        self.datagram_port = free_port()
+        for _ in range(entries):
+            self.add_entry()
         for entry in self.entries:
             await entry.start()
         for entry in self.entries:
@@ -65,6 +62,16 @@
         replica.register()
         return replica
 
+    def add_entry(self):
+        """A further entry, which is not started yet."""
+        number = len(self.entries)
+        seeds = [entry.address("control") for entry in self.entries[:3]]
+        options = {"first": False, "session_s": self.session_s, "store_address": self.store.address,
+                   **self.entry_options(number)}
+        self.entries.append(Entry(self.binary, self.folder, number,
+                                  datagram_port=self.datagram_port, seeds=seeds, **options))
+        return self.entries[-1]
+
     async def until_ready(self, entry):
         await wait_until(entry.is_ready, 10, f"{entry.name} has logged that it is ready")
 
--- a/Tests/Edge/store_return.py
+++ b/Tests/Edge/store_return.py
@@ -228,6 +228,25 @@
                 await fleet.statuses("/plain/", f"after-{number}")
             self.assertEqual(left.runs, [])
 
+    async def test_an_entry_that_starts_after_a_return_uses_no_server_that_has_left(self):
+        async with ReturningFleet(entries=3, app=3) as fleet:
+            await fleet.until_members_known()
+            saved = fleet.store.copy()
+            left, sound, _ = fleet.of("app")
+            left.leave()
+            await wait_until(lambda: all(entry.lines("backend")[-1]["state"] == "gone"
+                                         for entry in fleet.entries))
+            await fleet.return_from(saved)
+            await fleet.until_era_known()
+            # The copy lists the server that has left, and the new entry knows of nothing else.
+            new = await fleet.add_entry().start()
+            await fleet.until_ready(new)
+            for number in range(20):
+                answer = await call(new.address("front"), "/plain/", f"r-{number}")
+                self.assertEqual(answer.status, 200)
+            self.assertEqual(left.runs, [])
+            self.assertGreater(len(sound.runs), 0)
+
     async def load(self, fleet, stop):
         """Streams through all entries until stop is set."""
         number = 0
