Read a kept connection to a server again after a call that paused reading

Seen by callers: after a caller that reads slowly, a later request on the same connection to the server gets no answer: a stream is given up at the stall check (502), other requests wait for their deadline.

Cause: PauseForSlowCaller() stops reading from the server while more than 64 kB wait for the caller. If the end of the response is in the same read, the call completes, the connection goes back to the pool with reading paused, and nobody resumes it.

Change: a call that completes on a connection that is kept resumes reading.

--- a/Libraries/LibHttp/ClientConnection.cpp
+++ b/Libraries/LibHttp/ClientConnection.cpp
@@ -209,7 +209,10 @@
   m_onConnected = {};
   m_idleSince = m_loop.Now();
   const std::shared_ptr<const CallListener> listener = std::move(m_listener);
-  if (!m_reusable) {
+  if (m_reusable) {
+    // The call may have paused reading for a slow consumer of its response.
+    SetReading(true);
+  } else {
     Abort();
   }
   listener->m_onComplete();
--- a/Tests/Edge/slow_caller.py
+++ b/Tests/Edge/slow_caller.py
@@ -103,6 +103,35 @@
         self.assertEqual([line["end"] for line in self.entry.lines("request")], ["answered"])
         self.assertEqual(len(self.fleet.runs("s1")), 1)
 
+    async def test_a_stream_after_one_that_was_read_late_is_answered(self):
+        """Guards against connections to servers that are kept while they are not read."""
+        server, other = self.fleet.of("pool")
+        other.leave()
+        await wait_until(lambda: any(line["backend"] == other.name and line["state"] == "gone"
+                                     for line in self.entry.lines("backend")))
+        usual = server.stream
+
+        async def stream_at_once(run, seal, fault, writer):
+            writer.write(server.stream_head(seal))
+            for number in range(1, events + 1):
+                event = f"id: {number}\ndata: {'a' * 250_000}\n\n".encode()
+                # The end of the stream comes with its last event.
+                end = b"0\r\n\r\n" if number == events else b""
+                writer.write(b"%x\r\n%s\r\n%s" % (len(event), event, end))
+                await writer.drain()
+
+        # Which of these ends while the entry waits for its caller depends on the system's buffers.
+        for events in range(13, 25):
+            server.stream, self.caller.received = stream_at_once, b""
+            await self.caller.send("/stream/x", f"s-{events}", headers=[("Accept", EVENTS)])
+            await wait_until(lambda: self.fleet.runs(f"s-{events}"))
+            await asyncio.sleep(0.1)
+            while not self.caller.received.endswith(b"0\r\n\r\n"):
+                await self.caller.read(len(self.caller.received) + 1)
+            server.stream = usual
+            answer = await call(self.entry.address("front"), "/stream/x", f"after-{events}", accept=EVENTS)
+            self.assertEqual((answer.status, answer.whole), (200, True), f"after {events} events")
+
     async def test_a_planned_stop_waits_for_an_answer_whose_rest_is_read_late(self):
         self.answer_with(LARGE_ANSWER)
         self.entry.signal(signal.SIGTERM)
--- a/Tests/LibHttp/TestClientConnection.cpp
+++ b/Tests/LibHttp/TestClientConnection.cpp
@@ -363,6 +363,28 @@
   CHECK(pool.CountConnected() == 2);
 }
 
+/// A call whose caller stops reading with the last part of a response must not leave its connection
+/// so.
+TEST_CASE("a connection whose call paused reading is read again by the next call") {
+  ScriptedServer server;
+  ConnectionPool pool(server.m_loop, {.m_address = server.m_address});
+  const std::shared_ptr<ClientConnection> connection = pool.Acquire(false).Take();
+  CallRecord paused;
+  CallListener listener = paused.Listener("mine");
+  listener.m_onBody = [&connection](const std::string&) { connection->SetReading(false); };
+  connection->Send(kRequest, false, std::move(listener));
+  server.Accept();
+  server.Send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+  REQUIRE(RunUntil(server.m_loop, [&] { return paused.HasEnded(); }));
+  pool.Release(connection);
+  REQUIRE(pool.Acquire(false).Take() == connection);
+  CallRecord next;
+  connection->Send(kRequest, false, next.Listener("mine"));
+  server.Send("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nnext");
+  REQUIRE(RunUntil(server.m_loop, [&] { return next.HasEnded(); }));
+  CHECK(next.m_body == "next");
+}
+
 TEST_CASE("calls on new connections do not accumulate idle connections at the server") {
   ScriptedServer server;
   ConnectionPool pool(server.m_loop, {.m_address = server.m_address});
