Wait for a slow server's answer if no other server can give one

Seen by callers: where only one server of a service takes requests, or the others were tried, a request that takes longer than two thirds of its objective (a stream without its first event: four fifths) is answered 502 at that moment, although its time limit is far off and the server would have answered it.

Cause: OnStall() asked whether any server could run the request, and the server that runs it counted as one. The work was given up, and then no server was left.

Change: the server that runs the request does not count, and a stalled request looks for another server again every 250 ms.

--- a/Services/Edge/RelayAnswer.cpp
+++ b/Services/Edge/RelayAnswer.cpp
@@ -38,6 +38,10 @@
 /// a stall (see OnStall).
 constexpr double kPauseFraction = 0.9;
 
+/// Another server for a stalled request is looked for this often, a small part of the shortest
+/// latency objectives of requests that take long.
+constexpr Duration kStallCheckInterval = Milliseconds(250);
+
 bool IsNotRunStatus(int aStatus) {
   return aStatus == kRequestTimeout || aStatus == kMisdirected || aStatus == kTooManyRequests ||
          aStatus == kUnavailable;
@@ -491,8 +495,13 @@
     // The server is alive but busy. Sending the request again would add to the load.
     return;
   }
+  if (!HasUnlimitedServer(m_attempt->m_backend.get())) {
+    // Only this server can still answer it.
+    StartStallTimer(kStallCheckInterval);
+    return;
+  }
   // A suspect may be about to crash this server, and would be given a second one.
-  if (IsSuspect() || !MayRun() || !HasUnlimitedServer() || !TryReplaceRun(0)) {
+  if (IsSuspect() || !MayRun() || !TryReplaceRun(0)) {
     return;
   }
   m_context.m_crashWatch->OnSilent(*m_attempt->m_backend, CurrentRun());
--- a/Services/Edge/RelayPlacement.cpp
+++ b/Services/Edge/RelayPlacement.cpp
@@ -210,11 +210,12 @@
   return likely - now;
 }
 
-bool RequestRelay::HasUnlimitedServer() const {
+bool RequestRelay::HasUnlimitedServer(const BackendLink* aExcept) const {
   const std::vector<std::shared_ptr<BackendLink>> eligible = Eligible();
-  return std::any_of(
-    eligible.begin(), eligible.end(),
-    [](const std::shared_ptr<BackendLink>& aServer) { return !aServer->m_limit.PerSecond(); });
+  return std::any_of(eligible.begin(), eligible.end(),
+                     [aExcept](const std::shared_ptr<BackendLink>& aServer) {
+                       return aServer.get() != aExcept && !aServer->m_limit.PerSecond();
+                     });
 }
 
 std::optional<RequestRelay::Choice> RequestRelay::ChooseBackend() {
--- a/Services/Edge/RequestRelay.h
+++ b/Services/Edge/RequestRelay.h
@@ -139,8 +139,8 @@
   /// When the first of the service's servers wants requests again, if all of them have asked to be
   /// left alone.
   std::optional<Duration> UntilServersReturn() const;
-  /// Whether a server without a limit could run it now.
-  bool HasUnlimitedServer() const;
+  /// Whether a server without a limit, other than aExcept, could run it now.
+  bool HasUnlimitedServer(const BackendLink* aExcept = nullptr) const;
   PlacementQuery MakeQuery(const Service* aService) const;
   /// Whether the prefill of long prompts on the route's largest model delays the events of other
   /// streams past the route's objective.
--- a/Tests/Edge/trickling_server.py
+++ b/Tests/Edge/trickling_server.py
@@ -11,7 +11,7 @@
 
 sys.path.insert(0, os.path.dirname(__file__))
 from fleet import Fleet
-from standin import call
+from standin import call, wait_until
 
 EVENTS = "text/event-stream"
 # Bytes that are no progress, sent again and again.
@@ -20,6 +20,8 @@
 # Between the events of a slow stream; the route allows 1 s.
 PAUSE_S = 0.95
 DEADLINE_MS = 4000
+# Of a server that is slow; the routes have an objective of 1 s and time limits of 3 and 8 s.
+SLOW_WORK_S = 1.1
 
 
 def chunk(data):
@@ -80,6 +82,29 @@
             self.assertTrue(answer.whole)
             self.assertEqual(len(fleet.runs("s1")), 1)
 
+    async def test_an_answer_that_no_other_server_can_give_is_waited_for(self):
+        """Guards against giving up the work of the only server because it is slow."""
+        async with Fleet(pool=1, app=1) as fleet:
+            for server in fleet.replicas:
+                server.work_s = SLOW_WORK_S
+            for path, accept in (("/plain/x", ""), ("/stream/x", EVENTS)):
+                answer = await call(fleet.front, path, f"r-{path[1:-2]}", accept=accept,
+                                    deadline_ms=DEADLINE_MS + 4000)
+                self.assertEqual((answer.status, answer.whole), (200, True), path)
+                self.assertEqual(len(fleet.runs(f"r-{path[1:-2]}")), 1, path)
+
+    async def test_an_answer_of_a_slow_server_is_replaced_once_another_server_is_there(self):
+        async with Fleet(app=1) as fleet:
+            slow = fleet.of("app")[0]
+            slow.work_s = 2.5
+            answered = asyncio.create_task(call(fleet.front, "/plain/x", "r1", deadline_ms=DEADLINE_MS))
+            await wait_until(lambda: slow.runs)
+            await asyncio.sleep(SLOW_WORK_S)
+            sound = await fleet.add_replica("i-sound", "app")
+            answer = await answered
+            self.assertEqual((answer.status, len(sound.runs)), (200, 1))
+            self.assertLess(answer.took_s, slow.work_s)
+
 
 if __name__ == "__main__":
     Fleet.binary = os.path.join(sys.argv.pop(1), "fennelline-edge")
