Let one entry go on where several have replaced the store's watchers

Cause: the entries fall back to the store in turn, 10 ms an entry, and each that has its answer before it hears of another's reads the store for 3 s. Up to four of six did, 12 calls each. What they hear later of each other changed nothing.

Change: an entry that replaces the watchers, and hears that one with a lower address reads the store, asks other entries again. If that one fails too, the entry falls back as at first.

--- a/Libraries/LibRouting/MirrorSource.h
+++ b/Libraries/LibRouting/MirrorSource.h
@@ -39,6 +39,8 @@
   std::optional<Choice> Choose(bool aIsStoreUnconfirmed, std::size_t aEntries, Time aNow);
   void OnAnswer(const Choice& aChoice, Time aNow);
   void OnFailure(const Choice& aChoice, Time aNow);
+  /// Another entry reads the store in place of those that normally do, so this one need not.
+  void EndFallback() { m_fallbackUntil = Time{}; }
   /// Since when none of the peers that poll the store has answered; none if one has, or there are
   /// no such peers.
   std::optional<Time> WatchersSilentSince() const;
--- a/Services/Edge/StoreClient.cpp
+++ b/Services/Edge/StoreClient.cpp
@@ -535,6 +535,11 @@
     }
     return;
   }
+  // Several entries may have replaced the failed watchers at the same time. The addresses decide
+  // which of them goes on.
+  if (aPeer < m_context.m_settings.m_peerAddress) {
+    m_source.EndFallback();
+  }
   if (aRevision <= m_mirror.LastChange()) {
     OnStoreContact(m_context.m_loop.Now());
     return;
--- a/Tests/LibRouting/TestMirrorSource.cpp
+++ b/Tests/LibRouting/TestMirrorSource.cpp
@@ -125,3 +125,22 @@
     CHECK(source.Choose(true, kEntries, *source.FallbackAt())->m_isStore);
   }
 }
+
+/// Guards against all entries that replaced the failed watchers reading the store for seconds.
+TEST_CASE("an entry that has replaced the watchers stops when another one reads the store") {
+  const Time now{Seconds(10)};
+  MirrorSource source(1);
+  source.SetPeers(false, {"near:1"}, {"far:1"});
+  REQUIRE(!source.Choose(true, 1, now)->m_isStore);
+  const Time fallback = *source.FallbackAt();
+  const std::optional<MirrorSource::Choice> choice = source.Choose(true, 1, fallback);
+  REQUIRE(choice->m_isFallback);
+  source.OnAnswer(*choice, fallback);
+  CHECK(source.Choose(false, 1, fallback + Seconds(1))->m_isStore);
+  source.EndFallback();
+  CHECK(!source.Choose(false, 1, fallback + Seconds(1))->m_isStore);
+  // It is an entry like the others again, should that one fail as well.
+  CHECK(!source.Choose(true, 1, fallback + Seconds(3))->m_isStore);
+  REQUIRE(source.FallbackAt());
+  CHECK(source.Choose(true, 1, *source.FallbackAt())->m_isFallback);
+}
