--- a/Tests/Edge/standin.py
+++ b/Tests/Edge/standin.py
@@ -247,13 +247,17 @@
 class Proxy:
     """A TCP proxy on loopback that can delay, reset or block connections, also in one direction.
 
-    mode: "pass", "refuse", "silent", "cut-in" or "cut-out".
+    mode: "pass", "refuse", "silent", "cut-in" or "cut-out". bytes_per_s limits each connection's rate
+    in each direction; None for no limit.
     """
 
+    NARROW_READ_BYTES = 2048
+
     def __init__(self, target):
         self.target = target
         self.mode = "pass"
         self.delay_s = 0.0
+        self.bytes_per_s = None
         self.server = None
         self.writers = set()
         self.address = ""
@@ -293,13 +297,15 @@
 
     async def _pump(self, reader, writer, direction):
         try:
-            while data := await reader.read(65536):
+            while data := await reader.read(self.NARROW_READ_BYTES if self.bytes_per_s else 65536):
                 while self.mode == "silent" or self.mode == f"cut-{direction}":
                     await asyncio.sleep(0.05)
                     if writer.transport.is_closing():
                         return
                 if self.delay_s:
                     await asyncio.sleep(self.delay_s)
+                if self.bytes_per_s:
+                    await asyncio.sleep(len(data) / self.bytes_per_s)
                 writer.write(data)
                 await writer.drain()
             writer.close()
@@ -740,8 +746,11 @@
             writer.close()
 
 
-async def call(address, target, request, deadline_ms=3000, stop_after=None, kept=None, **more):
-    """Sends one request and reads the response, on a new connection or one of kept."""
+async def call(address, target, request, deadline_ms=3000, stop_after=None, kept=None, pause_s=0.0, **more):
+    """Sends one request and reads the response, on a new connection or one of kept.
+
+    pause_s: how long it waits after each chunk of the response.
+    """
     answer = Answer()
     started = time.monotonic()
     connections = kept or KeptConnections()
@@ -752,7 +761,7 @@
         writer.write(request_text(target, request, deadline_ms=deadline_ms, **more))
         await writer.drain()
         answer.sent_all = True
-        await asyncio.wait_for(read_response(reader, answer, stop_after), deadline_ms / 1000 + 1)
+        await asyncio.wait_for(read_response(reader, answer, stop_after, pause_s), deadline_ms / 1000 + 1)
     except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, ValueError,
             asyncio.LimitOverrunError):
         pass
@@ -765,7 +774,7 @@
     return answer
 
 
-async def read_response(reader, answer, stop_after):
+async def read_response(reader, answer, stop_after, pause_s=0.0):
     head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
     answer.status = int(head[0].split(" ")[1])
     for line in head[1:]:
@@ -785,6 +794,8 @@
         await reader.readexactly(2)
         if stop_after and len(answer.body) >= stop_after:
             return
+        if pause_s:
+            await asyncio.sleep(pause_s)
 
 
 def configuration(version, keys=("key-1", "key-2"), extra_routes=()):
--- a/Tests/Soak/soak.py
+++ b/Tests/Soak/soak.py
@@ -1,11 +1,12 @@
 """Randomized fault-injection soak test of fennelline-edge, run as real processes.
 
-Usage: soak.py BIN --seed N [--seeds COUNT] [--seconds S] [--entries N]. Each seed determines a
+Usage: soak.py BIN --seed N [--seeds COUNT] [--seconds S] [--entries N] [--streams]. Each seed determines a
 series of overlapping faults: entries are stopped, paused, killed and restarted by signals; the store
 fails, compacts its history or is partitioned from individual entries by a proxy; backend servers
 fail, deregister, restart and hang behind proxies, say in their answers that they leave or want to be
 left alone, end streams with their connection, and some contents crash those that run them; the store
-comes back from copies. Checker and WishChecker verify the requests
+comes back from copies. With --streams, versions of the servers are rolled out beside it, their links
+are narrow, streams have long pieces, are read slowly and are escalated to another model. Checker and WishChecker verify the requests
 and responses as seen by the callers and the backend servers.
 """
 
@@ -21,6 +22,7 @@
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "Edge"))
+from long_pieces import LongPieces
 from standin import UNFRAMED, Entry, KeptConnections, Proxy, Replica, Store, call, configuration, free_port, wait_until
 from wish_checker import WishChecker
 
@@ -36,6 +38,10 @@
 # Runs of a crashing content later than CONTACT_S after its third crash, by connected entries.
 MAX_LATE_RETRIES = 3
 STREAM_EVENTS = 8
+STREAMS = ("stream", "sized")
+# With --streams: rates of narrow links, in bytes a second, and how long an order for a version lasts.
+NARROW_RATES = [40_000, 150_000, 600_000]
+ROLLOUT_S = 6
 # Bodies within the configuration's limit that are longer than most.
 LONG_BODY = b"x" * 90_000
 EXTRA_ROUTES = [f"extra-{number}" for number in range(2000)]
@@ -63,7 +69,8 @@
     CONFIG: a revoked key is still accepted.
     """
 
-    def __init__(self):
+    def __init__(self, event_of=Replica.event_of):
+        self.event_of = event_of
         self.violations = []
         self.outcome_counts = {}
         self.requests = {}
@@ -82,26 +89,31 @@
         self.requests[request] = (kind, answer)
         name = f"{kind}-{answer.status}" + ("" if answer.whole else "-cut")
         self.outcome_counts[name] = self.outcome_counts.get(name, 0) + 1
-        if kind == "stream" and answer.status == 200:
+        if kind in STREAMS and answer.status == 200:
             self.check_pieces(request, answer, first)
         if answer.status != 200 or not answer.whole:
             if answer.status in (400, 401, 403, 404, 413, 431):
                 self.fail("DENIED", request, f"status {answer.status}")
             return
-        if kind != "stream" and answer.body != Replica.body_of(request):
+        if kind not in STREAMS and answer.body != Replica.body_of(request):
             self.fail("MIXED", request, f"unexpected body {answer.body[:80]!r}")
         if "fennelline-response-seal" not in answer.headers:
             self.fail("MIXED", request, "response has no seal")
 
-    def check_pieces(self, request, answer, first):
-        pieces, _, rest = answer.body.rpartition(b"\n\n")
+    def count_pieces(self, request, body, first=1):
+        """The number of pieces from the first on that the body begins with, and what is left of it."""
         due = first
-        for piece in pieces.split(b"\n\n") if pieces else ():
-            if piece + b"\n\n" != Replica.event_of(request, due):
-                self.fail("ORDER", request, f"{piece!r} came where piece {due} was due")
-                return
+        while body.startswith(piece := self.event_of(request, due)):
+            body = body[len(piece):]
             due += 1
-        if answer.whole and (due <= STREAM_EVENTS or rest):
+        return due - first, body
+
+    def check_pieces(self, request, answer, first):
+        count, rest = self.count_pieces(request, answer.body, first)
+        due = first + count
+        if rest and (answer.whole or not self.event_of(request, due).startswith(rest)):
+            self.fail("ORDER", request, f"{rest[:80]!r} came where piece {due} was due")
+        elif answer.whole and due <= STREAM_EVENTS:
             self.fail("ORDER", request, f"it looks complete before piece {due}")
 
     def check_executions(self, replicas):
@@ -158,7 +170,7 @@
 
 
 class Soak:
-    def __init__(self, binary, seed, seconds, entries):
+    def __init__(self, binary, seed, seconds, entries, has_streams=False):
         self.random = random.Random(seed)
         self.seed = seed
         self.seconds = seconds
@@ -166,7 +178,9 @@
         self.binary = binary
         self.entry_count = entries
         self.store = Store()
-        self.checker = Checker()
+        self.has_streams = has_streams
+        self.replica_type = LongPieces if has_streams else Replica
+        self.checker = Checker(self.replica_type.event_of)
         self.replicas, self.entries, self.proxies, self.tasks = [], [], [], []
         self.version = 1
         self.last_id = 0
@@ -180,28 +194,31 @@
     def log_event(self, text):
         self.event_log.append(f"{time.monotonic() - self.started:7.3f} {text}")
 
-    async def add_replica(self, service, rng=None):
+    async def add_replica(self, service, rng=None, version="v1"):
         self.last_id += 1
-        replica = Replica(self.store, f"i-{service}-{self.last_id}", service, events=STREAM_EVENTS,
-                          work_s=0.01)
+        replica = self.replica_type(self.store, f"i-{service}-{self.last_id}", service,
+                                    events=STREAM_EVENTS, work_s=0.01, version=version)
         replica.random = random.Random((rng or self.random).random())
         replica.crash_bodies = self.crash_bodies
         replica.on_crash = lambda crashed: self.tasks.append(
             asyncio.create_task(self.replace_crashed(crashed)))
         await replica.start()
         proxy = await Proxy(replica.address).start()
+        if self.has_streams and replica.random.random() < 0.5:
+            proxy.bytes_per_s = replica.random.choice(NARROW_RATES)
         replica.public_address = proxy.address
         replica.proxy = proxy
         self.replicas.append(replica)
         self.proxies.append(proxy)
         replica.register()
+        return replica
 
     async def replace_crashed(self, replica):
         replica.proxy.server.close()
         replica.proxy.reset_all()
         replica.leaving_since = time.monotonic()
         await asyncio.sleep(CRASH_DOWN_S)
-        await self.add_replica(replica.service)
+        await self.add_replica(replica.service, version=replica.version)
         await asyncio.sleep(EXPIRY_S - CRASH_DOWN_S)
         self.store.delete(f"servers/{replica.name}")
 
@@ -263,7 +280,7 @@
             if not live_entries:
                 continue
             entry = rng.choice(live_entries)
-            kind = rng.choice(["plain", "once", "stream"])
+            kind = rng.choice(["plain", "once", "stream"] + ["stream", "sized"] * self.has_streams)
             self.last_id += 1
             request = f"{kind}-{seed}-{self.last_id}"
             self.checker.requests[request] = (kind, _pending_response())
@@ -271,27 +288,32 @@
             self.checker.wishes.note_sent(request, entry)
             if self.last_id % 7 == 0:
                 self.checker.bodies[request] = LONG_BODY
+            is_slow = self.has_streams and rng.random() < 0.2
             answer = await call(entry.address("front"), f"/{kind}/x", request, key="key-2",
-                                accept=EVENTS if kind == "stream" else "",
+                                accept=EVENTS if kind in STREAMS else "",
+                                headers=[("Fennelline-Model", "*")] if kind == "sized" else (),
                                 stop_after=60 if disconnects else None, kept=kept,
+                                pause_s=rng.uniform(0.05, 0.6) if is_slow else 0.0,
+                                deadline_ms=8000 if is_slow else 3000,
                                 body=self.checker.bodies.get(request, b"question"))
             if not disconnects:
                 self.checker.check_response(kind, request, answer)
-            if kind == "stream" and answer.status == 200 and not answer.whole:
-                await self.go_on(request, answer, 1, live_entries)
+            if kind in STREAMS and answer.status == 200 and not answer.whole:
+                await self.go_on(kind, request, answer, live_entries)
         if kept:
             kept.close()
 
-    async def go_on(self, request, answer, first, entries):
+    async def go_on(self, kind, request, answer, entries):
         """Goes on with a stream that broke off, at another entry, as callers may."""
-        last = first - 1 + answer.body.count(b"\n\n")
+        last, _ = self.checker.count_pieces(request, answer.body)
         entry = entries[last % len(entries)]
         resumed = f"{request}-on"
-        self.checker.requests[resumed] = ("stream", _pending_response())
+        self.checker.requests[resumed] = (kind, _pending_response())
         self.checker.wishes.note_sent(resumed, entry)
-        rest = await call(entry.address("front"), "/stream/x", resumed, key="key-2", accept=EVENTS,
-                          headers=[("Last-Event-Id", str(last))])
-        self.checker.check_response("stream", resumed, rest, last + 1)
+        model = [("Fennelline-Model", "*")] if kind == "sized" else []
+        rest = await call(entry.address("front"), f"/{kind}/x", resumed, key="key-2", accept=EVENTS,
+                          headers=[("Last-Event-Id", str(last))] + model)
+        self.checker.check_response(kind, resumed, rest, last + 1)
 
     async def restart(self, entry, process, wait_s):
         await process.wait()
@@ -362,7 +384,7 @@
             replica.proxy.reset_all()
             self.checker.wishes.disturbed[replica.name].append((disturbed_at, time.monotonic()))
         elif kind == "leave" and replica.leaving_since is None:
-            await self.add_replica(replica.service)
+            await self.add_replica(replica.service, version=replica.version)
             if self.random.random() < 0.5:
                 replica.register("draining")
             else:
@@ -401,7 +423,7 @@
             replica = rng.choice(usual)
             if rng.random() < 0.4:
                 self.log_event(f"says-leaving {replica.name}")
-                await self.add_replica(replica.service, rng)
+                await self.add_replica(replica.service, rng, replica.version)
                 replica.says_leaving = True
                 continue
             replica.retry_after = round(rng.uniform(1.0, 4.0), 1)
@@ -421,6 +443,41 @@
                 await asyncio.sleep(rng.uniform(0.3, 1.5))
                 replica.fault = None
 
+    async def roll_out(self, rng, end):
+        """Moves the pool to new versions one after the other; every second one fails requests."""
+        number = 1
+        while time.monotonic() < end:
+            await asyncio.sleep(rng.uniform(0.2, 1.5))
+            number += 1
+            version = f"v{number}"
+            new = [await self.add_replica("pool", rng, version) for _ in range(3)]
+            if number % 2 == 0:
+                for replica in new:
+                    replica.fault, replica.fault_share = "error", 0.4
+            self.log_event(f"roll-out of {version}")
+            self.store.put("op/rollout/pool",
+                           {"backend": "pool", "target": version, "duration-s": ROLLOUT_S})
+            state, until = None, time.monotonic() + ROLLOUT_S + CONTACT_S
+            while state not in ("succeeded", "rolled_back") and time.monotonic() < until:
+                await asyncio.sleep(0.1)
+                status = self.store.read("status/rollout/pool") or {}
+                state = status.get("state") if status.get("target") == version else None
+            self.log_event(f"{version} {state}")
+            is_kept = state == "succeeded"
+            for replica in [replica for replica in self.replicas if replica.service == "pool"]:
+                if replica.leaving_since is None and (replica.version == version) != is_kept:
+                    await self.take_away(replica, at_once=is_kept)
+
+    async def take_away(self, replica, at_once):
+        """Ends a server as the platform does after a roll-out: at once, or once it has drained."""
+        if not at_once:
+            replica.register("draining")
+            return
+        replica.leave()
+        replica.proxy.server.close()
+        replica.proxy.reset_all()
+        await replica.stop(is_reset=True)
+
     async def return_store(self, rng, end):
         """Lets the store come back from a copy now and then, whose gaps are written again."""
         while time.monotonic() < end:
@@ -464,6 +521,9 @@
             self.end_streams(random.Random(f"streams {self.seed}"), end)))
         self.tasks.append(asyncio.create_task(
             self.return_store(random.Random(f"returns {self.seed}"), end)))
+        if self.has_streams:
+            self.tasks.append(asyncio.create_task(
+                self.roll_out(random.Random(f"versions {self.seed}"), end)))
         while time.monotonic() < end:
             self.tasks.append(asyncio.create_task(self.inject_fault()))
             await asyncio.sleep(self.random.expovariate(1.6))
@@ -531,6 +591,7 @@
     parser.add_argument("--seeds", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=12)
     parser.add_argument("--entries", type=int, default=4)
+    parser.add_argument("--streams", action="store_true")
     parser.add_argument("--cases",
                         help="file of seeds that failed before: one per line, comments after #")
     options = parser.parse_args()
@@ -541,7 +602,7 @@
     failed = 0
     for seed in seeds:
         soak = Soak(os.path.join(options.binaries, "fennelline-edge"), seed, options.seconds,
-                    options.entries)
+                    options.entries, options.streams)
         await soak.run()
         violations = soak.checker.violations
         verdict = "FAILED" if violations else "passed"
