Judge whether another server is there as if the slow one had been tried

A stalled request on trial at a new version, whose other servers the trial does not use, found no other and waited for the slow version; before it went to the old one, and the stall counted as evidence.

Change: the server is left out before the rule for versions is applied.

--- a/Services/Edge/RelayPlacement.cpp
+++ b/Services/Edge/RelayPlacement.cpp
@@ -51,6 +51,30 @@
   aServers.resize(std::min(aServers.size(), count + kSpareTrialServers));
 }
 
+/// Returns those of the servers that a request goes to by its rule for versions.
+std::vector<std::shared_ptr<BackendLink>> OfVersion(
+  std::vector<std::shared_ptr<BackendLink>> aServers, const VersionRule& aRule,
+  double aExposedShare, Time aNow) {
+  if (aRule.m_preference == VersionPreference::Any) {
+    return aServers;
+  }
+  std::vector<std::shared_ptr<BackendLink>> ofVersion;
+  std::vector<std::shared_ptr<BackendLink>> others;
+  for (const std::shared_ptr<BackendLink>& server : aServers) {
+    const bool isOfVersion = server->m_record.m_version == aRule.m_version;
+    (isOfVersion ? ofVersion : others).push_back(server);
+  }
+  if (aRule.m_preference == VersionPreference::Never || ofVersion.empty()) {
+    return others;
+  }
+  if (aRule.m_preference == VersionPreference::Trial) {
+    LimitTrialServers(ofVersion, TrialShare(aExposedShare), aNow);
+  } else if (aRule.m_preference == VersionPreference::Prefer && aNow < aRule.m_rampUntil) {
+    LimitTrialServers(ofVersion, kRampShare, aNow);
+  }
+  return ofVersion;
+}
+
 } // namespace
 
 bool RequestRelay::WasTried(const BackendLink& aBackend) const {
@@ -94,25 +118,11 @@
 
 std::vector<std::shared_ptr<BackendLink>> RequestRelay::Eligible() const {
   const Time now = m_context.m_loop.Now();
-  const VersionRule rule = RuleForRequest();
-  std::vector<std::shared_ptr<BackendLink>> ofVersion;
-  std::vector<std::shared_ptr<BackendLink>> others;
-  for (const std::shared_ptr<BackendLink>& backend : m_context.m_backends.OfService(m_service)) {
-    if (BarOf(*backend, now) == ServerBar::None) {
-      const bool isOfVersion = rule.m_preference != VersionPreference::Any &&
-                               backend->m_record.m_version == rule.m_version;
-      (isOfVersion ? ofVersion : others).push_back(backend);
-    }
-  }
-  if (rule.m_preference == VersionPreference::Never || ofVersion.empty()) {
-    return others;
-  }
-  if (rule.m_preference == VersionPreference::Trial) {
-    LimitTrialServers(ofVersion, TrialShare(m_context.m_settings.m_exposedShare), now);
-  } else if (rule.m_preference == VersionPreference::Prefer && now < rule.m_rampUntil) {
-    LimitTrialServers(ofVersion, kRampShare, now);
-  }
-  return ofVersion;
+  std::vector<std::shared_ptr<BackendLink>> servers = m_context.m_backends.OfService(m_service);
+  std::erase_if(servers, [this, now](const std::shared_ptr<BackendLink>& aServer) {
+    return BarOf(*aServer, now) != ServerBar::None;
+  });
+  return OfVersion(std::move(servers), RuleForRequest(), m_context.m_settings.m_exposedShare, now);
 }
 
 std::string RequestRelay::ChooseModel() const {
@@ -211,11 +221,17 @@
 }
 
 bool RequestRelay::HasUnlimitedServer(const BackendLink* aExcept) const {
-  const std::vector<std::shared_ptr<BackendLink>> eligible = Eligible();
-  return std::any_of(eligible.begin(), eligible.end(),
-                     [aExcept](const std::shared_ptr<BackendLink>& aServer) {
-                       return aServer.get() != aExcept && !aServer->m_limit.PerSecond();
-                     });
+  const Time now = m_context.m_loop.Now();
+  std::vector<std::shared_ptr<BackendLink>> servers = m_context.m_backends.OfService(m_service);
+  std::erase_if(servers, [&](const std::shared_ptr<BackendLink>& aServer) {
+    return aServer.get() == aExcept || BarOf(*aServer, now) != ServerBar::None;
+  });
+  // Without the server that runs it, a request on trial may go to the servers of the old version.
+  servers =
+    OfVersion(std::move(servers), RuleForRequest(), m_context.m_settings.m_exposedShare, now);
+  return std::any_of(
+    servers.begin(), servers.end(),
+    [](const std::shared_ptr<BackendLink>& aServer) { return !aServer->m_limit.PerSecond(); });
 }
 
 std::optional<RequestRelay::Choice> RequestRelay::ChooseBackend() {
--- a/Tests/Edge/trickling_server.py
+++ b/Tests/Edge/trickling_server.py
@@ -93,6 +93,25 @@
                 self.assertEqual((answer.status, answer.whole), (200, True), path)
                 self.assertEqual(len(fleet.runs(f"r-{path[1:-2]}")), 1, path)
 
+    async def test_a_request_on_trial_at_a_slow_server_goes_to_the_old_version(self):
+        async with Fleet(app=2) as fleet:
+            fleet.store.put("op/rollout/app", {"backend": "app", "target": "v2", "duration-s": 20})
+            slow = await fleet.add_replica("i-new", "app", version="v2", work_s=2.5)
+            answered = {}
+            end = time.monotonic() + 15
+            while not slow.runs and time.monotonic() < end:
+                request = f"r-{len(answered)}"
+                answered[request] = asyncio.create_task(
+                    call(fleet.front, "/plain/x", request, headers=[("Session", request)],
+                         deadline_ms=DEADLINE_MS))
+                await asyncio.sleep(0.02)
+            self.assertTrue(slow.runs)
+            for run in slow.runs:
+                answer = await answered[run["id"]]
+                self.assertEqual((answer.status, len(fleet.runs(run["id"]))), (200, 2))
+                self.assertLess(answer.took_s, slow.work_s)
+            await asyncio.gather(*answered.values())
+
     async def test_an_answer_of_a_slow_server_is_replaced_once_another_server_is_there(self):
         async with Fleet(app=1) as fleet:
             slow = fleet.of("app")[0]
