Count only connections that carried a request in the test of endless answers

With the open connections printed (1 of 16 failed): it is established at both ends, nothing waits in it, and no request ever came on it. An entry makes such a connection where it checks that a server accepts connections, and keeps it for the next request. No bytes without end flow there, so the check was wrong.

--- a/Tests/Edge/endless_answer.py
+++ b/Tests/Edge/endless_answer.py
@@ -37,9 +37,11 @@
                         self.assertIn(answer.status, (0, 502, 503, 504), fault)
                 self.assertEqual([answer.status for answer in sound], [200] * 5, fault)
                 self.assertLess(max(answer.took_s for answer in sound), 0.5, fault)
-                await wait_until(lambda f=fleet: not any(replica.has_open_peers()
+                self.assertTrue(any(replica.serving for replica in fleet.of(service)), fault)
+                # Not those on which the entry only checked that the server accepts connections.
+                await wait_until(lambda f=fleet: not any(replica.has_open_peers_with_requests()
                                                          for replica in f.of(service)), 1.0,
-                                 f"all connections are closed after {fault}")
+                                 f"all connections that carried a request are closed after {fault}")
                 self.assertLess(fleet.entries[0].peak_memory_kb(), MOST_MEMORY_KB, fault)
 
 
--- a/Tests/Edge/standin.py
+++ b/Tests/Edge/standin.py
@@ -401,6 +401,10 @@
         if self.on_crash:
             self.on_crash(self)
 
+    def has_open_peers_with_requests(self):
+        """Whether a connection is open on which a request has run."""
+        return any(not writer.transport.is_closing() for writer in self.serving)
+
     def has_open_peers_of(self, request):
         return any(served == request and not writer.transport.is_closing()
                    for writer, served in self.serving.items())
