Leave a server out of the eligible ones in one place

Eligible() takes the server to leave out instead; no behaviour changes. Also: the comment of IsReusable() stood above HasEarlierCalls(), and that of kStallCheckInterval did not say what the interval is.

Run on this: EdgeTricklingServer, EdgeSlowCaller, EdgeBrokenResumption, TestClientConnection passed; format and lint of the changed files clean.

--- a/Libraries/LibHttp/ClientConnection.h
+++ b/Libraries/LibHttp/ClientConnection.h
@@ -66,9 +66,9 @@
   void SetReading(bool aReading) { m_socket->SetReading(aReading); }
 
   bool IsOpen() const { return m_socket->IsOpen(); }
-  /// Whether another request may be sent on this connection.
   /// Whether calls before the current one were made on it. What they left may precede the response.
   bool HasEarlierCalls() const { return m_calls > 1; }
+  /// Whether another request may be sent on this connection.
   bool IsReusable() const { return m_reusable && !m_busy && IsOpen(); }
   Time IdleSince() const { return m_idleSince; }
   /// The idle timeout that the server announced in its Keep-Alive header, or zero.
--- a/Services/Edge/RelayAnswer.cpp
+++ b/Services/Edge/RelayAnswer.cpp
@@ -38,8 +38,8 @@
 /// a stall (see OnStall).
 constexpr double kPauseFraction = 0.9;
 
-/// Another server for a stalled request is looked for this often, a small part of the shortest
-/// latency objectives of requests that take long.
+/// How often another server is looked for while only its own can answer a stalled request. A new
+/// server is used soon, and the look costs little.
 constexpr Duration kStallCheckInterval = Milliseconds(250);
 
 bool IsNotRunStatus(int aStatus) {
--- a/Services/Edge/RelayPlacement.cpp
+++ b/Services/Edge/RelayPlacement.cpp
@@ -116,11 +116,11 @@
   return text;
 }
 
-std::vector<std::shared_ptr<BackendLink>> RequestRelay::Eligible() const {
+std::vector<std::shared_ptr<BackendLink>> RequestRelay::Eligible(const BackendLink* aExcept) const {
   const Time now = m_context.m_loop.Now();
   std::vector<std::shared_ptr<BackendLink>> servers = m_context.m_backends.OfService(m_service);
-  std::erase_if(servers, [this, now](const std::shared_ptr<BackendLink>& aServer) {
-    return BarOf(*aServer, now) != ServerBar::None;
+  std::erase_if(servers, [&](const std::shared_ptr<BackendLink>& aServer) {
+    return aServer.get() == aExcept || BarOf(*aServer, now) != ServerBar::None;
   });
   return OfVersion(std::move(servers), RuleForRequest(), m_context.m_settings.m_exposedShare, now);
 }
@@ -221,16 +221,9 @@
 }
 
 bool RequestRelay::HasUnlimitedServer(const BackendLink* aExcept) const {
-  const Time now = m_context.m_loop.Now();
-  std::vector<std::shared_ptr<BackendLink>> servers = m_context.m_backends.OfService(m_service);
-  std::erase_if(servers, [&](const std::shared_ptr<BackendLink>& aServer) {
-    return aServer.get() == aExcept || BarOf(*aServer, now) != ServerBar::None;
-  });
-  // Without the server that runs it, a request on trial may go to the servers of the old version.
-  servers =
-    OfVersion(std::move(servers), RuleForRequest(), m_context.m_settings.m_exposedShare, now);
+  const std::vector<std::shared_ptr<BackendLink>> eligible = Eligible(aExcept);
   return std::any_of(
-    servers.begin(), servers.end(),
+    eligible.begin(), eligible.end(),
     [](const std::shared_ptr<BackendLink>& aServer) { return !aServer->m_limit.PerSecond(); });
 }
 
--- a/Services/Edge/RequestRelay.h
+++ b/Services/Edge/RequestRelay.h
@@ -154,7 +154,9 @@
   ServerBar BarOf(const BackendLink& aBackend, Time aNow) const;
   /// How many servers of the service are barred for which reason, for the log.
   std::string DescribeBars() const;
-  std::vector<std::shared_ptr<BackendLink>> Eligible() const;
+  /// The servers that it may be sent to now. Without aExcept, a request on trial at the only server
+  /// of the new version goes to the old one.
+  std::vector<std::shared_ptr<BackendLink>> Eligible(const BackendLink* aExcept = nullptr) const;
   VersionRule RuleForRequest() const;
   const CrashCauses& Causes();
   /// The current attempt, for the crash watch.
