Log and count the bytes of a stream that are not its next event

Change: StreamEvent says whether the bytes up to an empty line are an event as the platform's page has it (a number first, fields only, data) and the next one. The first that is not is logged with its attempt (odd-event) and counted (fennelline_odd_events_total). Nothing else changes: what was passed on still is.

--- a/Libraries/LibRouting/EventFramer.cpp
+++ b/Libraries/LibRouting/EventFramer.cpp
@@ -51,6 +51,18 @@
 
 } // namespace
 
+std::optional<EventFault> EventFramer::FindFault(std::string_view aEvent) const {
+  const StreamEvent event = StreamEvent::Parse(aEvent, {});
+  if (event.m_fault || !m_lastEvent) {
+    return event.m_fault;
+  }
+  if (!m_resumesAfter && event.m_number <= *m_lastEvent) {
+    return EventFault::NotAbove;
+  }
+  return event.m_number > *m_lastEvent + 1 ? std::optional<EventFault>(EventFault::Gap)
+                                           : std::nullopt;
+}
+
 std::string EventFramer::Feed(std::string_view aBytes) {
   // The terminator of an event may span the buffered and the new bytes.
   constexpr std::size_t kOverlap = 2;
@@ -63,6 +75,7 @@
        end = FindEnd(text, begin)) {
     const std::string_view event = text.substr(begin, end - begin);
     const std::optional<std::int64_t> id = ParseId(event);
+    m_fault = m_fault ? m_fault : FindFault(event);
     if (!id && m_lastEvent) {
       m_hasForeignEvent = true;
       break;
--- a/Libraries/LibRouting/EventFramer.h
+++ b/Libraries/LibRouting/EventFramer.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "LibRouting/StreamEvent.h"
+
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -30,9 +32,13 @@
     m_rest.clear();
     m_resumesAfter = m_lastEvent;
     m_hasForeignEvent = false;
+    m_fault.reset();
   }
   /// Whether an event has arrived that is not of this stream. More must not be fed then.
   bool HasForeignEvent() const { return m_hasForeignEvent; }
+  /// Why the first event of the attempt that is not what a server numbers as the next one is not;
+  /// for the log.
+  std::optional<EventFault> Fault() const { return m_fault; }
   /// Whether an incomplete event is buffered.
   bool HasPartial() const { return !m_rest.empty(); }
   /// Whether the incomplete event is longer than any that a server sends. More must not be fed
@@ -43,6 +49,8 @@
   std::int64_t CountEvents() const { return m_events; }
 
 private:
+  std::optional<EventFault> FindFault(std::string_view aEvent) const;
+
   static constexpr std::size_t kMaxEventBytes = 256UL * 1024;
 
   std::string m_rest;
@@ -51,6 +59,7 @@
   std::optional<std::int64_t> m_resumesAfter;
   std::int64_t m_events = 0;
   bool m_hasForeignEvent = false;
+  std::optional<EventFault> m_fault;
 };
 
 } // namespace fennelline
--- a/Services/Edge/EdgeMetrics.cpp
+++ b/Services/Edge/EdgeMetrics.cpp
@@ -100,6 +100,14 @@
     m_serverChecks[result] =
       &serverChecks.Add({{"result", TextOf(kReachabilityNames[result].second)}});
   }
+  prometheus::Family<prometheus::Counter>& oddEvents =
+    prometheus::BuildCounter()
+      .Name("fennelline_odd_events_total")
+      .Help("Attempts whose stream held bytes that are not its next event.")
+      .Register(*m_registry);
+  for (std::size_t fault = 0; fault < kEventFaultNames.size(); ++fault) {
+    m_oddEvents[fault] = &oddEvents.Add({{"fault", TextOf(kEventFaultNames[fault].second)}});
+  }
   m_contentRefusals =
     &prometheus::BuildCounter()
        .Name("fennelline_content_refusals_total")
@@ -186,6 +194,10 @@
   m_serverChecks[static_cast<std::size_t>(aResult)]->Increment();
 }
 
+void EdgeMetrics::OnOddEvent(EventFault aFault) {
+  m_oddEvents[static_cast<std::size_t>(aFault)]->Increment();
+}
+
 void EdgeMetrics::OnContentRefused() {
   m_contentRefusals->Increment();
 }
--- a/Services/Edge/EdgeMetrics.h
+++ b/Services/Edge/EdgeMetrics.h
@@ -3,6 +3,7 @@
 #include "LibBase/Time.h"
 #include "LibHttp/ConnectionPool.h"
 #include "LibRouting/RetryPolicy.h"
+#include "LibRouting/StreamEvent.h"
 
 #include <array>
 #include <memory>
@@ -85,6 +86,8 @@
   void OnLoopHeld(Duration aTime);
   /// A server was checked after its connections broke, or after one ended a stream.
   void OnServerCheck(Reachability aResult);
+  /// A server sent bytes that are not the next event of a stream.
+  void OnOddEvent(EventFault aFault);
   /// A request was not sent, or not sent again, because its content crashes servers.
   void OnContentRefused();
   /// A request was passed on to another entry.
@@ -122,6 +125,7 @@
   prometheus::Counter* m_storeReturns = nullptr;
   prometheus::Counter* m_loopHeld = nullptr;
   std::array<prometheus::Counter*, kReachabilities> m_serverChecks{};
+  std::array<prometheus::Counter*, kEventFaultNames.size()> m_oddEvents{};
   prometheus::Counter* m_contentRefusals = nullptr;
   prometheus::Counter* m_passedOn = nullptr;
   prometheus::Gauge* m_lostPaths = nullptr;
--- a/Services/Edge/RelayAnswer.cpp
+++ b/Services/Edge/RelayAnswer.cpp
@@ -191,7 +191,11 @@
 }
 
 void RequestRelay::OnStreamPart(std::string_view aPart) {
+  const bool hadFault = m_framer.Fault().has_value();
   const std::string events = m_framer.Feed(aPart);
+  if (!hadFault && m_framer.Fault()) {
+    LogOddEvent(*m_framer.Fault(), !events.empty());
+  }
   if (events.empty()) {
     if (m_framer.IsOversized() || m_framer.HasForeignEvent()) {
       EndAttempt(AttemptOutcome::Corrupt);
@@ -240,6 +244,18 @@
   PauseForSlowCaller();
 }
 
+void RequestRelay::LogOddEvent(EventFault aFault, bool aIsPassedOn) {
+  m_context.m_metrics.OnOddEvent(aFault);
+  LogLine line("odd-event");
+  line.Text("id", m_metadata.m_requestId).Text("backend", m_attempt->m_backend->m_record.m_id);
+  line.Text("fault", NameOf(kEventFaultNames, aFault)).Flag("passed-on", aIsPassedOn);
+  line.Count("send", m_retryPolicy.Sends() + 1).Count("parts", m_attempt->m_events);
+  line.Count("last-event", m_framer.LastEvent().value_or(0));
+  line.Flag("ends-with-connection", m_attempt->m_head.m_bodyEndsAtClose);
+  line.Flag("kept-connection", m_attempt->m_channel->HasEarlierCalls());
+  m_context.Log(LogPriority::Notable, line);
+}
+
 void RequestRelay::OnComplete() {
   if (m_ended || !m_attempt) {
     return;
--- a/Services/Edge/RequestRelay.h
+++ b/Services/Edge/RequestRelay.h
@@ -182,6 +182,8 @@
   /// The server's answer is complete.
   void CompleteAnswer();
   void OnStreamPart(std::string_view aPart);
+  /// aIsPassedOn: bytes of the same part of the body were passed on to the caller.
+  void LogOddEvent(EventFault aFault, bool aIsPassedOn);
   void PauseForSlowCaller();
   void OnFailed(CallFailure aFailure);
   void OnCallerGone();
