Show that bytes of a faulty server get into streams

The test puts 23 shapes of bytes before, into and behind a stream, in a chunk of their own, in one with an event and without a length; the server then goes on or ends the stream. With a route that may be resumed, one that may not, an entry without a path of its own, an escalation; besides events that are missing or come twice, answers that are no stream, and a second answer without an id.

--- /dev/null
+++ b/Tests/Edge/spoilt_stream.py
@@ -0,0 +1,268 @@
+"""Tests that bytes of a faulty server that are no event of its run never get into a stream.
+
+Run: spoilt_stream.py BIN [CASE...]
+"""
+
+import asyncio
+import os
+import sys
+import unittest
+
+sys.path.insert(0, os.path.dirname(__file__))
+from fleet import Fleet
+from standin import Replica, call, configuration
+from stranded_fleet import StrandedFleet
+
+EVENTS = "text/event-stream"
+COUNT = 5
+ERROR = b'event: error\ndata: {"error":"overloaded"}\n\n'
+
+# Bytes that are no event of the run, complete or glued to the event after them.
+NOISE = {
+    "text": b"no answer at all\n\n",
+    "text-with-returns": b"no answer at all\r\n\r\n",
+    "binary": bytes(range(128, 160)) + b"\n\n",
+    "head": b"HTTP/1.1 500 Oops\r\nContent-Length: 6\r\n\r\nfailed\n\n",
+    "error": ERROR,
+    "data-alone": b"data: noise\n\n",
+    "unknown-field": b"name: noise\n\n",
+    "id-alone": b"id: 3\n\n",
+    "id-empty": b"id:\ndata: noise\n\n",
+    "id-no-number": b"id: none\ndata: noise\n\n",
+    "id-negative": b"id: -7\ndata: noise\n\n",
+    "id-with-tail": b"id: 3GARBAGE\ndata: noise\n\n",
+    "id-too-large": b"id: 99999999999999999999\ndata: noise\n\n",
+    "id-of-no-event": b"id: 99\ndata: noise\n\n",
+    "id-zero": b"id: 0\ndata: noise\n\n",
+    "ids-two": b"id: 3\nid:\ndata: noise\n\n",
+    "ids-apart": b"id: 3\ndata: noise\nid: 4\n\n",
+    "glued-text": b"no answer at all\n",
+    "glued-data": b"data: noise\n",
+    "glued-comment": b": noise\n",
+    "glued-id": b"id: 3\n",
+    "glued-weights": b"fennelline-weight-versions: noise\n",
+    "unfinished": b"no answer at all",
+}
+PLACES = {"before-the-first": 0, "in-the-middle": 2, "after-the-last": COUNT}
+
+
+class SpoiltReplica(Replica):
+    """A fake server that puts bytes into its next stream, then goes on or ends it."""
+
+    noise = None
+    place = 0
+    framing = "chunk"
+    goes_on = True
+    # Numbers of the events that it sends in place of all; None for all.
+    numbers = None
+    # A line before each event.
+    leading_line = b""
+
+    def event_of_run(self, run, number):
+        return self.leading_line + self.event_of(run["id"], number)
+
+    async def stream(self, run, seal, fault, writer):
+        noise, self.noise = self.noise, None
+        numbers, self.numbers = self.numbers, None
+        is_chunked = self.framing != "none"
+        writer.write(self.stream_head(seal) if is_chunked else self.stream_head(seal, ""))
+
+        def write(part):
+            writer.write(b"%x\r\n%s\r\n" % (len(part), part) if is_chunked else part)
+        numbers = range(run["first"], COUNT + 1) if numbers is None else numbers
+        for place, number in enumerate([*numbers, None]):
+            event = b"" if number is None else self.event_of_run(run, number)
+            if noise is not None and place == self.place:
+                if self.framing == "joined" and self.goes_on:
+                    event = noise + event
+                else:
+                    write(noise)
+                    if not self.goes_on:
+                        break
+            if event:
+                write(event)
+                await writer.drain()
+                await asyncio.sleep(0.002)
+        writer.write(b"0\r\n\r\n" if is_chunked else b"")
+        if not is_chunked:
+            await writer.drain()
+            writer.close()
+
+
+def genuine(request, first=1, last=COUNT):
+    return b"".join(Replica.event_of(request, number) for number in range(first, last + 1))
+
+
+class SpoiltServers:
+    """A fleet whose servers of streams are spoilt ones."""
+
+    async def start_replica(self, name, service, **more):
+        kind = SpoiltReplica if service == "pool" else Replica
+        replica = await kind(self.store, name, service, **more).start()
+        self.replicas.append(replica)
+        return replica
+
+    async def forbid_resuming(self):
+        document = configuration(2)
+        for route in document["routes"]:
+            route["resumable"] = False
+        self.store.put("op/config", document)
+        await self.until_version(2)
+
+    def set_up(self, **fields):
+        """Each server spoils its next stream, but for those that are asked to go on with one."""
+        for replica in self.of("pool"):
+            replica.runs.clear()
+            for name, value in fields.items():
+                setattr(replica, name, value)
+
+    async def stream(self, request, path="/stream/x", **more):
+        # Only the first attempt of a request is spoilt.
+        def spoil_once(replica, send):
+            async def stream(run, seal, fault, writer):
+                if len(self.runs(request)) > 1:
+                    replica.noise = replica.numbers = None
+                await send(run, seal, fault, writer)
+            return stream
+        for replica in self.of("pool"):
+            replica.stream = spoil_once(replica, type(replica).stream.__get__(replica))
+        return await call(self.front, path, request, accept=EVENTS, **more)
+
+
+class SpoiltFleet(SpoiltServers, Fleet):
+    """One entry."""
+
+
+class StrandedSpoiltFleet(SpoiltServers, StrandedFleet):
+    """Two entries, of which the first can lose its path to the servers."""
+
+    async def lose_path(self):
+        await self.until_members_known()
+        await self.cut("reset")
+        for number in range(40):
+            await call(self.front, "/stream/x", f"lost-{number}", deadline_ms=500, accept=EVENTS)
+            if self.entries[0].lines("path-lost"):
+                return
+        raise AssertionError("the entry does not know that its path is lost")
+
+
+class SpoiltStream(unittest.IsolatedAsyncioTestCase):
+    def check_is_resumed(self, answer, request):
+        self.assertEqual((answer.status, answer.body, answer.whole), (200, genuine(request), True))
+
+    def check_is_cut(self, answer, request):
+        """Only true events, and nothing that looks complete without the last one."""
+        if answer.status == 200:
+            self.assertTrue(genuine(request).startswith(answer.body), answer.body)
+            self.assertFalse(answer.whole, answer.body)
+        else:
+            self.assertEqual(answer.status, 502)
+
+    async def check_noise(self, fleet, check, noises=None, path="/stream/x"):
+        for name, noise in (noises or NOISE).items():
+            for place, count in PLACES.items():
+                for framing in ("chunk", "joined", "none"):
+                    for goes_on in (True, False):
+                        if name.startswith("glued") and (place == "after-the-last" or not goes_on):
+                            continue
+                        request = f"{name}-{place}-{framing}-{goes_on}"
+                        with self.subTest(request):
+                            fleet.set_up(noise=noise, place=count, framing=framing, goes_on=goes_on)
+                            check(await fleet.stream(request, path), request)
+
+    async def test_a_stream_goes_on_elsewhere_without_the_bytes_that_are_no_event(self):
+        async with SpoiltFleet(pool=3) as fleet:
+            await self.check_noise(fleet, self.check_is_resumed)
+
+    async def test_a_stream_that_may_not_be_resumed_is_cut_before_bytes_that_are_no_event(self):
+        async with SpoiltFleet(pool=3) as fleet:
+            await fleet.forbid_resuming()
+            await self.check_noise(fleet, self.check_is_cut)
+
+    async def test_a_stream_passed_on_by_another_entry_goes_on_without_bytes_that_are_no_event(self):
+        async with StrandedSpoiltFleet(entries=2, pool=3) as fleet:
+            await fleet.lose_path()
+            await self.check_noise(fleet, self.check_is_resumed, {
+                name: NOISE[name] for name in ("text", "error", "id-negative", "glued-text")})
+            self.assertTrue(fleet.entries[0].lines("passed-on"))
+
+    async def test_a_stream_of_the_largest_model_goes_on_without_bytes_that_are_no_event(self):
+        async with SpoiltFleet(pool=3) as fleet:
+            for replica in fleet.of("pool"):
+                replica.confidence = 0
+            for name in ("text", "data-alone", "id-with-tail"):
+                for place, count in PLACES.items():
+                    with self.subTest(f"{name}-{place}"):
+                        fleet.set_up(noise=NOISE[name], place=count, framing="chunk", goes_on=True)
+                        request = f"{name}-{place}"
+                        self.check_is_resumed(await fleet.stream(request, "/sized/x", headers=[
+                            ("Fennelline-Model", "*")]), request)
+
+    async def test_events_that_are_missing_or_come_twice_do_not_reach_the_caller(self):
+        orders = {"twice": [1, 2, 3, 3, 4, 5], "back": [1, 2, 3, 2, 3, 4, 5], "gap": [1, 2, 4, 5],
+                  "from-the-second-back": [2, 1, 2, 3, 4, 5], "last-alone": [5], "none": []}
+        async with SpoiltFleet(pool=3) as fleet:
+            for name, numbers in orders.items():
+                for framing in ("chunk", "none"):
+                    with self.subTest(f"{name}-{framing}"):
+                        fleet.set_up(noise=None, numbers=numbers, framing=framing)
+                        request = f"{name}-{framing}"
+                        self.check_is_resumed(await fleet.stream(request), request)
+
+    async def test_the_version_of_the_weights_before_an_event_is_passed_on(self):
+        line = b"fennelline-weight-versions: 2\n"
+        async with SpoiltFleet(pool=3) as fleet:
+            fleet.set_up(noise=None, framing="chunk", leading_line=line)
+            answer = await fleet.stream("weights")
+            whole = b"".join(line + Replica.event_of("weights", number) for number in range(1, 6))
+            self.assertEqual((answer.status, answer.body, answer.whole), (200, whole, True))
+
+    async def test_a_stream_that_counts_in_steps_is_passed_on_whole(self):
+        async with SpoiltFleet(pool=3) as fleet:
+            numbers = [6, 12, 18]
+            fleet.set_up(noise=None, numbers=numbers, framing="chunk")
+            answer = await fleet.stream("steps")
+            whole = b"".join(Replica.event_of("steps", number) for number in numbers)
+            self.assertEqual((answer.status, answer.body, answer.whole), (200, whole, True))
+
+    async def test_a_success_that_is_no_stream_is_not_passed_on_for_one(self):
+        bodies = {"plain": b"Content-Type: text/plain\r\nContent-Length: 5\r\n\r\nnoise",
+                  "chunks": b"Transfer-Encoding: chunked\r\n\r\n5\r\nnoise\r\n0\r\n\r\n",
+                  "no-events": b"Content-Type: text/event-stream\r\nContent-Length: 0\r\n\r\n",
+                  "comment": b"Content-Type: text/event-stream\r\nContent-Length: 10\r\n\r\n: noise\r\n\n"}
+        async with SpoiltFleet(pool=3) as fleet:
+            for name, body in bodies.items():
+                with self.subTest(name):
+                    async def stream(replica, run, seal, fault, writer, rest=body):
+                        if len(fleet.runs(run["id"])) > 1:
+                            await SpoiltReplica.stream(replica, run, seal, fault, writer)
+                            return
+                        sealed = "".join(f"{key}: {value}\r\n" for key, value in seal)
+                        writer.write(f"HTTP/1.1 200 OK\r\n{sealed}".encode() + rest)
+                    fleet.set_up(noise=None, numbers=None, framing="chunk")
+                    for replica in fleet.of("pool"):
+                        replica.stream = stream.__get__(replica)
+                    answer = await call(fleet.front, "/stream/x", name, accept=EVENTS)
+                    self.check_is_resumed(answer, name)
+
+    async def test_a_second_answer_without_an_id_is_not_taken_for_the_next_request(self):
+        class EchoingReplica(SpoiltReplica):
+            async def stream(self, run, seal, fault, writer):
+                await super().stream(run, seal, fault, writer)
+                await writer.drain()
+                # Late, so that the connection is kept until the next request.
+                asyncio.get_running_loop().call_later(
+                    0.02, lambda: writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nnoise"))
+        async with Fleet(pool=0) as fleet:
+            replica = await EchoingReplica(fleet.store, "i-echo", "pool").start()
+            fleet.replicas.append(replica)
+            replica.register()
+            for number in range(8):
+                request = f"echo-{number}"
+                answer = await call(fleet.front, "/stream/x", request, accept=EVENTS)
+                self.check_is_resumed(answer, request)
+
+
+if __name__ == "__main__":
+    Fleet.binary = os.path.join(sys.argv.pop(1), "fennelline-edge")
+    unittest.main(verbosity=1)
