Give up answers of the store and of entries that do not end

Cause: OutgoingCalls collects a body for as long as its bytes come, up to 3 s, with no bound on its size. The requests of callers had bounds, the entry's own calls had none.

Change: a body of over 4 MB is dropped and its connection closed. A watch may return that much rightly, after an outage with several large configurations; so the keys are listed then, in pages of about 1 MB.

Eight configurations of 1.1 MB in an outage: read by a listing; before, in one answer.

--- a/Services/Edge/OutgoingCalls.cpp
+++ b/Services/Edge/OutgoingCalls.cpp
@@ -43,21 +43,28 @@
     exchange->m_response.m_headers = aHead.m_headers;
     return HeadAction::Accept;
   };
-  listener.m_onBody = [this, exchange](const std::string& aPart) { OnBody(*exchange, aPart); };
+  listener.m_onBody = [this, exchange](const std::string& aPart) { OnBody(exchange, aPart); };
   listener.m_onComplete = [this, exchange] { Finish(exchange, true); };
   listener.m_onFailed = [this, exchange](CallFailure) { Finish(exchange, false); };
   exchange->m_connection->Send(aBytes, false, std::move(listener));
 }
 
-void OutgoingCalls::OnBody(Exchange& aExchange, const std::string& aPart) {
+void OutgoingCalls::OnBody(const std::shared_ptr<Exchange>& aExchange, const std::string& aPart) {
   const Time now = m_loop.Now();
-  if (!aExchange.m_firstByteAt && aExchange.m_onBegun) {
-    aExchange.m_onBegun();
+  if (!aExchange->m_firstByteAt && aExchange->m_onBegun) {
+    aExchange->m_onBegun();
   }
-  aExchange.m_firstByteAt = aExchange.m_firstByteAt.value_or(now);
-  aExchange.m_response.m_body += aPart;
-  const Time extended = std::min(now + kMaxStall, *aExchange.m_firstByteAt + kMaxTransferTime);
-  aExchange.m_deadline = std::max(aExchange.m_deadline, extended);
+  aExchange->m_firstByteAt = aExchange->m_firstByteAt.value_or(now);
+  CallResponse& response = aExchange->m_response;
+  if (response.m_body.size() + aPart.size() > kMaxResponseBytes) {
+    response.m_isTooLong = true;
+    response.m_body = {};
+    Finish(aExchange, false);
+    return;
+  }
+  response.m_body += aPart;
+  const Time extended = std::min(now + kMaxStall, *aExchange->m_firstByteAt + kMaxTransferTime);
+  aExchange->m_deadline = std::max(aExchange->m_deadline, extended);
 }
 
 void OutgoingCalls::CheckDeadline(const std::shared_ptr<Exchange>& aExchange) {
--- a/Services/Edge/OutgoingCalls.h
+++ b/Services/Edge/OutgoingCalls.h
@@ -18,8 +18,15 @@
   std::string m_body;
   /// From the first to the last byte of the body.
   Duration m_transferTime{0};
+  /// The body was longer than kMaxResponseBytes and is dropped.
+  bool m_isTooLong = false;
 };
 
+/// The store lists its keys in pages of about 1 MB and holds values of up to 1 MB, 1.4 MB in
+/// base64. A watch may return more if large values changed in quick succession; it is given up
+/// then.
+constexpr std::size_t kMaxResponseBytes = 4UL * 1024 * 1024;
+
 /// Sends calls to the store and to peers, over keep-alive connections, and collects the responses.
 class OutgoingCalls {
 public:
@@ -50,7 +57,7 @@
 
   ConnectionPool& PoolOf(const std::string& aAddress);
   void CheckDeadline(const std::shared_ptr<Exchange>& aExchange);
-  void OnBody(Exchange& aExchange, const std::string& aPart);
+  void OnBody(const std::shared_ptr<Exchange>& aExchange, const std::string& aPart);
   void Finish(const std::shared_ptr<Exchange>& aExchange, bool aIsWhole);
 
   EventLoop& m_loop;
--- a/Services/Edge/StoreClient.cpp
+++ b/Services/Edge/StoreClient.cpp
@@ -236,6 +236,11 @@
     m_source.OnFailure(aChoice, m_context.m_loop.Now());
     m_pages.clear();
     m_pageAfter.clear();
+    if (aResponse.m_isTooLong) {
+      // Pages of a listing are short, whatever the watch would return.
+      LogSource("store-answer-too-long", aChoice);
+      RestartListing();
+    }
     ScheduleSync(Duration(0));
     return;
   }
--- a/Tests/Edge/TestOutgoingCalls.cpp
+++ b/Tests/Edge/TestOutgoingCalls.cpp
@@ -16,7 +16,7 @@
   Duration m_took{0};
 };
 
-/// A server whose responses come in parts of ten bytes at an interval. It sends m_parts of them,
+/// A server whose responses come in parts, of ten bytes, at an interval. It sends m_parts of them,
 /// and the end of the response if m_ends.
 struct SlowServer {
   SlowServer() {
@@ -37,7 +37,7 @@
       }
       return;
     }
-    aCaller->SendBodyPart("0123456789");
+    aCaller->SendBodyPart(m_part);
     m_loop.After(m_interval, [this, aCaller, aLeft] { SendPart(aCaller, aLeft - 1); });
   }
 
@@ -56,6 +56,7 @@
   EventLoop m_loop;
   std::shared_ptr<ServerContext> m_context = std::make_shared<ServerContext>();
   std::unique_ptr<HttpServer> m_server;
+  std::string m_part = "0123456789";
   Duration m_interval = Milliseconds(100);
   int m_parts = 10;
   bool m_ends = true;
@@ -101,3 +102,25 @@
   CHECK(call.m_took >= Milliseconds(2900));
   CHECK(call.m_took < Milliseconds(4000));
 }
+
+TEST_CASE("a response without end is given up before it fills the memory") {
+  SlowServer server;
+  server.m_part = std::string(256UL * 1024, 'x');
+  server.m_interval = Milliseconds(1);
+  server.m_parts = 1000;
+  const TimedResponse call = server.Call();
+  CHECK(call.m_response.m_status == 0);
+  CHECK(call.m_response.m_isTooLong);
+  CHECK(call.m_response.m_body.empty());
+  CHECK(call.m_took < Milliseconds(1000));
+}
+
+TEST_CASE("the longest response that is expected is received whole") {
+  SlowServer server;
+  server.m_part = std::string(256UL * 1024, 'x');
+  server.m_interval = Milliseconds(1);
+  server.m_parts = static_cast<int>(kMaxResponseBytes / server.m_part.size());
+  const TimedResponse call = server.Call();
+  CHECK(call.m_response.m_status == kOk);
+  CHECK(call.m_response.m_body.size() == kMaxResponseBytes);
+}
--- a/Tests/Edge/endless_answer.py
+++ b/Tests/Edge/endless_answer.py
@@ -6,11 +6,12 @@
 import asyncio
 import os
 import sys
+import time
 import unittest
 
 sys.path.insert(0, os.path.dirname(__file__))
 from fleet import Fleet
-from standin import ENDLESS, MOST_MEMORY_KB, Replica, call, wait_until
+from standin import ENDLESS, MOST_MEMORY_KB, Replica, Store, call, configuration, wait_until
 
 EVENTS = "text/event-stream"
 DEADLINE_MS = 1500
@@ -106,6 +107,70 @@
                     self.assertEqual((answer.status, answer.body, answer.whole), (200, whole, True))
 
 
+class EndlessStore(Store):
+    """Answers calls without end: "body" in the body, "head" in the head, "trickle" slowly."""
+
+    endless = None
+
+    async def handle(self, line, headers, body, reader, writer):
+        if not self.endless:
+            await super().handle(line, headers, body, reader, writer)
+            return
+        self.calls += 1
+        head = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+        first, more, pause_s = {
+            "body": (head + b"\r\n[", b"0," * 32000, 0),
+            "head": (head, b"X-More: header\r\n" * 4000, 0),
+            "trickle": (head + b"\r\n[", b"0,", 0.05),
+        }[self.endless]
+        writer.write(first)
+        while not writer.transport.is_closing():
+            writer.write(more)
+            await writer.drain()
+            await asyncio.sleep(pause_s)
+
+
+class EndlessStoreFleet(Fleet):
+    def __init__(self, **more):
+        super().__init__(**more)
+        self.store = EndlessStore()
+
+
+class EndlessStoreAnswer(unittest.IsolatedAsyncioTestCase):
+    async def test_an_answer_of_the_store_without_end_takes_no_memory_and_harms_no_caller(self):
+        for endless in ("body", "head", "trickle"):
+            with self.subTest(endless):
+                async with EndlessStoreFleet(pool=1, app=2) as fleet:
+                    fleet.store.endless = endless
+                    before = fleet.store.calls
+                    end = time.monotonic() + 5.0
+                    number = 0
+                    while time.monotonic() < end:
+                        answer = await call(fleet.front, "/plain/x", f"sound-{number}")
+                        self.assertEqual(answer.status, 200)
+                        self.assertLess(answer.took_s, 0.5)
+                        number += 1
+                        await asyncio.sleep(0.02)
+                    self.assertGreater(fleet.store.calls, before)
+                    self.assertLess(fleet.entries[0].peak_memory_kb(), MOST_MEMORY_KB)
+                    fleet.store.endless = None
+                    document = configuration(2)
+                    fleet.store.put("op/config", document)
+                    await fleet.until_version(2)
+
+    async def test_changes_that_are_too_long_for_one_answer_are_read_from_a_listing(self):
+        async with Fleet(pool=1, app=2) as fleet:
+            fleet.store.mode = "busy"
+            await wait_until(lambda: fleet.entries[0].lines("dependency-lost"))
+            for version in range(2, 10):
+                document = configuration(version, extra_routes=[f"more-{number}" for number in range(4000)])
+                fleet.store.put("op/config", document)
+            fleet.store.mode = "up"
+            await fleet.until_version(9)
+            self.assertTrue(fleet.entries[0].lines("store-answer-too-long"))
+            self.assertLess(fleet.entries[0].peak_memory_kb(), MOST_MEMORY_KB)
+
+
 if __name__ == "__main__":
     Fleet.binary = os.path.join(sys.argv.pop(1), "fennelline-edge")
     unittest.main(verbosity=1)
