Show that lines, comments and equal events without end harm no caller

Two kinds more for EdgeEndlessAnswer on all three routes, and a case of its own for an event that comes again without end.

--- a/Tests/Edge/endless_answer.py
+++ b/Tests/Edge/endless_answer.py
@@ -59,6 +59,20 @@
     async def test_bytes_without_end_in_a_stream_are_cut_off(self):
         await self.check_bytes_without_end("/stream/x", "pool", EVENTS)
 
+    async def test_an_event_that_comes_again_without_end_is_cut_off(self):
+        async with Fleet(pool=3, app=3) as fleet:
+            for replica in fleet.of("pool"):
+                replica.fault = "endless-same"
+            bad = [asyncio.create_task(call(fleet.front, "/stream/x", f"bad-{number}", accept=EVENTS,
+                                            deadline_ms=DEADLINE_MS)) for number in range(6)]
+            sound = [await call(fleet.front, "/plain/x", f"sound-{number}") for number in range(5)]
+            for number, answer in enumerate(await asyncio.gather(*bad)):
+                self.assertEqual(answer.body, Replica.event_of(f"bad-{number}", 1))
+                self.assertFalse(answer.whole)
+                self.assertLess(answer.took_s, 0.5)
+            self.assertEqual([answer.status for answer in sound], [200] * 5)
+            self.assertLess(max(answer.took_s for answer in sound), 0.5)
+
     async def test_a_body_without_end_to_a_caller_that_does_not_read_takes_no_memory(self):
         async with Fleet(app=3) as fleet:
             for fault in ("endless-body", "endless-chunks"):
--- a/Tests/Edge/standin.py
+++ b/Tests/Edge/standin.py
@@ -321,7 +321,8 @@
 
 # Faults of a server that sends bytes until the connection is closed.
 ENDLESS = ("endless-noise", "endless-head", "endless-header", "endless-interim", "endless-stray",
-           "endless-body", "endless-chunks", "endless-extension", "endless-event",
+           "endless-body", "endless-chunks", "endless-extension", "endless-event", "endless-lines",
+           "endless-comments",
            "endless-rejection", "endless-after")
 # Faults of a stream with neither a length nor chunks: it ends with its connection, within an event,
 # or is reset between two events.
@@ -490,7 +491,7 @@
             return
         await asyncio.sleep(self.work_s)
         seal = self.seal_headers(request)
-        if fault in ENDLESS:
+        if fault in ENDLESS or fault == "endless-same":
             is_stream = "text/event-stream" in headers.get("accept", "")
             await self.send_without_end(fault, request, seal, writer, is_stream)
             return
@@ -534,6 +535,10 @@
             "endless-chunks": (head + "Transfer-Encoding: chunked\r\n\r\n", "5\r\nbytes\r\n"),
             "endless-extension": (head + "Transfer-Encoding: chunked\r\n\r\n5;name=", "value"),
             "endless-event": (self.stream_head(seal, "").decode() + "id: 1\ndata: ", "piece"),
+            "endless-lines": (self.stream_head(seal, "").decode(), "\n"),
+            "endless-comments": (self.stream_head(seal, "").decode(), ":\n\n"),
+            "endless-same": (self.stream_head(seal, "").decode(),
+                             self.event_of(request, 1).decode()),
             "endless-rejection": (rejection, "bytes"),
             "endless-after": (f"{head}{kind}Content-Length: {len(whole)}\r\n\r\n{whole}", "more"),
         }[fault]
