--- a/Libraries/LibRouting/EventFramer.cpp
+++ b/Libraries/LibRouting/EventFramer.cpp
@@ -67,7 +67,7 @@
 
 std::string EventFramer::Take(std::string_view aText) {
   const bool isAtBegin = m_events == 0 && !m_lastEvent && m_held.empty();
-  if (isAtBegin && StreamEvent::HoldsNothing(aText)) {
+  if (isAtBegin && NumberedEvent::HoldsNothing(aText)) {
     m_emptyBytes += aText.size();
     return m_emptyBytes > kMaxEmptyBytes ? Refuse(EventFault::TooLong) : std::string();
   }
@@ -75,7 +75,7 @@
     ++m_events;
     return std::string(aText);
   }
-  const StreamEvent event = StreamEvent::Parse(aText, m_start.m_leadingField);
+  const NumberedEvent event = NumberedEvent::Parse(aText, m_start.m_leadingField);
   if (event.m_fault) {
     return Refuse(*event.m_fault);
   }
--- a/Libraries/LibRouting/EventFramer.h
+++ b/Libraries/LibRouting/EventFramer.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "LibRouting/StreamEvent.h"
+#include "LibRouting/NumberedEvent.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -18,7 +18,7 @@
   std::optional<std::int64_t> m_otherStart;
   /// Whether its server numbers the events. If not, they are only kept whole.
   bool m_isNumbered = true;
-  /// See StreamEvent::Parse().
+  /// See NumberedEvent::Parse().
   std::string_view m_leadingField;
 };
 
--- a/Libraries/LibRouting/StreamEvent.cpp
+++ b/Libraries/LibRouting/NumberedEvent.cpp
@@ -1,4 +1,4 @@
-#include "LibRouting/StreamEvent.h"
+#include "LibRouting/NumberedEvent.h"
 
 #include <algorithm>
 #include <charconv>
@@ -30,7 +30,7 @@
 
 } // namespace
 
-StreamEvent StreamEvent::Parse(std::string_view aText, std::string_view aLeadingField) {
+NumberedEvent NumberedEvent::Parse(std::string_view aText, std::string_view aLeadingField) {
   std::optional<std::int64_t> number;
   bool hasData = false;
   bool isFirstLine = true;
@@ -74,7 +74,7 @@
           .m_fault = hasData ? std::nullopt : std::optional<EventFault>(EventFault::NoData)};
 }
 
-bool StreamEvent::HoldsNothing(std::string_view aText) {
+bool NumberedEvent::HoldsNothing(std::string_view aText) {
   while (!aText.empty()) {
     const std::string_view line = TakeLine(aText);
     if (!line.empty() && !line.starts_with(':')) {
--- a/Libraries/LibRouting/StreamEvent.h
+++ b/Libraries/LibRouting/NumberedEvent.h
@@ -34,14 +34,14 @@
 
 /// An event of a stream as its server writes it. Its first field is its number, the id,
 /// which is at least 1 and rises within a stream.
-struct StreamEvent {
+struct NumberedEvent {
   std::int64_t m_number = 0;
   /// Why these bytes are no event; m_number does not count then.
   std::optional<EventFault> m_fault;
 
   /// aText: lines up to and with the empty one that ends the event. aLeadingField: the name of a
   /// field with a number that the first line may hold; may be empty.
-  static StreamEvent Parse(std::string_view aText, std::string_view aLeadingField);
+  static NumberedEvent Parse(std::string_view aText, std::string_view aLeadingField);
   /// Whether all lines are empty or comments.
   static bool HoldsNothing(std::string_view aText);
 };
--- a/Services/Edge/EdgeMetrics.h
+++ b/Services/Edge/EdgeMetrics.h
@@ -2,8 +2,8 @@
 
 #include "LibBase/Time.h"
 #include "LibHttp/ConnectionPool.h"
+#include "LibRouting/NumberedEvent.h"
 #include "LibRouting/RetryPolicy.h"
-#include "LibRouting/StreamEvent.h"
 
 #include <array>
 #include <memory>
--- a/Tests/LibRouting/TestStreamEvent.cpp
+++ b/Tests/LibRouting/TestNumberedEvent.cpp
@@ -1,4 +1,4 @@
-#include "LibRouting/StreamEvent.h"
+#include "LibRouting/NumberedEvent.h"
 
 #include <doctest/doctest.h>
 #include <string>
@@ -11,7 +11,7 @@
 constexpr std::string_view kLeading = "weights";
 
 std::optional<EventFault> FaultOf(std::string_view aText) {
-  return StreamEvent::Parse(aText, kLeading).m_fault;
+  return NumberedEvent::Parse(aText, kLeading).m_fault;
 }
 
 } // namespace
@@ -22,7 +22,7 @@
         "weights: 2\nid: 7\ndata: x\n\n", "id: 7\nevent: piece\nretry: 5\ndata\n\n"}) {
     CAPTURE(text);
     CHECK(!FaultOf(text));
-    CHECK(StreamEvent::Parse(text, kLeading).m_number == 7);
+    CHECK(NumberedEvent::Parse(text, kLeading).m_number == 7);
   }
 }
 
@@ -68,16 +68,16 @@
 }
 
 TEST_CASE("a leading field is known only by its name") {
-  CHECK(StreamEvent::Parse("weights: 2\nid: 1\ndata: x\n\n", {}).m_fault == EventFault::OddLine);
+  CHECK(NumberedEvent::Parse("weights: 2\nid: 1\ndata: x\n\n", {}).m_fault == EventFault::OddLine);
 }
 
 TEST_CASE("comments and empty lines hold nothing") {
   for (const std::string text : {"\n", "\r\n", ": ping\n\n", ":\n:\r\n\n", ""}) {
     CAPTURE(text);
-    CHECK(StreamEvent::HoldsNothing(text));
+    CHECK(NumberedEvent::HoldsNothing(text));
   }
   for (const std::string text : {"data\n\n", " \n\n", ":\nnoise\n\n"}) {
     CAPTURE(text);
-    CHECK(!StreamEvent::HoldsNothing(text));
+    CHECK(!NumberedEvent::HoldsNothing(text));
   }
 }
