End an engine's stream at the first bytes that are no numbered event

What callers of fennelline-entry would see: events out of order or a piece that the engine did not make; no stream that looks complete, as the end mark is asked for.

Cause: EventStreamParser read any text after "id: " as a number, passed events without one, and kept a line or an event for as long as bytes came.

The call ends there as broken, and the stream is resumed as after any break.

--- a/Libraries/LibPlatform/EngineClient.cpp
+++ b/Libraries/LibPlatform/EngineClient.cpp
@@ -57,11 +57,12 @@
   explicit StreamReader(const BackendObserver& aObserver)
     : m_observer(aObserver) {}
 
+  /// Returns false if the rest of the stream is not wanted.
   bool Take(const char* aBytes, std::size_t aCount) {
     for (const StreamEvent& event : m_parser.Feed(aBytes, aCount)) {
       TakeEvent(event);
     }
-    return true;
+    return !m_parser.HasFault();
   }
   bool HasEnded() const { return m_ended; }
   const BackendUsage& Usage() const { return m_usage; }
