Mend what the review of the spoilt streams found

The end of a connection where a stream cannot end is a loss again. - An answer without an id on a kept connection was skipped, and its request waited for the stall or the deadline (2.5 s). It waits for 50 ms now. - The first event's number may not be followed by the next one: a server that counts by one has left out what was before. An event that comes again with other bytes leaves open which is spoilt: the stream is cut.

--- a/Libraries/LibHttp/ClientConnection.cpp
+++ b/Libraries/LibHttp/ClientConnection.cpp
@@ -84,6 +84,7 @@
   m_isHeadRequest = aIsHeadRequest;
   m_sawBytes = false;
   m_sawHead = false;
+  m_isSkipping = false;
   m_skippedBytes = 0;
   m_parser.Reset();
   if (aIsHeadRequest) {
@@ -176,7 +177,7 @@
 
 bool ClientConnection::OnHead() {
   const bool isInterim = m_parser.Head().m_status < kFirstFinalStatus;
-  if (!isInterim) {
+  if (!isInterim && !m_isSkipping) {
     m_sawHead = true;
     if (m_listener->m_onHead(m_parser.Head()) == HeadAction::Accept) {
       return true;
@@ -188,12 +189,14 @@
     // no longer match up, so it must not be reused.
     m_reusable = false;
     m_sawHead = false;
+    m_isSkipping = true;
   }
   if (!m_parser.IsComplete()) {
     // Discard the remainder of the skipped message.
     m_parser.TakeBody();
     return false;
   }
+  m_isSkipping = false;
   m_parser.Reset();
   if (m_isHeadRequest) {
     m_parser.ExpectNoBody();
--- a/Libraries/LibHttp/ClientConnection.h
+++ b/Libraries/LibHttp/ClientConnection.h
@@ -110,6 +110,8 @@
   std::uint64_t m_calls = 0;
   bool m_sawBytes = false;
   bool m_sawHead = false;
+  /// The message that is being received belongs to an earlier call.
+  bool m_isSkipping = false;
   /// Bytes received for the current call before the head of its answer.
   std::size_t m_skippedBytes = 0;
 };
--- a/Libraries/LibRouting/EventFramer.cpp
+++ b/Libraries/LibRouting/EventFramer.cpp
@@ -60,6 +60,7 @@
   m_events += m_held.empty() ? 1 : 2;
   m_lastEvent = aNumber;
   m_hasGoneOn = true;
+  m_lastText = aText;
   std::string events = std::exchange(m_held, {});
   events += aText;
   return events;
@@ -82,11 +83,15 @@
   const std::int64_t number = event.m_number;
   if (m_hasGoneOn) {
     if (number <= *m_lastEvent) {
+      m_isLastDoubtful = number == *m_lastEvent && aText != m_lastText;
       return Refuse(EventFault::NotAbove);
     }
     return m_isCounted && !IsNext(number) ? Refuse(EventFault::Gap) : Accept(aText, number);
   }
   if (!m_held.empty()) {
+    if (number == m_heldNumber + 1) {
+      return Refuse(EventFault::Gap);
+    }
     return number > m_heldNumber ? Accept(aText, number) : Refuse(EventFault::NotAbove);
   }
   if (m_lastEvent && number <= *m_lastEvent) {
--- a/Libraries/LibRouting/EventFramer.h
+++ b/Libraries/LibRouting/EventFramer.h
@@ -27,8 +27,9 @@
 /// the other.
 ///
 /// Events are numbered from 1, or on from the event that the caller has. The first event of an
-/// attempt that has another number is held back until the next one: numbers that rise from there
-/// are taken for the server's own way of counting, others show that one of the two is spoilt.
+/// attempt that has another number is held back until the next one: numbers that rise from there in
+/// steps are taken for the server's own way of counting. One that follows on it by one shows that
+/// events before it are missing, and a lower one that one of the two is spoilt.
 ///
 /// Events that the caller already has, at the beginning of an attempt that resumes a stream, are
 /// left out, and so are comments and empty lines before its first event.
@@ -46,13 +47,19 @@
   /// Whether no other server can be told where to go on: events were returned that have no numbers,
   /// or of which the last may be the one that is spoilt.
   bool IsPlaceUnknown() const {
-    const bool mayLastBeSpoilt = m_fault == EventFault::NotAbove && m_hasGoneOn && !m_isCounted;
+    const bool mayLastBeSpoilt =
+      m_fault == EventFault::NotAbove && m_hasGoneOn && (!m_isCounted || m_isLastDoubtful);
     return mayLastBeSpoilt || (!m_start.m_isNumbered && m_events > 0);
   }
   /// Discards what is not a complete event of the stream, before another attempt resumes it.
   void BeginAttempt();
-  /// Whether an attempt that ends here would end within an event, or with one that was held back.
-  bool HasPartial() const { return !m_rest.empty() || !m_held.empty(); }
+  /// Whether an attempt that ends here would end within an event, with one that was held back, or
+  /// before the last one that the caller has.
+  bool HasPartial() const {
+    const bool endsBefore =
+      !m_hasGoneOn && m_lastKnown >= 0 && m_lastKnown < m_lastEvent.value_or(0);
+    return !m_rest.empty() || !m_held.empty() || endsBefore;
+  }
   /// The number of the last event that was returned.
   std::optional<std::int64_t> LastEvent() const { return m_lastEvent; }
   std::int64_t CountEvents() const { return m_events; }
@@ -73,6 +80,9 @@
   std::string m_held;
   std::int64_t m_heldNumber = 0;
   std::optional<std::int64_t> m_lastEvent;
+  std::string m_lastText;
+  /// Another event came with the number of the last one.
+  bool m_isLastDoubtful = false;
   std::int64_t m_events = 0;
   /// Comments and empty lines before the first event.
   std::size_t m_emptyBytes = 0;
--- a/Services/Edge/RelayAnswer.cpp
+++ b/Services/Edge/RelayAnswer.cpp
@@ -42,6 +42,10 @@
 /// server is used soon, and the look costs little.
 constexpr Duration kStallCheckInterval = Milliseconds(250);
 
+/// A second answer to an earlier request is followed by this request's own. If none is there after
+/// this time, the first one was the answer, and lacked its id.
+constexpr Duration kAnswerAfterStrayTime = Milliseconds(50);
+
 bool IsNotRunStatus(int aStatus) {
   return aStatus == kRequestTimeout || aStatus == kMisdirected || aStatus == kTooManyRequests ||
          aStatus == kUnavailable;
@@ -53,8 +57,9 @@
   const ResponseMetadata metadata = platform::DecodeAnswer(aHead);
   // An answer without an id may be a second one to an earlier call on this connection. Another
   // entry rejects what it cannot parse without one.
-  const bool mayBeEarlier = m_attempt->m_channel->HasEarlierCalls() &&
-                            (metadata.m_notRun || !m_attempt->m_backend->m_isEntry);
+  const bool isEntry = m_attempt->m_backend->m_isEntry;
+  const bool mayBeEarlier =
+    m_attempt->m_channel->HasEarlierCalls() && (metadata.m_notRun || !isEntry);
   const bool isOther =
     metadata.m_requestId.empty() ? mayBeEarlier : metadata.m_requestId != m_metadata.m_requestId;
   if (isOther) {
@@ -62,6 +67,9 @@
     line.Text("id", m_metadata.m_requestId).Text("stray-id", metadata.m_requestId);
     line.Text("backend", m_attempt->m_backend->m_record.m_id);
     m_context.Log(LogPriority::Notable, line);
+    if (metadata.m_requestId.empty() && !isEntry) {
+      AwaitAnswerAfterStray();
+    }
     return HeadAction::Skip;
   }
   if (m_attempt->m_backend->m_isEntry) {
@@ -107,6 +115,18 @@
   return HeadAction::Accept;
 }
 
+void RequestRelay::AwaitAnswerAfterStray() {
+  m_context.m_loop.Cancel(m_stallTimer);
+  m_stallTimer = m_context.m_loop.After(kAnswerAfterStrayTime, [self = shared_from_this()] {
+    self->m_stallTimer = EventLoop::kNoTimer;
+    const bool isWaiting = !self->m_ended && self->m_attempt && !self->m_attempt->m_hasHead &&
+                           !self->m_attempt->m_notRun;
+    if (isWaiting) {
+      self->EndAttempt(AttemptOutcome::Corrupt);
+    }
+  });
+}
+
 bool RequestRelay::IsStreamDue() const {
   return m_route->m_kind == RouteKind::Streaming && !IsHeadRequest();
 }
@@ -274,13 +294,19 @@
     EndAttempt(AttemptOutcome::NotRun);
     return;
   }
-  const bool hasNoEvent = m_framer.CountEvents() == 0 && !m_metadata.m_lastEvent &&
-                          (IsStreamDue() || m_attempt->m_head.m_bodyEndsAtClose);
+  const bool endsAtClose = m_attempt->m_head.m_bodyEndsAtClose;
+  const bool mayBeAtEnd = m_route->m_resumable && m_metadata.m_lastEvent;
+  const bool hasNoEvent =
+    m_framer.CountEvents() == 0 && !mayBeAtEnd && (IsStreamDue() || endsAtClose);
   if (m_attempt->m_isStream && (m_framer.HasPartial() || hasNoEvent)) {
-    EndAttempt(AttemptOutcome::Corrupt);
+    if (endsAtClose) {
+      // The system of a killed server closes its connections so.
+      m_attempt->m_failure = CallFailure::TruncatedResponse;
+    }
+    EndAttempt(endsAtClose ? AttemptOutcome::Lost : AttemptOutcome::Corrupt);
     return;
   }
-  if (m_attempt->m_isStream && m_attempt->m_head.m_bodyEndsAtClose) {
+  if (m_attempt->m_isStream && endsAtClose) {
     CheckEndOfStream();
     return;
   }
--- a/Services/Edge/RequestRelay.h
+++ b/Services/Edge/RequestRelay.h
@@ -175,6 +175,8 @@
   CallListener MakeListener();
 
   HeadAction OnHead(const MessageHead& aHead);
+  /// The answer that was skipped may still have been this request's, without its id.
+  void AwaitAnswerAfterStray();
   bool IsHeadRequest() const { return m_request.m_head.m_method == "HEAD"; }
   /// Whether a success is a stream of events, whatever the server says of its type.
   bool IsStreamDue() const;
--- a/Services/Edge/StoreClient.cpp
+++ b/Services/Edge/StoreClient.cpp
@@ -221,8 +221,10 @@
     ScheduleSync(Duration(0));
     return;
   }
-  if (reply.m_status == PlatformStatus::HistoryGone) {
-    LogSource("history-gone", aChoice);
+  // Pages of a listing are short, whatever a watch would return.
+  const bool isTooLong = aResponse.m_isTooLong && !std::holds_alternative<ListKeys>(aRequest);
+  if (reply.m_status == PlatformStatus::HistoryGone || isTooLong) {
+    LogSource(isTooLong ? "store-answer-too-long" : "history-gone", aChoice);
     OnStoreContact(m_context.m_loop.Now());
     m_source.OnAnswer(aChoice, m_storeContactAt);
     RestartListing();
@@ -236,11 +238,6 @@
     m_source.OnFailure(aChoice, m_context.m_loop.Now());
     m_pages.clear();
     m_pageAfter.clear();
-    if (aResponse.m_isTooLong) {
-      // Pages of a listing are short, whatever the watch would return.
-      LogSource("store-answer-too-long", aChoice);
-      RestartListing();
-    }
     ScheduleSync(Duration(0));
     return;
   }
--- a/Tests/Edge/crashing_request.py
+++ b/Tests/Edge/crashing_request.py
@@ -6,6 +6,7 @@
 import asyncio
 import os
 import sys
+import time
 import unittest
 
 sys.path.insert(0, os.path.dirname(__file__))
@@ -48,6 +49,32 @@
         async with CrashingFleet(entries=3, pool=8) as fleet:
             await self.check_is_refused(fleet, "/stream/report", EVENTS)
 
+    async def test_a_stream_without_a_length_whose_server_dies_before_its_first_event_is_refused(self):
+        async with CrashingFleet(pool=8, app=1) as fleet:
+            def die_after_head(replica):
+                async def execute(method, target, headers, body, fault, writer):
+                    request = headers["fennelline-request-id"]
+                    replica.runs.append({"id": request, "at": time.monotonic(), "body": body,
+                                         "headers": headers, "first": 1})
+                    writer.write(replica.stream_head(replica.seal_headers(request), ""))
+                    await writer.drain()
+                    await asyncio.sleep(0.03)
+                    # The system of a killed process closes its connections in an orderly way.
+                    replica.crash_times.append(time.monotonic())
+                    await replica.stop()
+                    replica.on_crash(replica)
+                replica.execute = execute
+            for replica in fleet.of("pool"):
+                die_after_head(replica)
+            end = time.monotonic() + 8.0
+            number = 0
+            while time.monotonic() < end:
+                await call(fleet.front, "/stream/x", f"p-{number}", accept="text/event-stream", body=POISON)
+                number += 1
+                await asyncio.sleep(0.1)
+            self.assertTrue(fleet.entries[0].lines("content-not-run"))
+            self.assertLessEqual(len(fleet.crashes()), 3)
+
     async def test_a_non_idempotent_request_that_crashes_servers_is_refused_by_all_entries(self):
         async with CrashingFleet(entries=3, app=8) as fleet:
             # A request that cannot be repeated fails if it runs beside a crash.
--- a/Tests/LibRouting/TestEventFramer.cpp
+++ b/Tests/LibRouting/TestEventFramer.cpp
@@ -63,6 +63,7 @@
     {Event(1) + Event(3) + Event(4), Event(1), EventFault::Gap},
     {Event(3) + Event(1) + Event(2), "", EventFault::NotAbove},
     {Event(3) + Event(3), "", EventFault::NotAbove},
+    {Event(2) + Event(3) + Event(4), "", EventFault::Gap},
   };
   for (const Case& row : cases) {
     CAPTURE(row.m_stream);
@@ -91,6 +92,23 @@
   CHECK(framer.Fault() == EventFault::NotAbove);
 }
 
+TEST_CASE("an event that comes again with other bytes leaves open which of the two is spoilt") {
+  EventFramer framer;
+  CHECK(framer.Feed(Event(1) + "id: 2\ndata: noise\n\n" + Event(2)) ==
+        Event(1) + "id: 2\ndata: noise\n\n");
+  CHECK(framer.IsPlaceUnknown());
+}
+
+TEST_CASE("a resumed attempt that ends before the last event of the caller is not whole") {
+  EventFramer framer;
+  framer.Feed(Event(1) + Event(2) + Event(3));
+  framer.BeginAttempt();
+  framer.Feed(Event(1) + Event(2));
+  CHECK(framer.HasPartial());
+  framer.Feed(Event(3));
+  CHECK(!framer.HasPartial());
+}
+
 TEST_CASE("a server that does not resume a stream may begin it anew") {
   for (const int first : {1, 13}) {
     EventFramer framer({.m_otherStart = 12});
