Take a lost poll after a failed call for no answer to whether the server crashed

Cause, traced: when a call breaks, its server is polled, and the request waits for that up to 100 ms. A process that is ending closes its connections one after the other, so a poll on a kept one of them is lost instead of refused. On(LoadPolled) took that for the end of the check: the request was sent to its second server, and that check was lost as well, so its caller was answered before any other entry had a report. The next key, at entry 1, was the first run it knew of, and crashed a third server.

Change: only a poll that was answered or refused ends the check; the 100 ms stay. The shell polls again every 5 ms within them until it is one of both.

It covers the reducer; the repeated poll is covered by TestProcessCrash only. Other tests draw as before.

--- a/Services/Entry/EntryReducer.cpp
+++ b/Services/Entry/EntryReducer.cpp
@@ -92,7 +92,8 @@
   if (aEvent.m_refused) {
     m_pipeline.OnServerUnreachable(aEvent.m_backendServer, aNow, aEffects);
   }
-  if (aEvent.m_refused || aEvent.m_afterFailure) {
+  // A poll that got no whole reply may have met a server that is just ending.
+  if (aEvent.m_refused || (aEvent.m_afterFailure && aEvent.m_reached)) {
     m_pipeline.OnServerChecked(aEvent.m_backendServer, aNow, aEffects);
   }
   if (!aEvent.m_reached) {
--- a/Services/Entry/Requests/RequestPipeline.h
+++ b/Services/Entry/Requests/RequestPipeline.h
@@ -34,7 +34,8 @@
   void OnBackendFailed(const BackendFailed& aEvent, Time aNow, EntryEffects& aEffects);
   /// A server refused a load poll: a call to it that broke shortly before counts as a crash.
   void OnServerUnreachable(const BackendServerId& aServer, Time aNow, EntryEffects& aEffects);
-  /// A server was polled after a call to it failed: requests waiting for this check continue.
+  /// A server was polled after a call to it failed, and it is known whether it runs: requests
+  /// waiting for this check continue.
   void OnServerChecked(const BackendServerId& aServer, Time aNow, EntryEffects& aEffects);
 
   void OnClaimOutcomes(const std::vector<ClaimOutcomeReport>& aOutcomes, Time aNow,
--- a/Services/Entry/Shell/Pollers.cpp
+++ b/Services/Entry/Shell/Pollers.cpp
@@ -1,6 +1,7 @@
 #include "Services/Entry/Shell/Pollers.h"
 
 #include <algorithm>
+#include <chrono>
 
 namespace fennelline {
 
@@ -15,6 +16,9 @@
 constexpr Duration kVmListInterval = Milliseconds(500);
 constexpr int kLoadsPerCacheRead = 3;
 constexpr Duration kPollTimeout = Milliseconds(1'000);
+/// For how long and how often a server is polled after a failed call until it replies or refuses.
+constexpr std::chrono::milliseconds kCheckTime{100};
+constexpr std::chrono::milliseconds kCheckInterval{5};
 
 LoadPolled PolledFrom(const std::string& aBackendServer, const BackendLoad& aLoad) {
   LoadPolled polled{.m_backendServer = aBackendServer, .m_reached = true};
@@ -164,7 +168,16 @@
 
 void Pollers::ReadLoad(const std::string& aBackendServer, const std::string& aAddress,
                        bool aAfterFailure) {
-  const Result<BackendLoad> load = m_engines.Load(aAddress);
+  const std::chrono::steady_clock::time_point checkEnd =
+    std::chrono::steady_clock::now() + kCheckTime;
+  Result<BackendLoad> load = m_engines.Load(aAddress);
+  // While a process ends, its kept connections break one after the other. A poll on one of them is
+  // lost, which does not show that the server has crashed; the next poll does.
+  while (aAfterFailure && load.IsError() && load.GetError().m_code == ErrorCode::TimedOut &&
+         std::chrono::steady_clock::now() < checkEnd) {
+    std::this_thread::sleep_for(kCheckInterval);
+    load = m_engines.Load(aAddress);
+  }
   LoadPolled polled{.m_backendServer = aBackendServer};
   if (load.IsError()) {
     polled.m_refused = load.GetError().m_code == ErrorCode::Unavailable;
--- a/Tests/Entry/FakeCluster.cpp
+++ b/Tests/Entry/FakeCluster.cpp
@@ -10,6 +10,8 @@
 
 constexpr Duration kTick = Milliseconds(10);
 constexpr Duration kPoll = Milliseconds(100);
+/// From a check that got no whole reply to the next one's result.
+constexpr Duration kRepeatedCheck = Milliseconds(60);
 constexpr Duration kMinDelay = Milliseconds(1);
 constexpr std::uint64_t kDelaySpreadUs = 2'000;
 constexpr std::uint64_t kServiceSpreadUs = 30'000;
@@ -221,6 +223,17 @@
   DeliverAfter(Delay(), aSelf, std::move(polled));
 }
 
+void FakeCluster::CheckServer(const EntryId& aSelf, const std::string& aServer) {
+  // Without this fault, nothing is drawn, so that the runs of other tests stay as they are.
+  if (m_faults.m_lostCheck == 0.0 || !m_random.Chance(m_faults.m_lostCheck)) {
+    DeliverLoadReport(aSelf, m_servers.at(aServer), true);
+    return;
+  }
+  DeliverAfter(Delay(), aSelf, LoadPolled{.m_backendServer = aServer, .m_afterFailure = true});
+  At(m_now + kRepeatedCheck,
+     [this, aSelf, aServer]() { DeliverLoadReport(aSelf, m_servers.at(aServer), true); });
+}
+
 void FakeCluster::Run(Entry& aEntry, EntryEffect aEffect) {
   const EntryId self = aEntry.m_self;
   if (const SendMessage* message = std::get_if<SendMessage>(&aEffect)) {
@@ -329,9 +342,7 @@
   if (server.m_crashed || m_random.Chance(m_faults.m_brokenCall)) {
     DeliverAfter(Delay(), aFrom,
                  BackendFailed{.m_call = aCall.m_call, .m_failure = BackendFailure::Broken});
-    At(m_now + 2 * kTick, [this, aFrom, aCall]() {
-      DeliverLoadReport(aFrom, m_servers.at(aCall.m_backendServer), true);
-    });
+    At(m_now + 2 * kTick, [this, aFrom, aCall]() { CheckServer(aFrom, aCall.m_backendServer); });
     return;
   }
   const Duration delay = Delay();
--- a/Tests/Entry/FakeCluster.h
+++ b/Tests/Entry/FakeCluster.h
@@ -23,6 +23,9 @@
   /// Per call to a backend server.
   double m_brokenCall = 0.0;
   double m_notSentCall = 0.0;
+  /// Per broken call: the first poll that checks its server gets no whole reply, as from a process
+  /// that is just ending; the next one shows the server's state.
+  double m_lostCheck = 0.0;
 };
 
 /// A run on a backend server, recorded by the fake server.
@@ -123,6 +126,7 @@
   void ScheduleTick(const EntryId& aSelf);
   void SchedulePolls(const EntryId& aSelf);
   void DeliverLoadReport(const EntryId& aSelf, const Server& aServer, bool aAfterFailure);
+  void CheckServer(const EntryId& aSelf, const std::string& aServer);
   void OnPlatformCall(const EntryId& aFrom, const CallPlatform& aCall, Time aWaitUntil);
   void OnBackendCall(const EntryId& aFrom, const CallBackend& aCall);
   void FinishRun(const EntryId& aFrom, const CallBackend& aCall);
--- a/Tests/Entry/TestEntryPromises.cpp
+++ b/Tests/Entry/TestEntryPromises.cpp
@@ -155,6 +155,23 @@
   }
 }
 
+TEST_CASE("a request that crashes servers is stopped after two if the first check gets no reply") {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    CAPTURE(seed);
+    FakeCluster cluster(seed, {.m_lostCheck = 1.0});
+    SetUp(cluster);
+    cluster.AddModel("engine-4", "dc-1", {"small@1", "small@2"});
+    cluster.AddModel("engine-5", "dc-2", {"small@1", "small@2"});
+    cluster.RunFor(Seconds(2));
+    const std::string poison = std::string("please ") + kCrashMarker;
+    for (const std::string& entry : cluster.EntryNames()) {
+      const std::shared_ptr<CallerAnswer> answer = Await(cluster, entry, Tag(poison, ""));
+      CHECK(answer->m_status != kOk);
+    }
+    CHECK(CountRuns(cluster, poison) <= 2);
+  }
+}
+
 TEST_CASE(
   "a graceful stop answers requests in flight and from old entry lists, and settles all usage") {
   FakeCluster cluster(6);
