Roll back on less evidence once all requests go to a version

Cause: in plays that hold, the streams of three of the four servers of the ramp are seen to be delayed, or the fourth slow answer comes soon after it. In two broken plays whose evidence was logged at each tick, the ramp (some 160 requests, until 15.1 s) ends with one slow answer. Then each 0.3 s exposes some 35 requests, and the roll-back (16.6 to 17.9 s in the broken plays) waits for a fourth slow answer and for evidence of 100 to 1: three slow of eight compared answers at 15.6 s, rolled back at 16.9 s.

Change: an error of one in ten, which was allowed when the order's time is up, is allowed from the end of the ramp on, and three bad answers suffice then.

The new case of TestRolloutEvaluator failed before (17 of 18), now 18 of 18.

--- a/Libraries/LibRouting/RolloutEvaluator.cpp
+++ b/Libraries/LibRouting/RolloutEvaluator.cpp
@@ -42,15 +42,19 @@
 /// Minimum number of bad answers before a version is considered bad; single ones are caused by
 /// crashes.
 constexpr std::int64_t kMinBad = 4;
+/// The same once all requests go to the version. In plays of review/4, a slow version showed three
+/// slow answers of eight in the second after its ramp, and the fourth a second later.
+constexpr std::int64_t kMinBadAfterRamp = 3;
 /// Minimum number of streams of a server, and of such servers, before their pace is judged.
 constexpr std::int64_t kMinComparedStreams = 3;
 constexpr double kMinComparedServers = 3;
 /// Share of a server's streams, and of the servers, that counts as most of them.
 constexpr double kMostStreams = 0.5;
 constexpr double kMostServers = 0.66;
-/// Probability that a good version is rolled back when its time is up. It is higher than before
-/// then, since what is not rolled back now runs without the version before.
-constexpr double kLastFalseAlarm = 0.1;
+/// Probability that a good version is rolled back once all requests go to it. It is higher than
+/// before then, since a second of waiting exposes as many requests as three of the ramp, and what
+/// is not rolled back in time runs without the version before.
+constexpr double kFalseAlarmAfterRamp = 0.1;
 
 } // namespace
 
@@ -106,18 +110,19 @@
   return pool;
 }
 
-bool RolloutEvaluator::IsBad(const RouteEvidence& aEvidence, bool aIsLast) const {
-  if (aEvidence.m_newBad < kMinBad) {
+bool RolloutEvaluator::IsBad(const RouteEvidence& aEvidence, bool aIsAfterRamp) const {
+  const std::int64_t minBad = aIsAfterRamp ? kMinBadAfterRamp : kMinBad;
+  if (aEvidence.m_newBad < minBad) {
     return false;
   }
   const std::int64_t old = aEvidence.m_oldGood + aEvidence.m_oldBad;
   SequentialTestPlan plan;
   plan.m_goodRate = GoodClusterRate(old, aEvidence.m_oldBad, kMinGoodRate);
-  plan.m_falseAlarm = aIsLast ? kLastFalseAlarm : plan.m_falseAlarm;
+  plan.m_falseAlarm = aIsAfterRamp ? kFalseAlarmAfterRamp : plan.m_falseAlarm;
   SequentialTest all(plan);
   all.Add(aEvidence.m_newGood + aEvidence.m_newBad, aEvidence.m_newBad);
   SequentialTest slow(plan);
-  if (aEvidence.m_newSlow >= kMinBad) {
+  if (aEvidence.m_newSlow >= minBad) {
     slow.Add(aEvidence.m_newGood - aEvidence.m_newNotCompared + aEvidence.m_newSlow,
              aEvidence.m_newSlow);
   }
@@ -175,9 +180,11 @@
   const double age = InSeconds(OrderAge(aNow));
   const double within = InSeconds(aOrder.m_within);
   const bool isLast = age >= within - InSeconds(kFinalMargin);
+  const bool isAfterRamp =
+    aRecord.m_phase == RolloutPhase::Moving && aNow - m_phaseSince >= RampTime(aOrder.m_within);
   std::map<std::string, RouteEvidence> pool = Pool();
   for (const auto& [route, evidence] : pool) {
-    if (IsBad(evidence, isLast)) {
+    if (IsBad(evidence, isAfterRamp || isLast)) {
       m_reason = (route.empty() ? "all routes" : route) + ": new version " +
                  std::to_string(evidence.m_newBad) + " bad of " +
                  std::to_string(evidence.m_newGood + evidence.m_newBad) + ", old version " +
--- a/Libraries/LibRouting/RolloutEvaluator.h
+++ b/Libraries/LibRouting/RolloutEvaluator.h
@@ -27,7 +27,8 @@
     RolloutReport m_report;
     Time m_at{};
   };
-  bool IsBad(const RouteEvidence& aEvidence, bool aIsLast) const;
+  /// aIsAfterRamp: all requests go to the new version, or the order's time is up.
+  bool IsBad(const RouteEvidence& aEvidence, bool aIsAfterRamp) const;
   /// Whether most streams are delayed on most servers of the new version. A single server may be
   /// delayed by other causes.
   bool AreServersDelayed() const;
--- a/Tests/LibRouting/TestRolloutEvaluator.cpp
+++ b/Tests/LibRouting/TestRolloutEvaluator.cpp
@@ -197,6 +197,37 @@
   CHECK(evaluator.Evaluate(kOrder, moving, 1, now) == RolloutPhase::RolledBack);
 }
 
+TEST_CASE(
+  "once all requests go to a version, it is rolled back on less evidence than in the ramp") {
+  RolloutEvaluator evaluator;
+  const Time start{Seconds(100)};
+  const RolloutRecord moving = RecordIn(RolloutPhase::Moving, 7);
+  // Seen 0.5 s after the ramp in a play of a version that is slow in a fifth of its requests.
+  const RouteEvidence slow = {.m_newGood = 26,
+                              .m_newNotCompared = 21,
+                              .m_newBad = 3,
+                              .m_newSlow = 3,
+                              .m_oldGood = 971,
+                              .m_oldBad = 27};
+  evaluator.OnReport(ReportOf("a", slow, Seconds(14)), start);
+  CHECK(evaluator.Evaluate(kOrder, moving, 1, start) == RolloutPhase::Moving);
+  const Time rampEnd = start + RampTime(kOrder.m_within);
+  evaluator.OnReport(ReportOf("a", slow, Seconds(17)), rampEnd);
+  CHECK(evaluator.Evaluate(kOrder, moving, 1, rampEnd - Milliseconds(1)) == RolloutPhase::Moving);
+  CHECK(evaluator.Evaluate(kOrder, moving, 1, rampEnd) == RolloutPhase::RolledBack);
+  // A good version had up to 6 bad answers of 224.
+  RolloutEvaluator good;
+  const RouteEvidence usual = {.m_newGood = 93,
+                               .m_newNotCompared = 32,
+                               .m_newBad = 4,
+                               .m_newSlow = 4,
+                               .m_oldGood = 1053,
+                               .m_oldBad = 18};
+  good.OnReport(ReportOf("a", usual, Seconds(14)), start);
+  CHECK(good.Evaluate(kOrder, moving, 1, start) == RolloutPhase::Moving);
+  CHECK(good.Evaluate(kOrder, moving, 1, rampEnd) == RolloutPhase::Moving);
+}
+
 TEST_CASE("a report survives the wire") {
   RolloutReport report = ReportOf("a", {.m_newGood = 9, .m_newNotCompared = 4}, Seconds(16));
   report.m_slowServers[{~0ULL, 3}] = true;
