Let servers of the soak put bytes into their answers that are no event

Change: now and then a server spoils 4 in 10 of its answers for 0.3 to 1.5 s: the noise of EdgeSpoiltStream or an event once more, before the first event, in the middle or after the last, in a chunk of its own, with the event after it, in a body with a length or in one that ends with its connection; then it goes on or ends in an orderly way. Plain answers and streams are followed by a second answer without an id, at once or before the next one on the connection, with and without a seal. The server and its noise move from spoilt_stream.py to spoilt_server.py; nothing is checked less. Each line of a seed says how many answers were spoilt.

The soak does not count 502 during faults, so it does not see a second answer that only ends the next request's attempt.

--- a/Tests/Edge/spoilt_stream.py
+++ b/Tests/Edge/spoilt_stream.py
@@ -10,90 +10,15 @@
 
 sys.path.insert(0, os.path.dirname(__file__))
 from fleet import Fleet
+from spoilt_server import NOISE, SECOND_ANSWERS, SpoiltReplica
 from standin import Replica, call, configuration, wait_until
 from stranded_fleet import StrandedFleet
 
 EVENTS = "text/event-stream"
 COUNT = 5
-ERROR = b'event: error\ndata: {"error":"overloaded"}\n\n'
-
-# Bytes that are no event of the run, complete or glued to the event after them.
-NOISE = {
-    "text": b"no answer at all\n\n",
-    "text-with-returns": b"no answer at all\r\n\r\n",
-    "binary": bytes(range(128, 160)) + b"\n\n",
-    "head": b"HTTP/1.1 500 Oops\r\nContent-Length: 6\r\n\r\nfailed\n\n",
-    "error": ERROR,
-    "data-alone": b"data: noise\n\n",
-    "unknown-field": b"name: noise\n\n",
-    "id-alone": b"id: 3\n\n",
-    "id-empty": b"id:\ndata: noise\n\n",
-    "id-no-number": b"id: none\ndata: noise\n\n",
-    "id-negative": b"id: -7\ndata: noise\n\n",
-    "id-with-tail": b"id: 3GARBAGE\ndata: noise\n\n",
-    "id-too-large": b"id: 99999999999999999999\ndata: noise\n\n",
-    "id-of-no-event": b"id: 99\ndata: noise\n\n",
-    "id-zero": b"id: 0\ndata: noise\n\n",
-    "ids-two": b"id: 3\nid:\ndata: noise\n\n",
-    "ids-apart": b"id: 3\ndata: noise\nid: 4\n\n",
-    "glued-text": b"no answer at all\n",
-    "glued-data": b"data: noise\n",
-    "glued-comment": b": noise\n",
-    "glued-id": b"id: 3\n",
-    "glued-weights": b"fennelline-weight-versions: noise\n",
-    "unfinished": b"no answer at all",
-}
 PLACES = {"before-the-first": 0, "in-the-middle": 2, "after-the-last": COUNT}
 
 
-class SpoiltReplica(Replica):
-    """A fake server that puts bytes into its next stream, then goes on or ends it."""
-
-    noise = None
-    place = 0
-    framing = "chunk"
-    goes_on = True
-    # Which run of a request it spoils, counted over all servers.
-    spoilt_run = 1
-    # Numbers of the events that a run sends in place of all.
-    numbers = {}
-    # A line before each event.
-    leading_line = b""
-    # Returns the runs of a request.
-    runs_of = None
-
-    def event_of_run(self, run, number):
-        return self.leading_line + self.event_of(run["id"], number)
-
-    async def stream(self, run, seal, fault, writer):
-        run_number = len(self.runs_of(run["id"]))
-        noise = self.noise if run_number == self.spoilt_run else None
-        numbers = self.numbers.get(run_number)
-        is_chunked = self.framing != "none"
-        writer.write(self.stream_head(seal) if is_chunked else self.stream_head(seal, ""))
-
-        def write(part):
-            writer.write(b"%x\r\n%s\r\n" % (len(part), part) if is_chunked else part)
-        numbers = range(run["first"], COUNT + 1) if numbers is None else numbers
-        for place, number in enumerate([*numbers, None]):
-            event = b"" if number is None else self.event_of_run(run, number)
-            if noise is not None and place == self.place:
-                if self.framing == "joined" and self.goes_on:
-                    event = noise + event
-                else:
-                    write(noise)
-                    if not self.goes_on:
-                        break
-            if event:
-                write(event)
-                await writer.drain()
-                await asyncio.sleep(0.002)
-        writer.write(b"0\r\n\r\n" if is_chunked else b"")
-        if not is_chunked:
-            await writer.drain()
-            writer.close()
-
-
 def genuine(request, first=1, last=COUNT):
     return b"".join(Replica.event_of(request, number) for number in range(first, last + 1))
 
@@ -323,8 +248,7 @@
 
             async def stream(self, run, seal, fault, writer):
                 if getattr(writer, "has_served", False):
-                    writer.write(b"HTTP/1.1 200 OK\r\nFennelline-Response-Seal: seal\r\n"
-                                 b"Content-Length: 5\r\n\r\nnoise")
+                    writer.write(SECOND_ANSWERS[self.echoes % len(SECOND_ANSWERS)])
                     self.echoes += 1
                 writer.has_served = True
                 await super().stream(run, seal, fault, writer)
--- a/Tests/Soak/long_pieces.py
+++ b/Tests/Soak/long_pieces.py
@@ -1,11 +1,11 @@
 """A fake backend server whose streams have long pieces, with both line ends, and whose confidence varies."""
 
-from standin import Replica
+from spoilt_server import SpoiltReplica
 
 LONG_PIECE_BYTES = 9_000
 
 
-class LongPieces(Replica):
+class LongPieces(SpoiltReplica):
     @staticmethod
     def event_of(request, number):
         filling = "x" * LONG_PIECE_BYTES if number % 3 == 0 else ""
--- a/Tests/Soak/soak.py
+++ b/Tests/Soak/soak.py
@@ -4,10 +4,11 @@
 series of overlapping faults: entries are stopped, paused, killed and restarted by signals; the store
 fails, compacts its history or is partitioned from individual entries by a proxy; backend servers
 fail, deregister, restart and hang behind proxies, say in their answers that they leave or want to be
-left alone, end streams with their connection, and some contents crash those that run them; the store
-comes back from copies. With --streams, versions of the servers are rolled out beside it, their links
-are narrow, streams have long pieces, are read slowly and are escalated to another model. Checker and WishChecker verify the requests
-and responses as seen by the callers and the backend servers.
+left alone, end streams with their connection, put bytes into answers that are no event or no answer of the
+run, and some contents crash those that run them; the store comes back from copies. With --streams, versions
+of the servers are rolled out beside it, their links are narrow, streams have long pieces, are read slowly and
+are escalated to another model. Checker and WishChecker verify the requests and responses as seen by the
+callers and the backend servers.
 """
 
 import argparse
@@ -23,6 +24,7 @@
 
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "Edge"))
 from long_pieces import LongPieces
+from spoilt_server import SpoiltReplica
 from standin import UNFRAMED, Entry, KeptConnections, Proxy, Replica, Store, call, configuration, free_port, wait_until
 from wish_checker import WishChecker
 
@@ -179,7 +181,7 @@
         self.entry_count = entries
         self.store = Store()
         self.has_streams = has_streams
-        self.replica_type = LongPieces if has_streams else Replica
+        self.replica_type = LongPieces if has_streams else SpoiltReplica
         self.checker = Checker(self.replica_type.event_of)
         self.replicas, self.entries, self.proxies, self.tasks = [], [], [], []
         self.version = 1
@@ -443,6 +445,17 @@
                 await asyncio.sleep(rng.uniform(0.3, 1.5))
                 replica.fault = None
 
+    async def spoil_answers(self, rng, end):
+        """Lets servers put bytes into some of their answers that are no event or no answer of the run."""
+        while time.monotonic() < end:
+            await asyncio.sleep(rng.expovariate(0.8))
+            replica = rng.choice([replica for replica in self.replicas
+                                  if replica.leaving_since is None])
+            replica.spoiler = random.Random(rng.random())
+            self.log_event(f"spoilt {replica.name}")
+            await asyncio.sleep(rng.uniform(0.3, 1.5))
+            replica.spoiler = None
+
     async def roll_out(self, rng, end):
         """Moves the pool to new versions one after the other; every second one fails requests."""
         number = 1
@@ -519,6 +532,8 @@
             self.make_wishes(random.Random(f"wishes {self.seed}"), end)))
         self.tasks.append(asyncio.create_task(
             self.end_streams(random.Random(f"streams {self.seed}"), end)))
+        self.tasks.append(asyncio.create_task(
+            self.spoil_answers(random.Random(f"spoilt {self.seed}"), end)))
         self.tasks.append(asyncio.create_task(
             self.return_store(random.Random(f"returns {self.seed}"), end)))
         if self.has_streams:
@@ -606,7 +621,8 @@
         await soak.run()
         violations = soak.checker.violations
         verdict = "FAILED" if violations else "passed"
-        counts = {**soak.checker.outcome_counts, **soak.checker.wishes.checked}
+        counts = {**soak.checker.outcome_counts, **soak.checker.wishes.checked,
+                  "spoilt": sum(replica.spoilt for replica in soak.replicas)}
         print(f"seed {seed}: {verdict} {dict(sorted(counts.items()))}", flush=True)
         if violations:
             failed += 1
