--- a/Libraries/LibRouting/EventFramer.cpp
+++ b/Libraries/LibRouting/EventFramer.cpp
@@ -89,7 +89,7 @@
     return m_isCounted && !IsNext(number) ? Refuse(EventFault::Gap) : Accept(aText, number);
   }
   if (!m_held.empty()) {
-    if (number == m_heldNumber + 1) {
+    if (number - 1 == m_heldNumber) {
       return Refuse(EventFault::Gap);
     }
     return number > m_heldNumber ? Accept(aText, number) : Refuse(EventFault::NotAbove);
--- a/Tests/LibRouting/TestEventFramer.cpp
+++ b/Tests/LibRouting/TestEventFramer.cpp
@@ -131,6 +131,14 @@
   CHECK(framer.IsPlaceUnknown());
 }
 
+TEST_CASE("the largest number is held back like any other") {
+  const std::string largest = "id: 9223372036854775807\ndata: x\n\n";
+  EventFramer framer;
+  CHECK(framer.Feed(largest).empty());
+  CHECK(framer.Feed(largest).empty());
+  CHECK(framer.Fault() == EventFault::NotAbove);
+}
+
 TEST_CASE("bytes that are no event end the attempt, wherever they stand") {
   for (const std::string& foreign : std::vector<std::string>{
          "event: error\ndata: x\n\n", "text\n\nmore\n\n", "id: x\ndata: y\n\n", "data: a\n\n",
