--- a/Libraries/LibRouting/DeploymentSettings.h
+++ b/Libraries/LibRouting/DeploymentSettings.h
@@ -3,6 +3,7 @@
 #include "LibBase/Time.h"
 
 #include <cstddef>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -38,6 +39,9 @@
   Duration m_applyTime = Seconds(2);
   /// Maximum time until a draining backend server receives no more requests.
   Duration m_drainTime = Seconds(2);
+  /// Maximum time until a data centre that is evacuated receives no more requests. Without it,
+  /// orders to evacuate one are ignored.
+  std::optional<Duration> m_evacuateTime;
   /// Time between the stop signal and forced termination.
   Duration m_grace = Seconds(8);
   /// Interval between heartbeats of a backend server.
--- a/Tests/Platform/TestCodecs.cpp
+++ b/Tests/Platform/TestCodecs.cpp
@@ -288,6 +288,13 @@
   CHECK(facts.Get().m_grace == Seconds(8));
   CHECK(facts.Get().m_datagramPort == 7340);
   CHECK(facts.Get().m_zones.size() == 2);
+  // Without the bound, orders to evacuate a data centre are ignored.
+  CHECK(!facts.Get().m_evacuateTime);
+  settings["bounds"]["evacuate-ms"] = 5000;
+  CHECK(platform::DecodeSettings(settings.dump()).Get().m_evacuateTime == Seconds(5));
+  settings["bounds"]["evacuate-ms"] = "soon";
+  CHECK(platform::DecodeSettings(settings.dump()).IsError());
+  settings["bounds"].erase("evacuate-ms");
   settings["bounds"]["grace-s"] = "soon";
   const Result<DeploymentSettings> bad = platform::DecodeSettings(settings.dump());
   REQUIRE(bad.IsError());
@@ -323,10 +330,23 @@
   CHECK(platform::ParseKey("servers/i-1").m_name == "i-1");
   CHECK(platform::ParseKey("op/rollout/p").m_kind == platform::KeyKind::RolloutOrder);
   CHECK(platform::ParseKey("fennelline/crash/f00d").m_kind == platform::KeyKind::CrashRecord);
+  CHECK(platform::ParseKey("op/evacuate/north-a").m_kind == platform::KeyKind::Evacuation);
+  CHECK(platform::ParseKey("op/evacuate/north-a").m_name == "north-a");
+  CHECK(platform::MakeKey(platform::KeyKind::Evacuation, "north-a") == "op/evacuate/north-a");
   CHECK(platform::ParseKey("other").m_kind == platform::KeyKind::Other);
   CHECK(platform::MakeKey(platform::KeyKind::RolloutStatus, "p") == "status/rollout/p");
 }
 
+// Guards against a data centre that damaged bytes in the store take out of service.
+TEST_CASE("an order to evacuate a data centre is an object, whatever its fields") {
+  CHECK(!platform::DecodeEvacuation("{}").IsError());
+  CHECK(!platform::DecodeEvacuation(R"({"by":"operator"})").IsError());
+  for (const char* odd : {"", "null", "[]", "1", "true", "{", "\xff\xfe"}) {
+    CAPTURE(odd);
+    CHECK(platform::DecodeEvacuation(odd).IsError());
+  }
+}
+
 TEST_CASE("the store's era is a number, or not named") {
   HeaderList headers;
   CHECK(!platform::DecodeStoreEra(headers).Get());
