Send nothing to data centres that are evacuated

Change: StoreView applies the orders, also when the store comes back from a copy, and keeps what it knew until the store has settled. RequestRelay::BarOf() has a bar for evacuated data centres; requests that wait for a permit, for room or for a connection are checked again before anything is written. Log lines and two gauges.

--- a/Libraries/LibRouting/ServerBar.h
+++ b/Libraries/LibRouting/ServerBar.h
@@ -13,6 +13,8 @@
   Tried,
   /// The store, one of its answers or another entry says that it is leaving, or is gone.
   Leaving,
+  /// Its data centre is evacuated.
+  Evacuated,
   /// It rejected a request and asked to be left alone for a while.
   LeftAlone,
   /// It limits requests, and no permit is to be had now.
@@ -21,10 +23,11 @@
   NoRoom,
 };
 
-constexpr NameTable<ServerBar, 6> kServerBarNames = {{
+constexpr NameTable<ServerBar, 7> kServerBarNames = {{
   {ServerBar::None, "none"},
   {ServerBar::Tried, "tried"},
   {ServerBar::Leaving, "leaving"},
+  {ServerBar::Evacuated, "evacuated"},
   {ServerBar::LeftAlone, "left-alone"},
   {ServerBar::NoPermit, "no-permit"},
   {ServerBar::NoRoom, "no-room"},
--- a/Services/Edge/BackendTable.cpp
+++ b/Services/Edge/BackendTable.cpp
@@ -31,7 +31,10 @@
                       known->m_record.m_address == aRecord.m_address &&
                       known->m_record.m_service == aRecord.m_service;
   if (isSame) {
+    const std::string zone = aRecord.m_zone.empty() ? known->m_record.m_zone : aRecord.m_zone;
     known->m_record = aRecord;
+    // A record that is written without it must not take a server out of an evacuated data centre.
+    known->m_record.m_zone = zone;
     known->m_expiresAt = kNever;
     return;
   }
--- a/Services/Edge/EdgeContext.h
+++ b/Services/Edge/EdgeContext.h
@@ -3,6 +3,7 @@
 #include "LibBase/Random.h"
 #include "LibHttp/EventLoop.h"
 #include "LibRouting/DeploymentSettings.h"
+#include "LibRouting/EvacuatedZones.h"
 #include "LibRouting/LoadUpdates.h"
 #include "LibRouting/PrefillSpeedEstimator.h"
 #include "LibRouting/RetryWindow.h"
@@ -68,6 +69,7 @@
   std::shared_ptr<const RouteTable> m_routes;
   std::unordered_map<std::string, RetryWindow> m_retries;
   std::unordered_map<std::string, VersionRule> m_versions;
+  EvacuatedZones m_evacuated;
   /// Number of live entries, including this one.
   std::size_t m_entries = 1;
   /// Hashes of the ids of the live entries, and of this one's.
@@ -100,6 +102,9 @@
   /// Requests in hand that other entries have passed on.
   std::size_t m_passedOnRequests = 0;
 
+  bool IsEvacuated(const BackendLink& aBackend) const {
+    return m_evacuated.IsEvacuated(aBackend.m_record.m_zone);
+  }
   RetryLimits RetryPlan() const {
     return {.m_ratio = m_settings.m_maxRetryRatio,
             .m_slack = m_settings.m_retrySlack,
--- a/Services/Edge/EdgeMetrics.cpp
+++ b/Services/Edge/EdgeMetrics.cpp
@@ -136,6 +136,10 @@
     gauge("fennelline_leaving_servers", "Backend servers whose answers said that they leave.");
   m_leftAloneServers = gauge("fennelline_left_alone_servers",
                              "Backend servers that asked this entry to be left alone for a while.");
+  m_evacuatedZones = gauge("fennelline_evacuated_zones", "Data centres that are evacuated.");
+  m_requestsInEvacuatedZones =
+    gauge("fennelline_requests_in_evacuated_zones",
+          "Requests of this entry that still run in evacuated data centres.");
   m_callerChannels = gauge("fennelline_caller_channels", "Open connections of callers.");
   m_serverChannels = gauge("fennelline_server_channels", "Open connections to backend servers.");
   m_members = gauge("fennelline_members", "Entries known to be alive, this one included.");
@@ -227,6 +231,11 @@
   m_leftAloneServers->Set(static_cast<double>(aLeftAlone));
 }
 
+void EdgeMetrics::SetEvacuation(std::size_t aZones, int aRunning) {
+  m_evacuatedZones->Set(static_cast<double>(aZones));
+  m_requestsInEvacuatedZones->Set(static_cast<double>(aRunning));
+}
+
 void EdgeMetrics::SetGauges(std::size_t aCallerChannels, std::size_t aServerChannels,
                             std::size_t aMembers, std::int64_t aConfigurationVersion,
                             Duration aStoreStateAge) {
--- a/Services/Edge/EdgeMetrics.h
+++ b/Services/Edge/EdgeMetrics.h
@@ -99,6 +99,8 @@
   void SetLimitedServers(std::size_t aCount);
   /// Servers that have said that they leave, and that asked this entry to be left alone now.
   void SetServerWishes(std::size_t aLeaving, std::size_t aLeftAlone);
+  /// Evacuated data centres, and requests of this entry that still run there.
+  void SetEvacuation(std::size_t aZones, int aRunning);
   void SetGauges(std::size_t aCallerChannels, std::size_t aServerChannels, std::size_t aMembers,
                  std::int64_t aConfigurationVersion, Duration aStoreStateAge);
   /// Returns the metrics in the Prometheus text format.
@@ -134,6 +136,8 @@
   prometheus::Gauge* m_limitedServers = nullptr;
   prometheus::Gauge* m_leavingServers = nullptr;
   prometheus::Gauge* m_leftAloneServers = nullptr;
+  prometheus::Gauge* m_evacuatedZones = nullptr;
+  prometheus::Gauge* m_requestsInEvacuatedZones = nullptr;
   prometheus::Gauge* m_callerChannels = nullptr;
   prometheus::Gauge* m_serverChannels = nullptr;
   prometheus::Gauge* m_members = nullptr;
--- a/Services/Edge/EdgeProcess.cpp
+++ b/Services/Edge/EdgeProcess.cpp
@@ -458,6 +458,11 @@
   m_metrics.SetServerWishes(m_context.m_backends.CountLeaving(),
                             m_context.m_backends.CountLeftAlone());
   m_metrics.SetLostPaths(m_paths.CountLost());
+  int running = 0;
+  for (const std::shared_ptr<BackendLink>& backend : m_context.m_backends.All()) {
+    running += m_context.IsEvacuated(*backend) ? backend->m_runningRequests : 0;
+  }
+  m_metrics.SetEvacuation(m_context.m_evacuated.Count(), running);
   ResponseHead head{.m_status = kOk, .m_headers = {}};
   head.m_headers.Add("Content-Type", "text/plain; version=0.0.4");
   aCaller->SendResponse(head, m_metrics.Text());
@@ -498,6 +503,7 @@
   // Listening addresses do not change until a restart; bounds and seeds apply immediately.
   m_context.m_settings = settings.Get();
   m_members.AddSeeds(SeedAddresses());
+  m_storeView.OnSettingsChanged(m_store.Mirror());
   line.Flag("accepted", true).Ms("grace", m_context.m_settings.m_grace);
   m_context.Log(LogPriority::Notable, line);
 }
--- a/Services/Edge/RelayLimits.cpp
+++ b/Services/Edge/RelayLimits.cpp
@@ -78,7 +78,7 @@
   const Time now = m_context.m_loop.Now();
   std::optional<Time> earliest;
   for (const std::shared_ptr<BackendLink>& backend : m_context.m_backends.OfService(m_service)) {
-    if (!backend->IsLeaving(now)) {
+    if (!backend->IsLeaving(now) && !m_context.IsEvacuated(*backend)) {
       earliest = std::min(earliest.value_or(kNever), backend->m_leftAloneUntil);
     }
   }
@@ -100,8 +100,10 @@
 }
 
 bool RequestRelay::IsWithoutShare() const {
-  const std::vector<std::shared_ptr<BackendLink>>& servers =
-    m_context.m_backends.OfService(m_service);
+  std::vector<std::shared_ptr<BackendLink>> servers = m_context.m_backends.OfService(m_service);
+  std::erase_if(servers, [this](const std::shared_ptr<BackendLink>& aServer) {
+    return m_context.IsEvacuated(*aServer);
+  });
   return !servers.empty() && std::all_of(servers.begin(), servers.end(),
                                          [this](const std::shared_ptr<BackendLink>& aServer) {
                                            return MaxRunning(*aServer) == 0;
@@ -113,7 +115,8 @@
   std::size_t places = 0;
   for (const std::shared_ptr<BackendLink>& backend : m_context.m_backends.OfService(m_service)) {
     const std::optional<int> most = MaxRunning(*backend);
-    if (most && !WasTried(*backend) && backend->TakesRequests(now)) {
+    const bool mayTake = backend->TakesRequests(now) && !m_context.IsEvacuated(*backend);
+    if (most && !WasTried(*backend) && mayTake) {
       places += static_cast<std::size_t>(*most);
     }
   }
--- a/Services/Edge/RelayPlacement.cpp
+++ b/Services/Edge/RelayPlacement.cpp
@@ -86,6 +86,9 @@
   if (aBackend.IsLeaving(aNow)) {
     return ServerBar::Leaving;
   }
+  if (m_context.IsEvacuated(aBackend)) {
+    return ServerBar::Evacuated;
+  }
   if (!aBackend.TakesRequests(aNow)) {
     return ServerBar::LeftAlone;
   }
@@ -202,7 +205,8 @@
   const Time now = m_context.m_loop.Now();
   std::shared_ptr<BackendLink> earliest;
   for (const std::shared_ptr<BackendLink>& backend : m_context.m_backends.OfService(m_service)) {
-    const bool isLimited = backend->m_limit.PerSecond() && backend->TakesRequests(now);
+    const bool isLimited = backend->m_limit.PerSecond() && backend->TakesRequests(now) &&
+                           !m_context.IsEvacuated(*backend);
     if (isLimited && (!earliest || backend->m_likelyPermit < earliest->m_likelyPermit)) {
       earliest = backend;
     }
--- a/Services/Edge/RequestRelay.cpp
+++ b/Services/Edge/RequestRelay.cpp
@@ -317,9 +317,9 @@
   if (m_ended) {
     return;
   }
-  // The server may have begun to leave, and the content been refused, since the permit was asked
-  // for.
-  if (!aDecision.m_isGranted || !backend.TakesRequests(now)) {
+  // The server may have begun to leave, its data centre been evacuated, and the content been
+  // refused, since the permit was asked for.
+  if (!aDecision.m_isGranted || !backend.TakesRequests(now) || m_context.IsEvacuated(backend)) {
     m_withoutPermit.push_back(backend.m_record.m_id);
     Dispatch();
   } else if (!MayRun()) {
@@ -376,6 +376,11 @@
   m_attempt = std::move(attempt);
   m_attempt->m_channel->SetOnConnected([self = shared_from_this(), backend] {
     self->m_context.m_paths->OnReached(*backend);
+    if (self->m_context.IsEvacuated(*backend)) {
+      // The order came while the connection was made. Nothing has been written on it yet.
+      self->EndAttempt(AttemptOutcome::NotSent);
+      return;
+    }
     if (self->m_crashTrial.IsGiven()) {
       self->m_context.m_crashWatch->OnTrialSent(self->m_crashTrial);
     }
--- a/Services/Edge/ServerPaths.cpp
+++ b/Services/Edge/ServerPaths.cpp
@@ -15,7 +15,8 @@
 
 void ServerPaths::OnReached(BackendLink& aBackend) {
   aBackend.m_contact.m_reachedAt = m_context.m_loop.Now();
-  if (IsLost(aBackend.m_record.m_service)) {
+  // A server of an evacuated data centre may still end streams while no other one is reached.
+  if (IsLost(aBackend.m_record.m_service) && !m_context.IsEvacuated(aBackend)) {
     SetLost(aBackend.m_record.m_service, false);
   }
 }
@@ -26,7 +27,7 @@
   aBackend.m_contact.m_failedAt = now;
   std::vector<ServerContact> contacts;
   for (const std::shared_ptr<BackendLink>& server : m_context.m_backends.OfService(service)) {
-    if (!server->IsLeaving(now)) {
+    if (!server->IsLeaving(now) && !m_context.IsEvacuated(*server)) {
       contacts.push_back(server->m_contact);
     }
   }
@@ -65,8 +66,10 @@
   if (lost == m_lost.end()) {
     return;
   }
-  const std::vector<std::shared_ptr<BackendLink>>& servers =
-    m_context.m_backends.OfService(aService);
+  std::vector<std::shared_ptr<BackendLink>> servers = m_context.m_backends.OfService(aService);
+  std::erase_if(servers, [this](const std::shared_ptr<BackendLink>& aServer) {
+    return m_context.IsEvacuated(*aServer);
+  });
   if (servers.empty()) {
     SetLost(aService, false);
     return;
--- a/Services/Edge/StoreView.cpp
+++ b/Services/Edge/StoreView.cpp
@@ -2,12 +2,14 @@
 
 #include "LibRouting/CrashRecord.h"
 #include "Services/Edge/CrashWatch.h"
+#include "Services/Edge/RoomQueue.h"
 #include "platform/ConfigurationCodec.h"
 #include "platform/ReplicaCodec.h"
 #include "platform/RolloutCodec.h"
 #include "platform/StoreCodec.h"
 
 #include <algorithm>
+#include <set>
 
 namespace fennelline {
 
@@ -29,8 +31,10 @@
                                const StoreMirror& aMirror) {
   if (aOrigin.m_isReturn) {
     OnReturn(aChanges, aOrigin.m_lapsedUpTo, aMirror);
+    m_lastChange = aMirror.LastChange();
     return;
   }
+  m_lastChange = aMirror.LastChange();
   // A record of a roll-out is judged by its order, so orders go first.
   for (const bool isRecord : {false, true}) {
     for (const KeyValue& key : aChanges) {
@@ -55,6 +59,9 @@
     case platform::KeyKind::RolloutOrder:
       ApplyOrder(name.m_name, aKey);
       break;
+    case platform::KeyKind::Evacuation:
+      ApplyEvacuation(name.m_name, aKey);
+      break;
     case platform::KeyKind::RolloutRecord:
       ApplyRecord(name.m_name, aKey);
       break;
@@ -80,11 +87,13 @@
   m_context.m_loop.At(m_settlesAt, [this, &aMirror] { Settle(aMirror); });
   // What an earlier copy had as well is no change, and stays withheld.
   CompareOrders(aMirror);
+  CompareEvacuations(aMirror);
   CompareRecords(aMirror);
   for (const KeyValue& key : aChanges) {
     const platform::KeyKind kind = platform::ParseKey(key.m_key).m_kind;
-    const bool isCompared =
-      kind == platform::KeyKind::RolloutOrder || kind == platform::KeyKind::RolloutRecord;
+    const bool isCompared = kind == platform::KeyKind::RolloutOrder ||
+                            kind == platform::KeyKind::Evacuation ||
+                            kind == platform::KeyKind::RolloutRecord;
     const Result<ReplicaRecord> replica =
       kind == platform::KeyKind::Replica && !key.m_removed
         ? platform::DecodeReplica(platform::ParseKey(key.m_key).m_name, key.m_value)
@@ -126,6 +135,24 @@
   }
 }
 
+void StoreView::CompareEvacuations(const StoreMirror& aMirror) {
+  m_context.m_evacuated.BeginEra();
+  for (const std::string& zone : m_context.m_settings.m_zones) {
+    const std::string name = platform::MakeKey(platform::KeyKind::Evacuation, zone);
+    const KeyValue* key = aMirror.Find(name);
+    const bool isInCopy = key != nullptr && !platform::DecodeEvacuation(key->m_value).IsError();
+    // A key that this entry would have heard of, had it been there before, was removed since the
+    // copy was made.
+    const bool isNews = isInCopy && key->m_revision > m_lastChange;
+    m_withheld.erase(name);
+    if (isInCopy && (isNews || m_context.m_evacuated.IsEvacuated(zone))) {
+      ApplyEvacuation(zone, *key);
+    } else if (isInCopy || m_context.m_evacuated.IsEvacuated(zone)) {
+      m_withheld.try_emplace(name);
+    }
+  }
+}
+
 void StoreView::CompareRecords(const StoreMirror& aMirror) {
   for (auto& [service, record] : m_records) {
     if (aMirror.Find(platform::MakeKey(platform::KeyKind::RolloutRecord, service)) == nullptr) {
@@ -145,6 +172,16 @@
     if (server) {
       servers.push_back(*server);
     }
+    const platform::StoreKey name = platform::ParseKey(key);
+    if (name.m_kind != platform::KeyKind::Evacuation ||
+        !m_context.m_evacuated.IsEvacuated(name.m_name)) {
+      continue;
+    }
+    for (const std::shared_ptr<BackendLink>& backend : m_context.m_backends.All()) {
+      if (backend->m_record.m_zone == name.m_name) {
+        servers.push_back(backend->m_identity);
+      }
+    }
   }
   return servers;
 }
@@ -320,6 +357,60 @@
   UpdateRule(aService);
 }
 
+void StoreView::OnSettingsChanged(const StoreMirror& aMirror) {
+  for (const KeyValue& key :
+       aMirror.FindPrefix(platform::MakeKey(platform::KeyKind::Evacuation, ""))) {
+    if (!m_withheld.contains(key.m_key)) {
+      ApplyEvacuation(platform::ParseKey(key.m_key).m_name, key);
+    }
+  }
+}
+
+void StoreView::ApplyEvacuation(const std::string& aZone, const KeyValue& aKey) {
+  const DeploymentSettings& settings = m_context.m_settings;
+  const Time now = m_context.m_loop.Now();
+  const bool isKnown =
+    std::find(settings.m_zones.begin(), settings.m_zones.end(), aZone) != settings.m_zones.end();
+  if (aKey.m_removed) {
+    if (isKnown && m_context.m_evacuated.Clear(aZone, aKey.m_revision, now)) {
+      OnEvacuationChanged(aZone, aKey);
+    }
+    return;
+  }
+  const Result<void> order = platform::DecodeEvacuation(aKey.m_value);
+  if (order.IsError()) {
+    LogUnreadable(aKey, order.GetError());
+  } else if (!isKnown || !settings.m_evacuateTime) {
+    LogLine line("evacuation-ignored");
+    line.Text("zone", aZone).Count("revision", aKey.m_revision);
+    line.Text("reason", isKnown ? "the settings have no evacuate-ms" : "unknown data centre");
+    m_context.Log(LogPriority::Notable, line);
+  } else if (m_context.m_evacuated.Set(aZone, aKey.m_revision, now)) {
+    OnEvacuationChanged(aZone, aKey);
+  }
+}
+
+void StoreView::OnEvacuationChanged(const std::string& aZone, const KeyValue& aKey) {
+  int running = 0;
+  std::set<std::string> services;
+  for (const std::shared_ptr<BackendLink>& backend : m_context.m_backends.All()) {
+    if (backend->m_record.m_zone == aZone) {
+      running += backend->m_runningRequests;
+      services.insert(backend->m_record.m_service);
+    }
+  }
+  LogLine line("evacuation");
+  line.Text("zone", aZone).Text("state", aKey.m_removed ? "ended" : "begun");
+  line.Count("revision", aKey.m_revision).Count("running", running);
+  m_context.Log(LogPriority::Notable, line);
+  // Requests that wait for room choose again, or are refused if no other server is left.
+  for (const std::string& service : services) {
+    for (std::size_t left = m_context.m_room->CountWaiting(service); left > 0; --left) {
+      m_context.m_room->OnRoom(service);
+    }
+  }
+}
+
 void StoreView::ApplyRecord(const std::string& aService, const KeyValue& aKey) {
   if (aKey.m_removed) {
     m_records.erase(aService);
--- a/Services/Edge/StoreView.h
+++ b/Services/Edge/StoreView.h
@@ -26,10 +26,14 @@
   void OnStoreChanges(const std::vector<KeyValue>& aChanges, const ChangeOrigin& aOrigin,
                       const StoreMirror& aMirror);
 
+  /// Applies the orders to evacuate data centres that the earlier settings did not know.
+  void OnSettingsChanged(const StoreMirror& aMirror);
+
   /// Whether the store has just come back from a copy that may lack what is to be written again.
   bool IsSettling() const;
   Time SettlesAt() const { return m_settlesAt; }
-  /// Identities of the backend servers that only the copy lists, until the store is believed.
+  /// Identities of the backend servers that only the copy lists, and of those in data centres whose
+  /// evacuation it lacks, until the store is believed.
   std::vector<std::uint64_t> WithheldServers() const;
   /// Other entries withhold the server until then.
   void OnWithheldByOthers(std::uint64_t aServer, Time aUntil);
@@ -44,6 +48,7 @@
   void OnReturn(const std::vector<KeyValue>& aChanges, Revision aLapsedUpTo,
                 const StoreMirror& aMirror);
   void CompareOrders(const StoreMirror& aMirror);
+  void CompareEvacuations(const StoreMirror& aMirror);
   void CompareRecords(const StoreMirror& aMirror);
   /// Applies what the store has of the keys that were not written again.
   void Settle(const StoreMirror& aMirror);
@@ -53,6 +58,8 @@
   void ApplyConfiguration(const KeyValue& aKey);
   void ApplyReplica(const std::string& aId, const KeyValue& aKey, Revision aLapsedUpTo);
   void ApplyOrder(const std::string& aService, const KeyValue& aKey);
+  void ApplyEvacuation(const std::string& aZone, const KeyValue& aKey);
+  void OnEvacuationChanged(const std::string& aZone, const KeyValue& aKey);
   void ApplyRecord(const std::string& aService, const KeyValue& aKey);
   void ApplyCrashRecord(const std::string& aFingerprint, const KeyValue& aKey);
   /// Whether the store has a record of a service that is older than the decision which this entry
@@ -72,6 +79,8 @@
   std::map<std::string, std::optional<std::uint64_t>> m_withheld;
   /// Servers that others withhold, and until when.
   std::map<std::uint64_t, Time> m_withheldByOthers;
+  /// The highest revision that this entry knew of before the last changes.
+  Revision m_lastChange = 0;
   /// Until when what the copy has is not believed.
   Time m_settlesAt{};
 };
