--- a/Tests/Edge/standin.py
+++ b/Tests/Edge/standin.py
@@ -339,6 +339,7 @@
         self.name = name
         self.service = service
         self.version = version
+        self.zone = "zone-a"
         self.events = events
         self.work_s = work_s
         self.born = int(time.time() * 1000)
@@ -384,7 +385,7 @@
 
     def entry(self, state="ready"):
         return {"backend": self.service, "address": self.public_address or self.address,
-                "zone": "zone-a", "version": self.version, "slots": self.slots, "state": state,
+                "zone": self.zone, "version": self.version, "slots": self.slots, "state": state,
                 "cold-left-ms": 0, "sequence": 1, "born": self.born}
 
     def register(self, state="ready"):
@@ -624,6 +625,8 @@
 
     # Rate of the machine's link by its settings; nothing limits it in the tests.
     link_mbps = 1000
+    # The bound on evacuations in its settings; None for settings without one.
+    evacuate_ms = 5000
 
     def __init__(self, binary, folder, number, store_address, datagram_port, seeds, first=True,
                  grace_s=4, session_s=0.5, zone="zone-a"):
@@ -657,6 +660,8 @@
                        "retry-budget-ratio": 0.9, "budget-window-s": 10, "budget-slack": 50},
             "provider": {"address": self.store_address},
         }
+        if self.evacuate_ms is not None:
+            settings["bounds"]["evacuate-ms"] = self.evacuate_ms
         with open(self.settings_path, "w", encoding="utf-8") as file:
             json.dump(settings, file)
 
--- a/Tests/Soak/soak.py
+++ b/Tests/Soak/soak.py
@@ -5,7 +5,8 @@
 fails, compacts its history or is partitioned from individual entries by a proxy; backend servers
 fail, deregister, restart and hang behind proxies, say in their answers that they leave or want to be
 left alone, end streams with their connection, put bytes into answers that are no event or no answer of the
-run, and some contents crash those that run them; the store comes back from copies. With --streams, versions
+run, and some contents crash those that run them; the store comes back from copies. In every third seed, a
+data centre is evacuated for a while. With --streams, versions
 of the servers are rolled out beside it, their links are narrow, streams have long pieces, are read slowly and
 are escalated to another model. Checker and WishChecker verify the requests and responses as seen by the
 callers and the backend servers.
@@ -47,6 +48,13 @@
 # Bodies within the configuration's limit that are longer than most.
 LONG_BODY = b"x" * 90_000
 EXTRA_ROUTES = [f"extra-{number}" for number in range(2000)]
+# In seeds that leave this remainder modulo 3, a third of the servers are in a data centre that is evacuated for
+# so long.
+EVACUATING_SEEDS = 1
+EVACUATED_ZONE = "zone-b"
+EVACUATION_KEY = f"op/evacuate/{EVACUATED_ZONE}"
+EVACUATION_S = (8.0, 10.0)
+EVACUATION_LIMIT_S = Entry.evacuate_ms / 1000 + CLOCK_TOLERANCE_S
 # A crashed server is back after this time under a new id; its entry expires after three heartbeats.
 CRASH_DOWN_S = 1.0
 EXPIRY_S = 3.6
@@ -67,6 +75,7 @@
     more of them than MAX_LATE_RETRIES, or an entry does not leave a server alone that asked for it.
     DRAIN: a request reaches a backend server too long after the server began to leave, or an entry
     sends one too long after it passed on an answer that says so.
+    EVACUATE: a request reaches a server of an evacuated data centre too long after the order.
     RECOVER: an entry does not serve a request after the faults have ended.
     CONFIG: a revoked key is still accepted.
     """
@@ -83,6 +92,8 @@
         self.wishes = WishChecker()
         # When the store came back from a copy.
         self.store_returns = []
+        # When the data centre was evacuated, and when that ended.
+        self.evacuation = None
 
     def fail(self, rule, request, detail):
         self.violations.append(f"{rule}: {request}: {detail}")
@@ -137,6 +148,8 @@
             for replica, run in executions:
                 if run["body"] != self.bodies.get(request, b"question"):
                     self.fail("UNASKED", request, "request body differs from the one sent")
+                is_evacuated = (self.evacuation and replica.zone == EVACUATED_ZONE and
+                                self.evacuation[0] + EVACUATION_LIMIT_S < run["at"] < self.evacuation[1])
                 # A copy of the store may list a server that has left. Entries that have just started
                 # know of nothing else, and are not in touch yet.
                 is_late = run["leaving"] and run["at"] - run["leaving"] > DRAIN_LIMIT_S
@@ -144,6 +157,9 @@
                                 for returned_at in self.store_returns)
                 is_excused = is_copied and self.wishes.has_just_started(request, replica, run["at"],
                                                                         CONTACT_S)
+                if is_evacuated and not is_excused:
+                    self.fail("EVACUATE", request, f"received by {replica.name} "
+                                                   f"{run['at'] - self.evacuation[0]:.2f} s after the order")
                 if is_late and not is_excused:
                     self.fail("DRAIN", request, f"received {run['at'] - run['leaving']:.2f} s after "
                                                 f"{replica.name} began to leave")
@@ -204,6 +220,8 @@
         replica.crash_bodies = self.crash_bodies
         replica.on_crash = lambda crashed: self.tasks.append(
             asyncio.create_task(self.replace_crashed(crashed)))
+        if self.seed % 3 == EVACUATING_SEEDS and self.last_id % 3 == 0:
+            replica.zone = EVACUATED_ZONE
         await replica.start()
         proxy = await Proxy(replica.address).start()
         if self.has_streams and replica.random.random() < 0.5:
@@ -491,6 +509,17 @@
         replica.proxy.reset_all()
         await replica.stop(is_reset=True)
 
+    async def evacuate(self, rng):
+        """Evacuates a data centre once, and takes it back."""
+        await asyncio.sleep(rng.uniform(0.5, 3.0))
+        self.log_event("evacuation begins")
+        self.store.put(EVACUATION_KEY, {})
+        ordered_at = time.monotonic()
+        await asyncio.sleep(rng.uniform(*EVACUATION_S))
+        self.checker.evacuation = (ordered_at, time.monotonic())
+        self.store.delete(EVACUATION_KEY)
+        self.log_event("evacuation ends")
+
     async def return_store(self, rng, end):
         """Lets the store come back from a copy now and then, whose gaps are written again."""
         while time.monotonic() < end:
@@ -522,7 +551,7 @@
             is_current = known["mod-revision"] > revision or known["value"] == item["value"]
             if key.startswith(("op/", "servers/")) and not is_current:
                 self.store.put(key, base64.b64decode(item["value"]))
-        return [key for key in self.store.items if key.startswith("servers/") and key not in lost]
+        return [key for key in self.store.items if key.startswith(("servers/", EVACUATION_KEY)) and key not in lost]
 
     async def run(self):
         await self.start()
@@ -536,6 +565,8 @@
             self.spoil_answers(random.Random(f"spoilt {self.seed}"), end)))
         self.tasks.append(asyncio.create_task(
             self.return_store(random.Random(f"returns {self.seed}"), end)))
+        if self.seed % 3 == EVACUATING_SEEDS:
+            self.tasks.append(asyncio.create_task(self.evacuate(random.Random(f"evacuation {self.seed}"))))
         if self.has_streams:
             self.tasks.append(asyncio.create_task(
                 self.roll_out(random.Random(f"versions {self.seed}"), end)))
