--- a/Tests/Edge/evacuation.py
+++ b/Tests/Edge/evacuation.py
@@ -215,6 +215,25 @@
             self.assertEqual({line["servers"] for entry in fleet.entries for line in entry.lines("refused")},
                              {"evacuated:2"})
 
+    async def test_a_request_that_waits_for_room_is_refused_when_the_order_arrives(self):
+        """Guards against requests that wait for a server which is no longer to be used."""
+        async with ZoneFleet(entries=1, app=1) as fleet:
+            server = fleet.of("app")[0]
+            server.brittle, server.slots, server.work_s = 3, 1, 0.8
+            server.register()
+            await call(fleet.front, "/plain/x", "learn")
+            running = asyncio.create_task(call(fleet.front, "/plain/x", "running"))
+            await wait_until(lambda: fleet.runs("running"))
+            waiting = asyncio.create_task(call(fleet.front, "/plain/x", "waiting"))
+            await asyncio.sleep(0.1)
+            self.assertFalse(waiting.done(), "it waits for room")
+            fleet.evacuate()
+            answer = await waiting
+            self.assertEqual(answer.status, 503)
+            self.assertLess(answer.took_s, 0.1 + REFUSED_AT_ONCE_S)
+            self.check_served([await running])
+            self.assertEqual(fleet.runs("waiting"), [])
+
     async def test_an_order_that_cannot_be_read_or_names_no_data_centre_changes_nothing(self):
         """Guards against damaged or mistaken keys that take servers out of service, or bring them back."""
         async with ZoneFleet(entries=2, app=2, pool=2) as fleet:
