Decide until when a server is cold and what it may get

A cold server crashes well above cold-per-s requests a second, and nothing bounded what all entries together send to one. Issuers count requests that were sent without a permit to servers that may be cold without anybody knowing. An entry that became issuer by a change of members waits a second before it issues permits of cold servers.

--- a/Libraries/LibRouting/DeploymentSettings.h
+++ b/Libraries/LibRouting/DeploymentSettings.h
@@ -50,6 +50,10 @@
   double m_maxRetryRatio = 0.9;
   double m_retrySlack = 50.0;
   Duration m_retryWindow = Seconds(10);
+  /// In no second does a cold server get more than m_coldOverage times the requests that it can
+  /// handle, plus m_coldSlack, from all entries together. Zero m_coldOverage: no bound.
+  double m_coldOverage = 0.0;
+  double m_coldSlack = 0.0;
   /// During a roll-out, a bad version may get this share of all requests plus m_exposedSlack more.
   double m_exposedShare = 0.15;
   double m_exposedSlack = 30.0;
--- a/Libraries/LibRouting/Placement.cpp
+++ b/Libraries/LibRouting/Placement.cpp
@@ -41,6 +41,11 @@
 /// A server that limits requests is spared while another one is not much slower.
 constexpr double kLimitedMs = 1000.0;
 
+/// The round trip to the entry that issues the permits of a cold server, and the chance that it has
+/// none. A cold server is not in need: it should get as much as it may, but it looks empty to all
+/// entries at once, so that a server with a few requests is preferred.
+constexpr double kPermitMs = 8.0;
+
 /// Larger than all other costs, so that these servers are used only as a last resort.
 constexpr double kAvoidedMs = 100'000.0;
 
@@ -110,6 +115,7 @@
     cost += hasPrefix ? 0.0 : static_cast<double>(aQuery.m_prefixTokens) * kRecomputeMsPerToken;
     cost += candidate.m_isNear ? 0.0 : kFarMs + aQuery.m_bytes * kFarMsPerByte;
     cost += candidate.m_isLimited ? kLimitedMs : 0.0;
+    cost += candidate.m_needsPermit ? kPermitMs : 0.0;
     cost += candidate.m_failureRate * kFailureMs;
     cost += candidate.m_isAvoided ? kAvoidedMs : 0.0;
     if (index == 0 || cost < leastCost) {
--- a/Libraries/LibRouting/Placement.h
+++ b/Libraries/LibRouting/Placement.h
@@ -29,6 +29,8 @@
   bool m_isServingLongPrompt = false;
   /// It limits requests, because it is in need.
   bool m_isLimited = false;
+  /// It is cold, or gets many requests and might be: a permit has to be asked for.
+  bool m_needsPermit = false;
   double m_failureRate = 0.0;
   /// Used only as a last resort: unreachable recently, or it already failed this request.
   bool m_isAvoided = false;
--- a/Libraries/LibRouting/RequestMetadata.h
+++ b/Libraries/LibRouting/RequestMetadata.h
@@ -59,6 +59,9 @@
   std::optional<double> m_requestLimit;
   /// The value of a limit that cannot be read; empty if there is none.
   std::string m_unreadableRequestLimit;
+  /// For how long the server stays cold, and a value of this that cannot be read.
+  std::optional<Duration> m_coldLeft;
+  std::string m_unreadableColdLeft;
   /// The server falls over when it has to turn away more requests per second than this; none if it
   /// does not say so.
   std::optional<double> m_maxRejections;
--- a/Libraries/LibRouting/RequestPermitMessages.cpp
+++ b/Libraries/LibRouting/RequestPermitMessages.cpp
@@ -7,20 +7,82 @@
 
 using nlohmann::json;
 
+namespace {
+
+/// Position of the first field of a question that earlier releases do not know.
+constexpr std::size_t kColdFields = 6;
+constexpr Duration kOutdatedAge = std::chrono::hours(24 * 365 * 100);
+
+} // namespace
+
 std::string EncodePermitQuestion(const PermitQuestion& aQuestion) {
-  return EncodeMessagePack(
-    json::array({aQuestion.m_number, aQuestion.m_server, aQuestion.m_urgency, aQuestion.m_perSecond,
-                 InMilliseconds(aQuestion.m_limitAge), aQuestion.m_replyTo}));
+  const PermitTerms cold = aQuestion.m_coldTerms.value_or(PermitTerms{});
+  // An entry of an earlier release takes a limit of this age for outdated.
+  const Duration age = aQuestion.m_perSecond ? aQuestion.m_limitAge : kOutdatedAge;
+  return EncodeMessagePack(json::array(
+    {aQuestion.m_number, aQuestion.m_server, aQuestion.m_urgency,
+     aQuestion.m_perSecond.value_or(cold.m_perSecond), InMilliseconds(age), aQuestion.m_replyTo,
+     aQuestion.m_perSecond.has_value(), cold.m_perSecond, cold.m_mostUnused}));
 }
 
 Result<PermitQuestion> DecodePermitQuestion(const std::string& aBytes) {
   return DecodeMessagePack<PermitQuestion>(aBytes, [](const json& aDocument) {
-    return PermitQuestion{.m_number = aDocument.at(0).get<std::uint64_t>(),
-                          .m_server = aDocument.at(1).get<std::uint64_t>(),
-                          .m_urgency = aDocument.at(2).get<int>(),
-                          .m_perSecond = aDocument.at(3).get<double>(),
-                          .m_limitAge = Milliseconds(aDocument.at(4).get<std::int64_t>()),
-                          .m_replyTo = aDocument.at(5).get<std::string>()};
+    PermitQuestion question{.m_number = aDocument.at(0).get<std::uint64_t>(),
+                            .m_server = aDocument.at(1).get<std::uint64_t>(),
+                            .m_urgency = aDocument.at(2).get<int>(),
+                            .m_perSecond = aDocument.at(3).get<double>(),
+                            .m_limitAge = Milliseconds(aDocument.at(4).get<std::int64_t>()),
+                            .m_replyTo = aDocument.at(5).get<std::string>()};
+    if (aDocument.size() <= kColdFields) {
+      return question;
+    }
+    if (!aDocument.at(kColdFields).get<bool>()) {
+      question.m_perSecond = std::nullopt;
+    }
+    const PermitTerms cold{.m_perSecond = aDocument.at(kColdFields + 1).get<double>(),
+                           .m_mostUnused = aDocument.at(kColdFields + 2).get<double>()};
+    if (cold.m_perSecond > 0.0) {
+      question.m_coldTerms = cold;
+    }
+    return question;
+  });
+}
+
+std::string EncodeSendReport(const SendReport& aReport) {
+  return EncodeMessagePack(
+    json::array({aReport.m_server, aReport.m_terms.m_perSecond, aReport.m_terms.m_mostUnused,
+                 aReport.m_crowdedFrom, aReport.m_replyTo}));
+}
+
+Result<SendReport> DecodeSendReport(const std::string& aBytes) {
+  return DecodeMessagePack<SendReport>(aBytes, [](const json& aDocument) {
+    return SendReport{.m_server = aDocument.at(0).get<std::uint64_t>(),
+                      .m_terms = {.m_perSecond = aDocument.at(1).get<double>(),
+                                  .m_mostUnused = aDocument.at(2).get<double>()},
+                      .m_crowdedFrom = aDocument.at(3).get<std::size_t>(),
+                      .m_replyTo = aDocument.at(4).get<std::string>()};
+  });
+}
+
+std::string EncodeColdNotices(const std::vector<ColdNotice>& aNotices) {
+  json rows = json::array();
+  for (const ColdNotice& notice : aNotices) {
+    rows.push_back(json::array({notice.m_server, notice.m_isCold, InMilliseconds(notice.m_left),
+                                InMilliseconds(notice.m_age)}));
+  }
+  return EncodeMessagePack(rows);
+}
+
+Result<std::vector<ColdNotice>> DecodeColdNotices(const std::string& aBytes) {
+  return DecodeMessagePack<std::vector<ColdNotice>>(aBytes, [](const json& aRows) {
+    std::vector<ColdNotice> notices;
+    for (const json& row : aRows) {
+      notices.push_back({.m_server = row.at(0).get<std::uint64_t>(),
+                         .m_isCold = row.at(1).get<bool>(),
+                         .m_left = Milliseconds(row.at(2).get<std::int64_t>()),
+                         .m_age = Milliseconds(row.at(3).get<std::int64_t>())});
+    }
+    return notices;
   });
 }
 
--- a/Libraries/LibRouting/RequestPermits.cpp
+++ b/Libraries/LibRouting/RequestPermits.cpp
@@ -11,10 +11,6 @@
 
 /// Permits that each level of urgency leaves to the more urgent ones.
 constexpr double kReservedPerLevel = 0.5;
-/// Maximum number of unused permits. The platform allows five requests in four seconds beyond
-/// what the rate does.
-constexpr double kMaxPermits = 3.0;
-
 /// Number of refused requests that are expected to come back, in seconds of the rate.
 constexpr double kMaxRefusedSeconds = 10.0;
 
@@ -23,23 +19,37 @@
 /// An entry that is cut off from the others for longer than this counts as dead.
 constexpr Duration kLostMemory = Seconds(10);
 
+/// The entries learn of a change of members within 0.7 s of each other. Meanwhile two of them may
+/// be the issuer of a server for different entries.
+constexpr Duration kHandoverTime = Seconds(1);
+
+/// Adds a sending and forgets those of more than a second ago.
+void AddSent(std::deque<Time>& aSent, Time aNow) {
+  aSent.push_back(aNow);
+  while (aNow - aSent.front() >= Seconds(1)) {
+    aSent.pop_front();
+  }
+}
+
 Duration FromSeconds(double aSeconds) {
   return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(aSeconds));
 }
 
 } // namespace
 
-void PermitBucket::Refill(double aRate, Time aNow) {
+void PermitBucket::Refill(double aRate, double aMostUnused, Time aNow) {
   const double passed = m_refilledAt ? aRate * InSeconds(aNow - *m_refilledAt) : 0.0;
   m_refilledAt = aNow;
-  m_permits = std::min(kMaxPermits, m_permits + passed);
+  m_permits = std::min(aMostUnused, m_permits + passed);
   m_refused = std::max(0.0, m_refused - passed);
 }
 
-PermitDecision PermitBucket::Take(double aPerSecond, double aShare, int aUrgency, Time aNow) {
-  const double rate = std::max(kMinPermitsPerSecond, aPerSecond * aShare);
-  Refill(rate, aNow);
-  const double needed = 1.0 + kReservedPerLevel * std::clamp(aUrgency, 0, kUrgencyLevels - 1);
+PermitDecision PermitBucket::Take(const PermitTerms& aTerms, double aShare, int aUrgency,
+                                  Time aNow) {
+  const double rate = std::max(kMinPermitsPerSecond, aTerms.m_perSecond * aShare);
+  Refill(rate, aTerms.m_mostUnused, aNow);
+  const double reserved = aTerms.m_mostUnused < kMaxPermits ? 0.0 : kReservedPerLevel;
+  const double needed = 1.0 + reserved * std::clamp(aUrgency, 0, kUrgencyLevels - 1);
   if (m_permits >= needed) {
     m_permits -= 1.0;
     return {.m_isGranted = true};
@@ -50,11 +60,46 @@
   return {.m_nextPermit = FromSeconds(next), .m_likelyWait = FromSeconds(likely)};
 }
 
-PermitDecision PermitIssuer::Take(std::uint64_t aServer, double aPerSecond, double aShare,
-                                  int aUrgency, Time aNow) {
+void PermitBucket::Count(const PermitTerms& aTerms, double aShare, Time aNow) {
+  Refill(std::max(kMinPermitsPerSecond, aTerms.m_perSecond * aShare), aTerms.m_mostUnused, aNow);
+  // What was sent more than a second ago does not count any more.
+  m_permits = std::max(m_permits - 1.0, -aTerms.m_perSecond);
+}
+
+PermitIssuer::UsedBucket& PermitIssuer::Use(std::uint64_t aServer, Time aNow) {
   UsedBucket& used = m_buckets[aServer];
+  const bool isRecentIssuer = aNow - used.m_usedAt > kHandoverTime;
+  if (isRecentIssuer && aNow - m_membersChangedAt < kHandoverTime) {
+    used.m_issuesFrom = m_membersChangedAt + kHandoverTime;
+  }
   used.m_usedAt = aNow;
-  return used.m_bucket.Take(aPerSecond, aShare, aUrgency, aNow);
+  return used;
+}
+
+PermitDecision PermitIssuer::Take(std::uint64_t aServer, double aPerSecond, double aShare,
+                                  int aUrgency, Time aNow) {
+  return Use(aServer, aNow).m_bucket.Take(aPerSecond, aShare, aUrgency, aNow);
+}
+
+PermitDecision PermitIssuer::Take(std::uint64_t aServer, const PermitTerms& aTerms, double aShare,
+                                  int aUrgency, Time aNow) {
+  UsedBucket& used = Use(aServer, aNow);
+  if (aNow < used.m_issuesFrom) {
+    return {.m_nextPermit = used.m_issuesFrom - aNow, .m_likelyWait = used.m_issuesFrom - aNow};
+  }
+  const PermitDecision decision = used.m_bucket.Take(aTerms, aShare, aUrgency, aNow);
+  if (decision.m_isGranted) {
+    AddSent(used.m_sent, aNow);
+  }
+  return decision;
+}
+
+std::size_t PermitIssuer::Count(std::uint64_t aServer, const PermitTerms& aTerms, double aShare,
+                                Time aNow) {
+  UsedBucket& used = Use(aServer, aNow);
+  used.m_bucket.Count(aTerms, aShare, aNow);
+  AddSent(used.m_sent, aNow);
+  return used.m_sent.size();
 }
 
 void PermitIssuer::Expire(Time aNow) {
--- a/Libraries/LibRouting/RoutingConfiguration.h
+++ b/Libraries/LibRouting/RoutingConfiguration.h
@@ -62,6 +62,10 @@
   std::string m_healthPath;
   /// Maximum connections that one of its backend servers accepts from all callers together.
   std::size_t m_mostChannels = 0;
+  /// For how long a server is cold after its start, and the requests per second that it can handle
+  /// meanwhile. Zero if the servers are never cold.
+  Duration m_coldTime{0};
+  double m_coldPerSecond = 0.0;
   /// Whether its backend servers are model engines. The fields below apply only to these.
   bool m_isEngine = false;
   std::int64_t m_cacheTokens = 0;
