Keep cold servers to their bound, from all entries together

Servers that are added or come back got 17 to 20 requests in a second, because they look empty to all entries at once. Cold servers now need permits of the issuer that limits use; answers that name coldness are passed on.

--- a/Services/Edge/BackendTable.cpp
+++ b/Services/Edge/BackendTable.cpp
@@ -14,6 +14,12 @@
   return settings;
 }
 
+/// An entry that starts gets the records of all servers within this time.
+constexpr Duration kListingTime = Seconds(2);
+/// Start times of servers that are listed to a starting entry are believed if they are this close
+/// to its own time. Clocks may differ more.
+constexpr Duration kRecentStart = Seconds(10);
+
 } // namespace
 
 std::uint64_t IdentityOf(const ReplicaRecord& aRecord) {
@@ -33,19 +39,33 @@
   if (isSame) {
     known->m_record = aRecord;
     known->m_expiresAt = kNever;
+    known->m_cold.OnRecord(aRecord.m_warmUpLeft, m_loop.Now());
     return;
   }
+  const bool isStart = known || IsStart(aRecord);
   if (known) {
     Drop(known);
   }
   std::shared_ptr<BackendLink> link = std::make_shared<BackendLink>(m_loop, aRecord);
   link->m_saysLeaving = m_wishes.IsLeaving(link->m_identity);
   link->m_leftAloneUntil = m_wishes.LeftAloneUntil(link->m_identity);
+  if (isStart) {
+    link->m_cold.OnStarted(m_loop.Now());
+  }
+  link->m_cold.OnRecord(aRecord.m_warmUpLeft, m_loop.Now());
   m_links[aRecord.m_id] = link;
   m_identities[link->m_identity] = link;
   m_services[aRecord.m_service].push_back(std::move(link));
 }
 
+bool BackendTable::IsStart(const ReplicaRecord& aRecord) {
+  const Time now = m_loop.Now();
+  m_firstRecordAt = m_firstRecordAt.value_or(now);
+  const Duration sinceStart = now - Time(Milliseconds(aRecord.m_startedAtMs));
+  return now - *m_firstRecordAt > kListingTime ||
+         (m_firstRecordAt != now && std::chrono::abs(sinceStart) < kRecentStart);
+}
+
 void BackendTable::Drop(const std::shared_ptr<BackendLink>& aLink) {
   aLink->m_isRemoved = true;
   aLink->m_pool.CloseIdle();
--- a/Services/Edge/BackendTable.h
+++ b/Services/Edge/BackendTable.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibHttp/ConnectionPool.h"
+#include "LibRouting/ColdServers.h"
 #include "LibRouting/PrefillLoad.h"
 #include "LibRouting/RecentPrefixes.h"
 #include "LibRouting/ReplicaHealth.h"
@@ -14,6 +15,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -57,6 +59,12 @@
   Time m_likelyPermit{};
   /// An unreadable limit of this server has been logged.
   bool m_loggedUnreadableLimit = false;
+  ColdState m_cold;
+  /// It gets so many requests that it would suffer if it were cold: permits are asked for before.
+  Time m_crowdedUntil{};
+  /// Its being cold until then has been logged, and that its header cannot be read.
+  Time m_coldLoggedUntil{};
+  bool m_loggedUnreadableCold = false;
   /// When an event, or a part of another answer, was last received from it, of any request.
   Time m_lastReceivedAt{};
   ServerContact m_contact;
@@ -111,7 +119,13 @@
 private:
   void Drop(const std::shared_ptr<BackendLink>& aLink);
 
+  /// Whether a server whose record is new has just started, rather than being listed to an entry
+  /// that has just started itself.
+  bool IsStart(const ReplicaRecord& aRecord);
+
   EventLoop& m_loop;
+  /// When the first record came.
+  std::optional<Time> m_firstRecordAt;
   ServerWishes m_wishes;
   std::map<std::string, std::shared_ptr<BackendLink>> m_links;
   std::unordered_map<std::string, std::vector<std::shared_ptr<BackendLink>>> m_services;
--- a/Services/Edge/EdgeContext.h
+++ b/Services/Edge/EdgeContext.h
@@ -106,6 +106,16 @@
             .m_window = m_settings.m_retryWindow,
             .m_entries = m_entries};
   }
+  /// The bound for the service's cold servers.
+  ColdRules ColdRulesOf(const std::string& aService) const {
+    const Service* service =
+      m_routes && m_settings.m_coldOverage > 0.0 ? m_routes->FindService(aService) : nullptr;
+    return service == nullptr ? ColdRules{}
+                              : ColdRules{.m_coldTime = service->m_coldTime,
+                                          .m_perSecond = service->m_coldPerSecond,
+                                          .m_overage = m_settings.m_coldOverage,
+                                          .m_slack = m_settings.m_coldSlack};
+  }
   void Log(LogPriority aPriority, const LogLine& aLine) const {
     m_log.Write(aPriority, aLine, m_loop.Now());
   }
--- a/Services/Edge/EdgeMetrics.cpp
+++ b/Services/Edge/EdgeMetrics.cpp
@@ -131,6 +131,13 @@
   m_lostPaths = gauge("fennelline_lost_paths", "Services whose servers this entry does not reach.");
   m_refusedContents =
     gauge("fennelline_refused_contents", "Contents known to crash backend servers.");
+  m_turnedFromCold =
+    &prometheus::BuildCounter()
+       .Name("fennelline_turned_from_cold_total")
+       .Help("Requests that went elsewhere because a cold server had no permit for them.")
+       .Register(*m_registry)
+       .Add({});
+  m_coldServers = gauge("fennelline_cold_servers", "Backend servers that count as cold.");
   m_limitedServers = gauge("fennelline_limited_servers", "Backend servers that limit requests.");
   m_leavingServers =
     gauge("fennelline_leaving_servers", "Backend servers whose answers said that they leave.");
@@ -218,6 +225,14 @@
   m_permits[aIsGranted ? 1 : 0]->Increment();
 }
 
+void EdgeMetrics::OnTurnedFromCold() {
+  m_turnedFromCold->Increment();
+}
+
+void EdgeMetrics::SetColdServers(std::size_t aCount) {
+  m_coldServers->Set(static_cast<double>(aCount));
+}
+
 void EdgeMetrics::SetLimitedServers(std::size_t aCount) {
   m_limitedServers->Set(static_cast<double>(aCount));
 }
--- a/Services/Edge/EdgeMetrics.h
+++ b/Services/Edge/EdgeMetrics.h
@@ -96,6 +96,9 @@
   void SetRefusedContents(std::size_t aCount);
   /// A permit for a request to a server that limits requests was asked for.
   void OnPermit(bool aIsGranted);
+  /// A request was turned away from a cold server, for want of a permit.
+  void OnTurnedFromCold();
+  void SetColdServers(std::size_t aCount);
   void SetLimitedServers(std::size_t aCount);
   /// Servers that have said that they leave, and that asked this entry to be left alone now.
   void SetServerWishes(std::size_t aLeaving, std::size_t aLeftAlone);
@@ -131,6 +134,8 @@
   prometheus::Gauge* m_lostPaths = nullptr;
   prometheus::Gauge* m_refusedContents = nullptr;
   std::array<prometheus::Counter*, 2> m_permits{};
+  prometheus::Counter* m_turnedFromCold = nullptr;
+  prometheus::Gauge* m_coldServers = nullptr;
   prometheus::Gauge* m_limitedServers = nullptr;
   prometheus::Gauge* m_leavingServers = nullptr;
   prometheus::Gauge* m_leftAloneServers = nullptr;
--- a/Services/Edge/EdgeProcess.cpp
+++ b/Services/Edge/EdgeProcess.cpp
@@ -455,6 +455,7 @@
                       m_loop.Now() - m_context.m_storeConfirmedAt);
   m_metrics.SetRefusedContents(m_crashWatch.CountRefused());
   m_metrics.SetLimitedServers(m_permits.CountLimited());
+  m_metrics.SetColdServers(m_permits.CountCold());
   m_metrics.SetServerWishes(m_context.m_backends.CountLeaving(),
                             m_context.m_backends.CountLeftAlone());
   m_metrics.SetLostPaths(m_paths.CountLost());
--- a/Services/Edge/RelayAnswer.cpp
+++ b/Services/Edge/RelayAnswer.cpp
@@ -84,6 +84,7 @@
       LearnRequestLimit(metadata);
       LearnMaxRejections(metadata);
       LearnWishes(metadata);
+      LearnColdness(metadata);
     }
     // The connection can be reused once the rest of the response has been read.
     m_attempt->m_notRun = true;
@@ -100,6 +101,7 @@
   LearnRequestLimit(metadata);
   LearnMaxRejections(metadata);
   LearnWishes(metadata);
+  LearnColdness(metadata);
   m_attempt->m_headAt = m_context.m_loop.Now();
   m_attempt->m_head = aHead;
   m_attempt->m_metadata = metadata;
--- a/Services/Edge/RelayLimits.cpp
+++ b/Services/Edge/RelayLimits.cpp
@@ -20,6 +20,11 @@
 /// Without an objective.
 constexpr Duration kDefaultRoomWait = Milliseconds(200);
 
+/// A request asks for a permit that is merely advised at so many servers, and at so many cold ones:
+/// each takes a round trip.
+constexpr std::size_t kMaxAdvisedAsks = 2;
+constexpr std::size_t kMaxColdAsks = 8;
+
 /// After a rejection, an entry leaves a brittle server alone until the server bears another one of
 /// it, but not longer than this. One that bears less than a rejection a second is taken to bear
 /// one.
@@ -52,6 +57,47 @@
   }
 }
 
+void RequestRelay::LearnColdness(const ResponseMetadata& aMetadata) {
+  BackendLink& backend = *m_attempt->m_backend;
+  const std::string& unreadable = aMetadata.m_unreadableColdLeft;
+  if (!unreadable.empty() && !std::exchange(backend.m_loggedUnreadableCold, true)) {
+    LogLine line("server-cold-unreadable");
+    line.Text("id", m_metadata.m_requestId).Text("backend", backend.m_record.m_id);
+    line.Text("value", unreadable);
+    m_context.Log(LogPriority::Notable, line);
+  }
+  if (aMetadata.m_coldLeft) {
+    m_context.m_permits->OnColdAnswer(backend, *aMetadata.m_coldLeft, m_attempt->m_sentAt);
+  }
+}
+
+PermitNeed RequestRelay::NeedFor(const BackendLink& aBackend) const {
+  const PermitNeed need = m_context.m_permits->NeedFor(aBackend);
+  const bool isIgnored = m_ignoresCrowding || m_withoutPermit.size() >= kMaxAdvisedAsks;
+  return need == PermitNeed::Advised && isIgnored ? PermitNeed::None : need;
+}
+
+bool RequestRelay::HasNoPermit(const BackendLink& aBackend, Time aNow) const {
+  if (NeedFor(aBackend) == PermitNeed::None) {
+    return false;
+  }
+  const bool hasAskedEnough =
+    !aBackend.m_limit.PerSecond() && m_withoutPermit.size() >= kMaxColdAsks;
+  return hasAskedEnough || aNow < aBackend.m_nextPermit[static_cast<std::size_t>(Urgency())] ||
+         std::find(m_withoutPermit.begin(), m_withoutPermit.end(), aBackend.m_record.m_id) !=
+           m_withoutPermit.end();
+}
+
+bool RequestRelay::IgnoreCrowding() {
+  const std::vector<std::shared_ptr<BackendLink>>& servers =
+    m_context.m_backends.OfService(m_service);
+  const bool hasCrowded = std::any_of(servers.begin(), servers.end(),
+                                      [this](const std::shared_ptr<BackendLink>& aServer) {
+                                        return NeedFor(*aServer) == PermitNeed::Advised;
+                                      });
+  return hasCrowded && !std::exchange(m_ignoresCrowding, true);
+}
+
 void RequestRelay::LearnWishes(const ResponseMetadata& aMetadata) {
   BackendLink& backend = *m_attempt->m_backend;
   if (aMetadata.m_isLeaving) {
--- a/Services/Edge/RelayPlacement.cpp
+++ b/Services/Edge/RelayPlacement.cpp
@@ -92,11 +92,7 @@
   if (WasTried(aBackend)) {
     return ServerBar::Tried;
   }
-  const bool hasNoPermit = aBackend.m_limit.PerSecond() &&
-                           (aNow < aBackend.m_nextPermit[static_cast<std::size_t>(Urgency())] ||
-                            std::find(m_withoutPermit.begin(), m_withoutPermit.end(),
-                                      aBackend.m_record.m_id) != m_withoutPermit.end());
-  if (hasNoPermit) {
+  if (HasNoPermit(aBackend, aNow)) {
     return ServerBar::NoPermit;
   }
   return HasNoRoom(aBackend) ? ServerBar::NoRoom : ServerBar::None;
@@ -202,18 +198,21 @@
   const Time now = m_context.m_loop.Now();
   std::shared_ptr<BackendLink> earliest;
   for (const std::shared_ptr<BackendLink>& backend : m_context.m_backends.OfService(m_service)) {
-    const bool isLimited = backend->m_limit.PerSecond() && backend->TakesRequests(now);
+    const bool isLimited =
+      m_context.m_permits->NeedFor(*backend) == PermitNeed::Required && backend->TakesRequests(now);
     if (isLimited && (!earliest || backend->m_likelyPermit < earliest->m_likelyPermit)) {
       earliest = backend;
     }
   }
-  if (!earliest) {
+  const std::optional<PermitTerms> terms =
+    earliest ? m_context.m_permits->TermsFor(*earliest) : std::nullopt;
+  if (!terms) {
     return std::nullopt;
   }
   const Time likely = std::max(now, earliest->m_likelyPermit);
   // The other entries refuse about as many requests, which come back too.
-  const double untilNext = static_cast<double>(m_context.m_entries) /
-                           std::max(kMinPermitsPerSecond, *earliest->m_limit.PerSecond());
+  const double untilNext =
+    static_cast<double>(m_context.m_entries) / std::max(kMinPermitsPerSecond, terms->m_perSecond);
   earliest->m_likelyPermit = std::min(
     now + kMaxPermitWait,
     likely + std::chrono::duration_cast<Duration>(std::chrono::duration<double>(untilNext)));
@@ -222,9 +221,10 @@
 
 bool RequestRelay::HasUnlimitedServer(const BackendLink* aExcept) const {
   const std::vector<std::shared_ptr<BackendLink>> eligible = Eligible(aExcept);
-  return std::any_of(
-    eligible.begin(), eligible.end(),
-    [](const std::shared_ptr<BackendLink>& aServer) { return !aServer->m_limit.PerSecond(); });
+  return std::any_of(eligible.begin(), eligible.end(),
+                     [this](const std::shared_ptr<BackendLink>& aServer) {
+                       return NeedFor(*aServer) != PermitNeed::Required;
+                     });
 }
 
 std::optional<RequestRelay::Choice> RequestRelay::ChooseBackend() {
@@ -268,6 +268,8 @@
        .m_isServingLongPrompt = prefillLoad.IsServingLongPrompt(now),
        .m_isLimited = backend->m_limit.PerSecond().has_value() &&
                       !(mayCheckLimit && m_context.m_permits->IsDueForCheck(*backend)),
+       .m_needsPermit = !backend->m_limit.PerSecond() &&
+                        m_context.m_permits->NeedFor(*backend) != PermitNeed::None,
        .m_failureRate = backend->m_health.FailureRate(now),
        .m_isAvoided = isFull || backend->m_health.IsAvoided(now) ||
                       (isSuspect && backend->m_runningSuspects > 0)});
--- a/Services/Edge/RequestRelay.cpp
+++ b/Services/Edge/RequestRelay.cpp
@@ -273,12 +273,15 @@
   }
   const std::optional<Choice> choice = ChooseBackend();
   if (!choice) {
-    if (!WaitForRoom()) {
+    if (IgnoreCrowding()) {
+      Dispatch();
+    } else if (!WaitForRoom()) {
       ExecuteAction(m_retryPolicy.OnGivenUp(m_answerBegun));
     }
-  } else if (choice->m_backend->m_limit.PerSecond()) {
+  } else if (NeedFor(*choice->m_backend) != PermitNeed::None) {
     AskPermit(*choice);
   } else {
+    m_context.m_permits->OnSentFreely(*choice->m_backend);
     Send(*choice);
   }
 }
@@ -307,7 +310,8 @@
   LogLine line("permit");
   line.Text("id", m_metadata.m_requestId).Text("backend", backend.m_record.m_id);
   line.Flag("granted", aDecision.m_isGranted).Count("urgency", Urgency());
-  line.Real("per-second", backend.m_limit.PerSecond().value_or(0.0));
+  const std::optional<PermitTerms> terms = m_context.m_permits->TermsFor(backend);
+  line.Real("per-second", terms ? terms->m_perSecond : 0.0);
   line.Ms("next", aDecision.m_nextPermit).Ms("likely", aDecision.m_likelyWait);
   m_context.Log(LogPriority::Routine, line);
   if (!aDecision.m_isGranted) {
@@ -317,9 +321,17 @@
   if (m_ended) {
     return;
   }
+  const PermitNeed need = m_context.m_permits->NeedFor(backend);
+  if (!aDecision.m_isGranted && need == PermitNeed::Advised) {
+    m_context.m_permits->OnStillCrowded(backend);
+  }
+  if (!aDecision.m_isGranted && need == PermitNeed::Required && !backend.m_limit.PerSecond()) {
+    m_context.m_metrics.OnTurnedFromCold();
+  }
   // The server may have begun to leave, and the content been refused, since the permit was asked
   // for.
-  if (!aDecision.m_isGranted || !backend.TakesRequests(now)) {
+  const bool maySendFreely = aDecision.m_isUnanswered && need != PermitNeed::Required;
+  if ((!aDecision.m_isGranted && !maySendFreely) || !backend.TakesRequests(now)) {
     m_withoutPermit.push_back(backend.m_record.m_id);
     Dispatch();
   } else if (!MayRun()) {
--- a/Services/Edge/RequestRelay.h
+++ b/Services/Edge/RequestRelay.h
@@ -35,6 +35,8 @@
   {EntryOutcome::Failed, "failed"},
 }};
 
+enum class PermitNeed : std::uint8_t;
+
 /// When a caller should send a request again that was refused for now. Spread, so that the callers
 /// do not all return at once.
 Duration SpreadRetryAfter(Random& aRandom);
@@ -197,6 +199,14 @@
   void OnStall();
   /// Learns whether the server that gave this answer limits requests.
   void LearnRequestLimit(const ResponseMetadata& aMetadata);
+  /// Learns for how long the server that gave this answer stays cold.
+  void LearnColdness(const ResponseMetadata& aMetadata);
+  /// Whether this request needs a permit for the server.
+  PermitNeed NeedFor(const BackendLink& aBackend) const;
+  bool HasNoPermit(const BackendLink& aBackend, Time aNow) const;
+  /// Lets the request go to a server that gets many requests, if no other one is to be had. Returns
+  /// whether that changes anything.
+  bool IgnoreCrowding();
   bool IsLowConfidence() const;
   double MeanPrefillMs() const;
   bool TryReplaceRun(int aReservedAttempts);
@@ -240,6 +250,8 @@
   std::vector<std::string> m_triedBackends;
   /// Ids of limited servers for which no permit was issued since the last sending.
   std::vector<std::string> m_withoutPermit;
+  /// Permits that are merely advised are not asked for any more.
+  bool m_ignoresCrowding = false;
   std::uint64_t m_hash = 0;
   /// See Causes(); empty until they are needed.
   CrashCauses m_causes;
--- a/Services/Edge/ServerPermits.cpp
+++ b/Services/Edge/ServerPermits.cpp
@@ -31,8 +31,6 @@
 /// The issuers remind other entries of limits, for those that missed a notice or have just started.
 constexpr Duration kReminderInterval = Seconds(1);
 constexpr std::size_t kReminderReceivers = 8;
-/// In larger fleets the others learn of a limit from the server itself, or from reminders.
-constexpr std::size_t kNoticeReceivers = 80;
 
 std::string NodeOf(const std::string& aEntry) {
   return aEntry.substr(0, aEntry.find('#'));
@@ -60,30 +58,41 @@
     }
   }
   m_share.OnMembers(std::move(nodes), m_context.m_loop.Now());
+  m_issuer.OnMembersChanged(m_context.m_loop.Now());
 }
 
 const ServerPermits::Entry& ServerPermits::IssuerOf(std::uint64_t aServer) const {
   return m_entries[ChoosePermitIssuer(aServer, m_entryHashes)];
 }
 
-PermitDecision ServerPermits::Issue(std::uint64_t aServer, double aPerSecond, int aUrgency) {
+PermitDecision ServerPermits::Issue(std::uint64_t aServer, std::optional<double> aPerSecond,
+                                    std::optional<PermitTerms> aColdTerms, int aUrgency) {
   const Time now = m_context.m_loop.Now();
   if (m_entries.size() == 1 && now - m_startedAt < kDiscoveryTime) {
     return {.m_nextPermit = kUnansweredWait, .m_likelyWait = kDiscoveryTime};
   }
-  return m_issuer.Take(aServer, aPerSecond, m_share.At(now), aUrgency, now);
+  if (!aColdTerms) {
+    return m_issuer.Take(aServer, aPerSecond.value_or(0.0), m_share.At(now), aUrgency, now);
+  }
+  const PermitTerms terms{
+    .m_perSecond = std::min(aColdTerms->m_perSecond, aPerSecond.value_or(aColdTerms->m_perSecond)),
+    .m_mostUnused = std::min(aColdTerms->m_mostUnused, kMaxPermits)};
+  return m_issuer.Take(aServer, terms, m_share.At(now), aUrgency, now);
 }
 
 void ServerPermits::Ask(const BackendLink& aBackend, int aUrgency, OnDecision aOnDecision) {
-  const double perSecond = aBackend.m_limit.PerSecond().value_or(0.0);
+  const std::optional<double> perSecond = aBackend.m_limit.PerSecond();
+  const std::optional<PermitTerms> coldTerms = ColdTermsFor(aBackend);
   const Entry& issuer = IssuerOf(aBackend.m_identity);
   if (issuer.m_isSelf) {
-    aOnDecision(Issue(aBackend.m_identity, perSecond, aUrgency));
+    aOnDecision(Issue(aBackend.m_identity, perSecond, coldTerms, aUrgency));
     return;
   }
   const std::uint64_t number = m_nextNumber++;
   const EventLoop::TimerId timer = m_context.m_loop.After(kAnswerTimeout, [this, number] {
-    Finish(number, {.m_nextPermit = kUnansweredWait, .m_likelyWait = kUnansweredWait});
+    Finish(
+      number,
+      {.m_nextPermit = kUnansweredWait, .m_likelyWait = kUnansweredWait, .m_isUnanswered = true});
   });
   m_pending[number] = {
     .m_onDecision = std::move(aOnDecision), .m_askedAt = m_context.m_loop.Now(), .m_timer = timer};
@@ -92,7 +101,8 @@
                                 .m_urgency = aUrgency,
                                 .m_perSecond = perSecond,
                                 .m_limitAge = m_context.m_loop.Now() - aBackend.m_limit.AsOf(),
-                                .m_replyTo = m_members.Self().m_datagramAddress};
+                                .m_replyTo = m_members.Self().m_datagramAddress,
+                                .m_coldTerms = coldTerms};
   m_members.SendPeerMessage(issuer.m_address, kQuestionType + EncodePermitQuestion(question));
 }
 
@@ -114,6 +124,10 @@
     OnAnswer(aMessage.substr(1));
   } else if (aMessage.starts_with(kNoticeType)) {
     OnNotices(aMessage.substr(1));
+  } else if (aMessage.starts_with(kReportType)) {
+    OnReport(aMessage.substr(1));
+  } else if (aMessage.starts_with(kColdNoticeType)) {
+    OnColdNotices(aMessage.substr(1));
   } else {
     return false;
   }
@@ -129,18 +143,22 @@
   const PermitQuestion& asked = question.Get();
   const Time now = m_context.m_loop.Now();
   const std::shared_ptr<BackendLink> backend = m_context.m_backends.FindIdentity(asked.m_server);
-  double perSecond = asked.m_perSecond;
+  std::optional<double> perSecond = asked.m_perSecond;
+  std::optional<PermitTerms> coldTerms = asked.m_coldTerms;
   if (backend) {
-    backend->m_limit.Adopt(perSecond, now - asked.m_limitAge);
+    if (perSecond) {
+      backend->m_limit.Adopt(perSecond, now - asked.m_limitAge);
+    }
     // If the server names no limit any more, the asking entry will learn it soon.
-    perSecond = backend->m_limit.PerSecond().value_or(perSecond);
+    perSecond = backend->m_limit.PerSecond() ? backend->m_limit.PerSecond() : perSecond;
+    coldTerms = coldTerms ? coldTerms : ColdTermsFor(*backend);
   }
   PermitAnswer answer{
     .m_number = asked.m_number,
     .m_decision = {.m_nextPermit = kUnansweredWait, .m_likelyWait = kUnansweredWait}};
   // The asking entry may not know yet of a change of members. Two issuers must not issue at once.
   if (IssuerOf(asked.m_server).m_isSelf) {
-    answer.m_decision = Issue(asked.m_server, perSecond, asked.m_urgency);
+    answer.m_decision = Issue(asked.m_server, perSecond, coldTerms, asked.m_urgency);
   }
   m_members.SendPeerMessage(asked.m_replyTo, kAnswerType + EncodePermitAnswer(answer));
 }
@@ -155,7 +173,8 @@
   // If this process stood still, the answer may be processed before its timeout.
   const bool isOld = pending != m_pending.end() &&
                      m_context.m_loop.Now() - pending->second.m_askedAt > kAnswerTimeout;
-  Finish(answer.Get().m_number, isOld ? PermitDecision{} : answer.Get().m_decision);
+  Finish(answer.Get().m_number,
+         isOld ? PermitDecision{.m_isUnanswered = true} : answer.Get().m_decision);
 }
 
 LimitNotice ServerPermits::NoticeOf(const BackendLink& aBackend) const {
@@ -169,13 +188,16 @@
 }
 
 void ServerPermits::SendNotices(const std::vector<LimitNotice>& aNotices, std::size_t aReceivers) {
-  const std::string message = kNoticeType + EncodeLimitNotices(aNotices);
+  SendToSome(kNoticeType + EncodeLimitNotices(aNotices), aReceivers);
+}
+
+void ServerPermits::SendToSome(const std::string& aMessage, std::size_t aReceivers) {
   const std::size_t count = std::min(aReceivers, m_entries.size());
   const std::size_t first = m_entries.empty() ? 0 : m_context.m_random.Below(m_entries.size());
   for (std::size_t index = 0; index < count; ++index) {
     const Entry& entry = m_entries[(first + index) % m_entries.size()];
     if (!entry.m_isSelf) {
-      m_members.SendPeerMessage(entry.m_address, message);
+      m_members.SendPeerMessage(entry.m_address, aMessage);
     }
   }
 }
@@ -201,8 +223,16 @@
 
 void ServerPermits::Remind() {
   m_issuer.Expire(m_context.m_loop.Now());
+  m_own.Expire(m_context.m_loop.Now());
+  std::erase_if(m_crowdTold, [this](const std::pair<const std::uint64_t, Time>& aTold) {
+    return m_context.m_loop.Now() - aTold.second > kCrowdedTime;
+  });
   std::vector<LimitNotice> notices;
+  std::vector<ColdNotice> coldNotices;
   for (const std::shared_ptr<BackendLink>& backend : m_context.m_backends.All()) {
+    if (IsCold(*backend) && IssuerOf(backend->m_identity).m_isSelf) {
+      coldNotices.push_back(ColdNoticeOf(*backend));
+    }
     if (backend->m_limit.PerSecond() && IssuerOf(backend->m_identity).m_isSelf) {
       notices.push_back(NoticeOf(*backend));
     }
@@ -210,6 +240,9 @@
   if (!notices.empty()) {
     SendNotices(notices, kReminderReceivers);
   }
+  if (!coldNotices.empty()) {
+    SendToSome(kColdNoticeType + EncodeColdNotices(coldNotices), kReminderReceivers);
+  }
 }
 
 bool ServerPermits::IsDueForCheck(const BackendLink& aBackend) const {
--- a/Services/Edge/StoreView.cpp
+++ b/Services/Edge/StoreView.cpp
@@ -2,6 +2,7 @@
 
 #include "LibRouting/CrashRecord.h"
 #include "Services/Edge/CrashWatch.h"
+#include "Services/Edge/ServerPermits.h"
 #include "platform/ConfigurationCodec.h"
 #include "platform/ReplicaCodec.h"
 #include "platform/RolloutCodec.h"
@@ -263,6 +264,9 @@
     m_context.m_crashWatch->OnCrashed(*known);
   }
   m_context.m_backends.Update(record.Get());
+  if (m_context.m_permits != nullptr) {
+    m_context.m_permits->LogIfCold(*m_context.m_backends.Find(aId));
+  }
 }
 
 void StoreView::RestoreCrashRecord(const KeyValue& aKey) const {
--- a/Tests/Edge/standin.py
+++ b/Tests/Edge/standin.py
@@ -364,6 +364,9 @@
         self.resumption_status = 200
         # Values of the header Server-Limit in each answer.
         self.limits = []
+        # The time in its record for which it stays cold, and values of Fennelline-Cold-Ms in each answer.
+        self.cold_left_ms = 0
+        self.cold_ms = []
         # Writes an earlier refusal of the connection again, before the next request there runs.
         self.repeats_refusal = None
         self.last_refusal = {}
@@ -385,7 +388,7 @@
     def entry(self, state="ready"):
         return {"backend": self.service, "address": self.public_address or self.address,
                 "zone": "zone-a", "version": self.version, "slots": self.slots, "state": state,
-                "cold-left-ms": 0, "sequence": 1, "born": self.born}
+                "cold-left-ms": self.cold_left_ms, "sequence": 1, "born": self.born}
 
     def register(self, state="ready"):
         self.leaving_since = None if state == "ready" else time.monotonic()
@@ -577,6 +580,7 @@
 
     def limit_headers(self):
         headers = [("Server-Limit", str(limit)) for limit in self.limits]
+        headers += [("Fennelline-Cold-Ms", str(left)) for left in self.cold_ms]
         headers += [("Server-Leaving", "1")] if self.says_leaving else []
         return headers + ([] if self.brittle is None else [("Server-Brittle", str(self.brittle))])
 
@@ -624,6 +628,8 @@
 
     # Rate of the machine's link by its settings; nothing limits it in the tests.
     link_mbps = 1000
+    # Further bounds in its settings.
+    bounds = {}
 
     def __init__(self, binary, folder, number, store_address, datagram_port, seeds, first=True,
                  grace_s=4, session_s=0.5, zone="zone-a"):
@@ -654,7 +660,8 @@
             "limits": {"memory-mb": 110, "max-fds": 4100, "link-mbps": self.link_mbps},
             "bounds": {"grace-s": self.grace_s, "config-apply-ms": 2000, "drain-ms": 2000,
                        "session-s": self.session_s, "expose-share": 0.15, "expose-slack": 30,
-                       "retry-budget-ratio": 0.9, "budget-window-s": 10, "budget-slack": 50},
+                       "retry-budget-ratio": 0.9, "budget-window-s": 10, "budget-slack": 50,
+                       **self.bounds},
             "provider": {"address": self.store_address},
         }
         with open(self.settings_path, "w", encoding="utf-8") as file:
