Test and document what cold servers get

Codecs of the header, configuration and bounds, messages between entries, and placement: an empty server that needs a permit is not preferred to ones with four requests, and is used before they have twenty.

--- a/Tests/LibRouting/TestPlacement.cpp
+++ b/Tests/LibRouting/TestPlacement.cpp
@@ -55,6 +55,25 @@
   CHECK(ChoosePlacement(LongPrompt(1), servers, random) == 1U);
 }
 
+TEST_CASE(
+  "a server that needs a permit is neither rushed to when it is empty nor spared for ever") {
+  // An empty server beside equally loaded ones: all entries would choose it at once.
+  std::vector<PlacementCandidate> servers = Servers(3);
+  servers[1].m_needsPermit = true;
+  servers[0].m_load = servers[2].m_load = 4.0;
+  const PlacementQuery query{.m_objectiveMs = 1000.0};
+  for (std::uint64_t seed = 1; seed < 40; ++seed) {
+    Random random(seed);
+    CHECK(ChoosePlacement(query, servers, random) != 1U);
+  }
+  // Unlike a server that names a limit, it is used before the others are busy.
+  servers[0].m_load = servers[2].m_load = 20.0;
+  for (std::uint64_t seed = 1; seed < 40; ++seed) {
+    Random random(seed);
+    CHECK(ChoosePlacement(query, servers, random) == 1U);
+  }
+}
+
 TEST_CASE("prefixes are spread over the servers") {
   const std::vector<PlacementCandidate> servers = Servers(9);
   std::map<std::size_t, int> counts;
--- a/Tests/LibRouting/TestRequestPermits.cpp
+++ b/Tests/LibRouting/TestRequestPermits.cpp
@@ -297,6 +297,25 @@
   CHECK(asked.Get().m_server == ~0ULL);
   CHECK(asked.Get().m_perSecond == 1.9);
   CHECK(asked.Get().m_replyTo == question.m_replyTo);
+  CHECK(!asked.Get().m_coldTerms);
+  PermitQuestion cold = question;
+  cold.m_perSecond = std::nullopt;
+  cold.m_coldTerms = PermitTerms{.m_perSecond = 11.4, .m_mostUnused = 1.6};
+  const Result<PermitQuestion> askedCold = DecodePermitQuestion(EncodePermitQuestion(cold));
+  REQUIRE(!askedCold.IsError());
+  CHECK(!askedCold.Get().m_perSecond);
+  REQUIRE(askedCold.Get().m_coldTerms);
+  CHECK(askedCold.Get().m_coldTerms->m_mostUnused == 1.6);
+  const Result<SendReport> report = DecodeSendReport(EncodeSendReport(
+    {.m_server = 9, .m_terms = *cold.m_coldTerms, .m_crowdedFrom = 11, .m_replyTo = "a:1"}));
+  REQUIRE(!report.IsError());
+  CHECK(report.Get().m_crowdedFrom == 11);
+  CHECK(report.Get().m_replyTo == "a:1");
+  const Result<std::vector<ColdNotice>> coldNotices = DecodeColdNotices(
+    EncodeColdNotices({{.m_server = 1, .m_isCold = true, .m_left = Seconds(2)}, {.m_server = 2}}));
+  REQUIRE(!coldNotices.IsError());
+  CHECK(coldNotices.Get()[0].m_left == Seconds(2));
+  CHECK(!coldNotices.Get()[1].m_isCold);
   const Result<PermitAnswer> answer = DecodePermitAnswer(EncodePermitAnswer(
     {.m_number = 7, .m_decision = {.m_isGranted = true, .m_likelyWait = Seconds(2)}}));
   REQUIRE(!answer.IsError());
@@ -312,5 +331,7 @@
     CHECK(DecodePermitQuestion(bytes).IsError());
     CHECK(DecodePermitAnswer(bytes).IsError());
     CHECK(DecodeLimitNotices(bytes).IsError());
+    CHECK(DecodeSendReport(bytes).IsError());
+    CHECK(DecodeColdNotices(bytes).IsError());
   }
 }
--- a/Tests/Platform/TestCodecs.cpp
+++ b/Tests/Platform/TestCodecs.cpp
@@ -225,12 +225,34 @@
   }
 }
 
+TEST_CASE("DecodeAnswer reads for how long a server stays cold, and keeps what it cannot read") {
+  // Guards against a malformed header that makes a server cold for ever, or warm.
+  const auto read = [](const std::vector<std::string>& aValues) {
+    MessageHead head;
+    for (const std::string& value : aValues) {
+      head.m_headers.Add("fennelline-cold-ms", value);
+    }
+    return platform::DecodeAnswer(head);
+  };
+  CHECK(!read({}).m_coldLeft);
+  CHECK(read({"1500"}).m_coldLeft == Milliseconds(1500));
+  CHECK(read({"0.5"}).m_coldLeft == Duration(500));
+  CHECK(read({"0"}).m_coldLeft == Duration(0));
+  CHECK(read({"0", "20", "10"}).m_coldLeft == Milliseconds(20));
+  CHECK(read({"1e300"}).m_coldLeft > Seconds(1000));
+  for (const char* bad : {"soon", "-1", "nan", "inf", "", "5 ms"}) {
+    CHECK(!read({bad}).m_coldLeft);
+    CHECK(read({bad, "20"}).m_coldLeft == Milliseconds(20));
+  }
+  CHECK(read({"soon"}).m_unreadableColdLeft == "soon");
+}
+
 TEST_CASE("DecodeConfiguration maps the platform's names and names an invalid field") {
   const std::string text = R"({"version":7,"routes":[{"name":"r","hostname":"a.example",
     "path-prefix":"/x/","route-type":"streaming","timeout-ms":25000,"goal-ms":3000,"priority":1,
     "sizes":["s","l"],"traffic-split":[{"backend":"one","weight":90},{"backend":"two","weight":10}],
     "attempts":3,"public":false,"resumable":true,"gap-target-ms":1500,"new-field":1}],
-    "backends":[{"name":"one","max-connections":370,"engine":{"kv-capacity":430365,
+    "backends":[{"name":"one","max-connections":370,"cold-start-s":3.0,"cold-per-s":7.6,"engine":{"kv-capacity":430365,
     "models":[{"name":"s","cost":0.02},{"name":"l","cost":0.35}]}}],
     "limits":{"max-header-bytes":16384,"idle-timeout-ms":15000},
     "tenants":[{"name":"t","api-keys":["k"],"priority":2}]})";
@@ -242,6 +264,8 @@
   CHECK(route.m_services.size() == 2);
   CHECK(route.m_objective == Seconds(3));
   CHECK(read.Get().m_services.at(0).m_models.at(1).m_cost == doctest::Approx(0.35));
+  CHECK(read.Get().m_services.at(0).m_coldTime == Seconds(3));
+  CHECK(read.Get().m_services.at(0).m_coldPerSecond == 7.6);
   CHECK(read.Get().m_accounts.at(0).m_priority == 2);
   const Result<RoutingConfiguration> bad =
     platform::DecodeConfiguration(R"({"version":7,"routes":[{"hostname":5}]})");
@@ -288,6 +312,13 @@
   CHECK(facts.Get().m_grace == Seconds(8));
   CHECK(facts.Get().m_datagramPort == 7340);
   CHECK(facts.Get().m_zones.size() == 2);
+  CHECK(facts.Get().m_coldOverage == 0.0);
+  settings["bounds"]["cold-overage"] = 1.5;
+  settings["bounds"]["cold-slack"] = 5;
+  const Result<DeploymentSettings> withCold = platform::DecodeSettings(settings.dump());
+  REQUIRE(!withCold.IsError());
+  CHECK(withCold.Get().m_coldOverage == 1.5);
+  CHECK(withCold.Get().m_coldSlack == 5.0);
   settings["bounds"]["grace-s"] = "soon";
   const Result<DeploymentSettings> bad = platform::DecodeSettings(settings.dump());
   REQUIRE(bad.IsError());
