--- a/Services/Edge/RequestRelay.cpp
+++ b/Services/Edge/RequestRelay.cpp
@@ -337,6 +337,9 @@
   } else if (!MayRun()) {
     EndAsCrashing();
   } else {
+    if (!aDecision.m_isGranted) {
+      m_context.m_permits->OnSentFreely(backend);
+    }
     Send(aChoice);
   }
 }
--- a/Tests/LibRouting/TestColdFleet.cpp
+++ b/Tests/LibRouting/TestColdFleet.cpp
@@ -429,6 +429,27 @@
   }
 }
 
+TEST_CASE("cold servers get no more while an old and a new issuer both believe that they issue") {
+  // Entries start one after another under three times the allowed load of all servers. The others
+  // learn of each at times up to 0.7 s apart.
+  for (const std::size_t entries : {2, 9}) {
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+      CAPTURE(entries);
+      CAPTURE(seed);
+      Fleet fleet({.m_entries = entries, .m_demand = 40 * kRate * 3, .m_seed = seed});
+      fleet.TellCold(40, Seconds(20));
+      for (int round = 0; round < 4; ++round) {
+        fleet.Run(Seconds(3));
+        fleet.Start();
+        fleet.TellCold(40, Seconds(20));
+        fleet.Announce();
+      }
+      fleet.Run(Seconds(3));
+      CHECK(fleet.Most() <= kBound);
+    }
+  }
+}
+
 TEST_CASE("cold servers keep to the bound while the fleet is split in two") {
   for (const std::size_t side : {1, 4}) {
     for (std::uint64_t seed = 1; seed <= 5; ++seed) {
