Do not compare the start time of servers with the clock of an entry that starts

Servers are all young when a system starts, and clocks differ: most would have counted as cold for the first 3 s, although their records say that they are not.

--- a/Services/Edge/BackendTable.cpp
+++ b/Services/Edge/BackendTable.cpp
@@ -14,11 +14,9 @@
   return settings;
 }
 
-/// An entry that starts gets the records of all servers within this time.
+/// An entry that starts gets the records of all servers within this time. What they say of being
+/// cold is all that it knows then.
 constexpr Duration kListingTime = Seconds(2);
-/// Start times of servers that are listed to a starting entry are believed if they are this close
-/// to its own time. Clocks may differ more.
-constexpr Duration kRecentStart = Seconds(10);
 
 } // namespace
 
@@ -42,7 +40,7 @@
     known->m_cold.OnRecord(aRecord.m_warmUpLeft, m_loop.Now());
     return;
   }
-  const bool isStart = known || IsStart(aRecord);
+  const bool isStart = IsAfterListing() || known;
   if (known) {
     Drop(known);
   }
@@ -58,12 +56,10 @@
   m_services[aRecord.m_service].push_back(std::move(link));
 }
 
-bool BackendTable::IsStart(const ReplicaRecord& aRecord) {
+bool BackendTable::IsAfterListing() {
   const Time now = m_loop.Now();
   m_firstRecordAt = m_firstRecordAt.value_or(now);
-  const Duration sinceStart = now - Time(Milliseconds(aRecord.m_startedAtMs));
-  return now - *m_firstRecordAt > kListingTime ||
-         (m_firstRecordAt != now && std::chrono::abs(sinceStart) < kRecentStart);
+  return now - *m_firstRecordAt > kListingTime;
 }
 
 void BackendTable::Drop(const std::shared_ptr<BackendLink>& aLink) {
--- a/Services/Edge/BackendTable.h
+++ b/Services/Edge/BackendTable.h
@@ -121,7 +121,7 @@
 
   /// Whether a server whose record is new has just started, rather than being listed to an entry
   /// that has just started itself.
-  bool IsStart(const ReplicaRecord& aRecord);
+  bool IsAfterListing();
 
   EventLoop& m_loop;
   /// When the first record came.
