--- a/Services/Edge/BackendTable.cpp
+++ b/Services/Edge/BackendTable.cpp
@@ -14,6 +14,10 @@
   return settings;
 }
 
+/// An entry that starts gets the records of all servers within this time. What they say of being
+/// cold is all that it knows then.
+constexpr Duration kListingTime = Seconds(2);
+
 } // namespace
 
 std::uint64_t IdentityOf(const ReplicaRecord& aRecord) {
@@ -36,19 +40,31 @@
     // A record that is written without it must not take a server out of an evacuated data centre.
     known->m_record.m_zone = zone;
     known->m_expiresAt = kNever;
+    known->m_cold.OnRecord(aRecord.m_warmUpLeft, m_loop.Now());
     return;
   }
+  const bool isStart = IsAfterListing() || known;
   if (known) {
     Drop(known);
   }
   std::shared_ptr<BackendLink> link = std::make_shared<BackendLink>(m_loop, aRecord);
   link->m_saysLeaving = m_wishes.IsLeaving(link->m_identity);
   link->m_leftAloneUntil = m_wishes.LeftAloneUntil(link->m_identity);
+  if (isStart) {
+    link->m_cold.OnStarted(m_loop.Now());
+  }
+  link->m_cold.OnRecord(aRecord.m_warmUpLeft, m_loop.Now());
   m_links[aRecord.m_id] = link;
   m_identities[link->m_identity] = link;
   m_services[aRecord.m_service].push_back(std::move(link));
 }
 
+bool BackendTable::IsAfterListing() {
+  const Time now = m_loop.Now();
+  m_firstRecordAt = m_firstRecordAt.value_or(now);
+  return now - *m_firstRecordAt > kListingTime;
+}
+
 void BackendTable::Drop(const std::shared_ptr<BackendLink>& aLink) {
   aLink->m_isRemoved = true;
   aLink->m_pool.CloseIdle();
--- a/Services/Edge/StoreView.cpp
+++ b/Services/Edge/StoreView.cpp
@@ -3,6 +3,7 @@
 #include "LibRouting/CrashRecord.h"
 #include "Services/Edge/CrashWatch.h"
 #include "Services/Edge/RoomQueue.h"
+#include "Services/Edge/ServerPermits.h"
 #include "platform/ConfigurationCodec.h"
 #include "platform/ReplicaCodec.h"
 #include "platform/RolloutCodec.h"
@@ -300,6 +301,9 @@
     m_context.m_crashWatch->OnCrashed(*known);
   }
   m_context.m_backends.Update(record.Get());
+  if (m_context.m_permits != nullptr) {
+    m_context.m_permits->LogIfCold(*m_context.m_backends.Find(aId));
+  }
 }
 
 void StoreView::RestoreCrashRecord(const KeyValue& aKey) const {
@@ -397,6 +401,9 @@
     if (backend->m_record.m_zone == aZone) {
       running += backend->m_runningRequests;
       services.insert(backend->m_record.m_service);
+      if (aKey.m_removed) {
+        backend->m_cold.OnReturned(m_context.m_loop.Now());
+      }
     }
   }
   LogLine line("evacuation");
