Hold less urgent requests at the entry in a surge, and withhold escalations

Change: CongestionSignal tells from the time to first events and from rejections whether the engines are congested; OverloadControl then keeps less urgent requests to the entry's part of the slots, in a bounded queue ordered by urgency, use of the account and time left; AccountUse tells who is over its share. Less urgent kinds stop escalating first. After a rejection by a full server in a surge, a request is sent again after a jittered delay. Not measured on a deployment.

--- a/Services/Edge/EdgeContext.h
+++ b/Services/Edge/EdgeContext.h
@@ -23,6 +23,7 @@
 
 class CrashWatch;
 class LeavingNotices;
+class Overload;
 class PeerRelays;
 class RoomQueue;
 class ServerPaths;
@@ -95,6 +96,7 @@
   ServerPaths* m_paths = nullptr;
   PeerRelays* m_peers = nullptr;
   RoomQueue* m_room = nullptr;
+  Overload* m_overload = nullptr;
   SessionKeeper* m_sessions = nullptr;
   LeavingNotices* m_leaving = nullptr;
   /// Requests in hand that other entries have passed on.
--- a/Services/Edge/EdgeMetrics.cpp
+++ b/Services/Edge/EdgeMetrics.cpp
@@ -128,6 +128,31 @@
                   .Help("Requests passed on to other entries, for want of a path to the servers.")
                   .Register(*m_registry)
                   .Add({});
+  auto& admissions = prometheus::BuildCounter()
+                       .Name("fennelline_overload_decisions_total")
+                       .Help("Requests that overload control has held, or refused for a reason.")
+                       .Register(*m_registry);
+  for (const auto& [admission, name] : kAdmissionNames) {
+    if (admission != Admission::Send) {
+      m_admissions[static_cast<std::size_t>(admission)] =
+        &admissions.Add({{"decision", std::string(name)}});
+    }
+  }
+  m_escalationsWithheld =
+    &prometheus::BuildCounter()
+       .Name("fennelline_escalations_withheld_total")
+       .Help("Escalations to a larger model that were not taken because of congestion.")
+       .Register(*m_registry)
+       .Add({});
+  m_surgeState = gauge("fennelline_surge_state",
+                       "Congestion of the model engines: 0 calm, 1 tight, 2 surge, 3 severe.");
+  auto& waiting = prometheus::BuildGauge()
+                    .Name("fennelline_overload_waiting")
+                    .Help("Requests that wait at this entry for capacity.")
+                    .Register(*m_registry);
+  for (std::size_t urgency = 0; urgency < m_waiting.size(); ++urgency) {
+    m_waiting[urgency] = &waiting.Add({{"urgency", std::to_string(urgency)}});
+  }
   m_lostPaths = gauge("fennelline_lost_paths", "Services whose servers this entry does not reach.");
   m_refusedContents =
     gauge("fennelline_refused_contents", "Contents known to crash backend servers.");
@@ -206,6 +231,22 @@
   m_passedOn->Increment();
 }
 
+void EdgeMetrics::OnAdmission(Admission aAdmission) {
+  m_admissions[static_cast<std::size_t>(aAdmission)]->Increment();
+}
+
+void EdgeMetrics::OnEscalationWithheld() {
+  m_escalationsWithheld->Increment();
+}
+
+void EdgeMetrics::SetSurge(SurgeState aState,
+                           const std::array<std::size_t, kUrgencyLevels>& aWaiting) {
+  m_surgeState->Set(static_cast<double>(aState));
+  for (std::size_t urgency = 0; urgency < m_waiting.size(); ++urgency) {
+    m_waiting[urgency]->Set(static_cast<double>(aWaiting[urgency]));
+  }
+}
+
 void EdgeMetrics::SetLostPaths(std::size_t aCount) {
   m_lostPaths->Set(static_cast<double>(aCount));
 }
--- a/Services/Edge/EdgeMetrics.h
+++ b/Services/Edge/EdgeMetrics.h
@@ -3,6 +3,7 @@
 #include "LibBase/Time.h"
 #include "LibHttp/ConnectionPool.h"
 #include "LibRouting/NumberedEvent.h"
+#include "LibRouting/OverloadControl.h"
 #include "LibRouting/RetryPolicy.h"
 
 #include <array>
@@ -92,6 +93,11 @@
   void OnContentRefused();
   /// A request was passed on to another entry.
   void OnPassedOn();
+  /// Overload control has held or refused a request.
+  void OnAdmission(Admission aAdmission);
+  void OnEscalationWithheld();
+  /// aWaiting: requests that overload control holds, by urgency.
+  void SetSurge(SurgeState aState, const std::array<std::size_t, kUrgencyLevels>& aWaiting);
   void SetLostPaths(std::size_t aCount);
   void SetRefusedContents(std::size_t aCount);
   /// A permit for a request to a server that limits requests was asked for.
@@ -128,6 +134,10 @@
   std::array<prometheus::Counter*, kEventFaultNames.size()> m_oddEvents{};
   prometheus::Counter* m_contentRefusals = nullptr;
   prometheus::Counter* m_passedOn = nullptr;
+  std::array<prometheus::Counter*, kAdmissionNames.size()> m_admissions{};
+  prometheus::Counter* m_escalationsWithheld = nullptr;
+  prometheus::Gauge* m_surgeState = nullptr;
+  std::array<prometheus::Gauge*, kUrgencyLevels> m_waiting{};
   prometheus::Gauge* m_lostPaths = nullptr;
   prometheus::Gauge* m_refusedContents = nullptr;
   std::array<prometheus::Counter*, 2> m_permits{};
--- a/Services/Edge/EdgeProcess.cpp
+++ b/Services/Edge/EdgeProcess.cpp
@@ -126,6 +126,7 @@
   , m_paths(m_context)
   , m_peers(m_context, m_members)
   , m_room(aLoop)
+  , m_overload(m_context)
   , m_sessions(m_context, m_members)
   , m_leaving(m_context, m_members)
   , m_withheld(m_context, m_members, m_storeView) {
@@ -134,6 +135,7 @@
   m_context.m_paths = &m_paths;
   m_context.m_peers = &m_peers;
   m_context.m_room = &m_room;
+  m_context.m_overload = &m_overload;
   m_context.m_sessions = &m_sessions;
   m_context.m_leaving = &m_leaving;
   m_rollouts.SetSend([this](const std::string& aAddress, const RolloutReport& aReport) {
@@ -458,6 +460,7 @@
   m_metrics.SetServerWishes(m_context.m_backends.CountLeaving(),
                             m_context.m_backends.CountLeftAlone());
   m_metrics.SetLostPaths(m_paths.CountLost());
+  m_overload.UpdateMetrics();
   ResponseHead head{.m_status = kOk, .m_headers = {}};
   head.m_headers.Add("Content-Type", "text/plain; version=0.0.4");
   aCaller->SendResponse(head, m_metrics.Text());
--- a/Services/Edge/EdgeProcess.h
+++ b/Services/Edge/EdgeProcess.h
@@ -6,6 +6,7 @@
 #include "Services/Edge/EdgeContext.h"
 #include "Services/Edge/LeavingNotices.h"
 #include "Services/Edge/Members.h"
+#include "Services/Edge/Overload.h"
 #include "Services/Edge/PeerRelays.h"
 #include "Services/Edge/RolloutDriver.h"
 #include "Services/Edge/RoomQueue.h"
@@ -84,6 +85,7 @@
   ServerPaths m_paths;
   PeerRelays m_peers;
   RoomQueue m_room;
+  Overload m_overload;
   SessionKeeper m_sessions;
   LeavingNotices m_leaving;
   WithheldNotices m_withheld;
--- a/Services/Edge/RelayAnswer.cpp
+++ b/Services/Edge/RelayAnswer.cpp
@@ -84,6 +84,7 @@
       LearnRequestLimit(metadata);
       LearnMaxRejections(metadata);
       LearnWishes(metadata);
+      OnRunRejected(aHead.m_status, metadata);
     }
     // The connection can be reused once the rest of the response has been read.
     m_attempt->m_notRun = true;
@@ -105,10 +106,11 @@
   m_attempt->m_metadata = metadata;
   m_attempt->m_hasHead = true;
   m_attempt->m_isStream = isStream;
+  m_context.m_overload->OnFirstEvent(m_attempt->m_run);
   if (m_answerBegun && !m_attempt->m_isStream) {
     // Part of another response was already sent to the caller, and this one cannot continue it.
     EndAttempt(AttemptOutcome::Failed);
-  } else if (IsLowConfidence() && MayRun() && HasUnlimitedServer() &&
+  } else if (IsLowConfidence() && HasCapacityToEscalate() && MayRun() && HasUnlimitedServer() &&
              TryReplaceRun(kAttemptsReservedForFailures)) {
     Escalate();
   }
@@ -409,6 +411,7 @@
   const Attempt attempt = std::move(*m_attempt);
   m_attempt.reset();
   --attempt.m_backend->m_runningRequests;
+  m_context.m_overload->OnEnded(attempt.m_run);
   attempt.m_backend->m_runningSuspects -= attempt.m_isSuspect ? 1 : 0;
   attempt.m_backend->m_pool.Release(attempt.m_channel);
   if (attempt.m_backend->m_maxRejections.PerSecond()) {
--- a/Services/Edge/RequestRelay.cpp
+++ b/Services/Edge/RequestRelay.cpp
@@ -271,6 +271,9 @@
     EndAsCrashing();
     return;
   }
+  if (WaitForCapacity()) {
+    return;
+  }
   const std::optional<Choice> choice = ChooseBackend();
   if (!choice) {
     if (!WaitForRoom()) {
@@ -374,6 +377,7 @@
   m_version = backend->m_record.m_version;
   const std::string bytes = EncodeForBackend(*backend, attempt.m_model);
   m_attempt = std::move(attempt);
+  OnRunSent();
   m_attempt->m_channel->SetOnConnected([self = shared_from_this(), backend] {
     self->m_context.m_paths->OnReached(*backend);
     if (self->m_crashTrial.IsGiven()) {
@@ -485,6 +489,7 @@
   m_context.m_loop.Cancel(m_deadlineTimer);
   m_context.m_loop.Cancel(m_stallTimer);
   m_context.m_room->Leave(m_service, m_roomTicket);
+  m_context.m_overload->Leave(m_service, m_overloadTicket);
   ReleaseAttempt();
   const auto found = m_context.m_versions.find(m_service);
   const bool isTrial =
--- a/Services/Edge/RequestRelay.h
+++ b/Services/Edge/RequestRelay.h
@@ -11,6 +11,7 @@
 #include "LibRouting/ServerBar.h"
 #include "LibRouting/StreamPace.h"
 #include "Services/Edge/EdgeContext.h"
+#include "Services/Edge/Overload.h"
 
 #include <memory>
 #include <optional>
@@ -78,6 +79,8 @@
     /// Set once the entry that it was passed on to has answered it by itself.
     std::optional<EntryOutcome> m_entryOutcome;
     bool m_isSuspect = false;
+    /// Its place in overload control; empty if it takes no part.
+    Overload::Run m_run;
     std::string m_body;
     /// Bytes of the response body received so far.
     std::size_t m_bodyBytes = 0;
@@ -133,6 +136,15 @@
   bool IsWithoutShare() const;
   /// Waits until a brittle server has room. Returns false if it is not worth the wait.
   bool WaitForRoom();
+  /// Whether the congestion of its service concerns this request, see Overload.
+  bool TakesPartInOverload() const;
+  /// Whether the request now waits until the servers have capacity for it, or was refused.
+  bool WaitForCapacity();
+  bool OfferToOverload();
+  bool RefuseForOverload(const AdmissionDecision& aDecision);
+  bool HasCapacityToEscalate();
+  void OnRunSent();
+  void OnRunRejected(int aStatus, const ResponseMetadata& aMetadata);
   void LearnMaxRejections(const ResponseMetadata& aMetadata);
   /// Learns whether the server that gave this answer leaves, or wants to be left alone.
   void LearnWishes(const ResponseMetadata& aMetadata);
@@ -250,6 +262,12 @@
   bool m_wasBroken = false;
   /// The place in the queue for room at a brittle server.
   std::uint64_t m_roomTicket = 0;
+  /// The place in the queue of overload control.
+  std::uint64_t m_overloadTicket = 0;
+  /// Overload control has let the request pass.
+  bool m_isAdmitted = false;
+  /// Rejections by full servers.
+  int m_rejections = 0;
   /// Part of a response has been sent to the caller.
   bool m_answerBegun = false;
   /// Prompt tokens that need prefill: those outside a prefix that the server has cached.
