--- a/Libraries/LibRouting/CongestionSignal.cpp
+++ b/Libraries/LibRouting/CongestionSignal.cpp
@@ -19,6 +19,9 @@
 /// at half of the usual speed, and those that are slow for half a second, stay below.
 constexpr Duration kDelay = Milliseconds(250);
 
+/// A server that rejected a request is taken to be full for about the time of a short answer.
+constexpr Duration kRejectionAge = Milliseconds(300);
+
 /// Runs without delay that are assumed in addition, so that the first two delays are no surge.
 constexpr double kPriorRuns = 3.0;
 
@@ -41,12 +44,17 @@
 
 } // namespace
 
-double CongestionSignal::Counts::Delayed() const {
-  double sum = 0.0;
+double CongestionSignal::Counts::Level() const {
+  if (m_delayedOfServer.size() < 2) {
+    return 0.0;
+  }
+  double counted = 0.0;
+  double delayedRuns = 0.0;
   for (const auto& [server, delayed] : m_delayedOfServer) {
-    sum += std::min(kMaxDelayedPerServer, delayed);
+    counted += std::min(kMaxDelayedPerServer, delayed);
+    delayedRuns += delayed;
   }
-  return m_delayedOfServer.size() > 1 ? sum : 0.0;
+  return counted / (m_all - delayedRuns + counted + kPriorRuns);
 }
 
 Duration CongestionSignal::ExpectedFirstEvent(const std::string& aModel,
@@ -102,6 +110,7 @@
   const auto found = m_runs.find(aRun);
   if (found != m_runs.end() && !std::exchange(found->second.m_hasBegun, true)) {
     AddSample(found->second, true, aNow);
+    m_lastRejection = aNow;
   }
 }
 
@@ -141,20 +150,24 @@
   return counts;
 }
 
-double CongestionSignal::LevelFrom(const Counts& aCounts) {
-  return aCounts.Delayed() / (aCounts.m_all + kPriorRuns);
-}
-
 double CongestionSignal::Level(Time aNow) {
   if (aNow >= m_levelAt + kLevelAge) {
-    m_level = LevelFrom(CountRecent(0, std::numeric_limits<int>::max(), aNow));
+    m_level = CountRecent(0, std::numeric_limits<int>::max(), aNow).Level();
     m_levelAt = aNow;
   }
   return m_level;
 }
 
+bool CongestionSignal::HasWaitingRun(Time aNow) const {
+  const bool isOverdue = std::any_of(m_runs.begin(), m_runs.end(), [aNow](const auto& aItem) {
+    const OpenRun& run = aItem.second;
+    return !run.m_hasBegun && IsDelayed(aNow - run.m_run.m_sentAt, run.m_expected);
+  });
+  return isOverdue || (m_lastRejection != Time{} && m_lastRejection + kRejectionAge >= aNow);
+}
+
 double CongestionSignal::LevelOf(int aUrgency, Time aNow) const {
-  return LevelFrom(CountRecent(aUrgency, aUrgency, aNow));
+  return CountRecent(aUrgency, aUrgency, aNow).Level();
 }
 
 Duration CongestionSignal::ServerWait(int aUrgency, Time aNow) const {
--- a/Libraries/LibRouting/CongestionSignal.h
+++ b/Libraries/LibRouting/CongestionSignal.h
@@ -43,6 +43,8 @@
   double Level(Time aNow);
   /// The same for the runs of one urgency.
   double LevelOf(int aUrgency, Time aNow) const;
+  /// Whether a run of this entry waits at a server now, or was just rejected by a full one.
+  bool HasWaitingRun(Time aNow) const;
   /// How long runs of this urgency recently waited at the servers beyond their prefill; 0 if there
   /// was none.
   Duration ServerWait(int aUrgency, Time aNow) const;
@@ -66,13 +68,12 @@
   struct Counts {
     double m_all = 0.0;
     std::unordered_map<std::uint64_t, double> m_delayedOfServer;
-    double Delayed() const;
+    double Level() const;
   };
 
   void AddSample(const OpenRun& aRun, bool aIsDelayed, Time aNow);
   void Learn(const OpenRun& aRun, Duration aTime, Time aNow);
   Counts CountRecent(int aFirstUrgency, int aLastUrgency, Time aNow) const;
-  static double LevelFrom(const Counts& aCounts);
 
   RunId m_lastRun = kNoRun;
   std::map<RunId, OpenRun> m_runs;
@@ -81,6 +82,7 @@
   PrefillSpeedEstimator m_prefillSpeed;
   /// By model: usual time to the first event beyond the prefill, in milliseconds.
   std::unordered_map<std::string, double> m_usualMs;
+  Time m_lastRejection{};
   double m_level = 0.0;
   Time m_levelAt{};
 };
--- a/Libraries/LibRouting/OverloadControl.cpp
+++ b/Libraries/LibRouting/OverloadControl.cpp
@@ -29,8 +29,14 @@
 
 /// Margins around the entry's part of the slots by rank, in square roots of it. The most urgent
 /// requests are not held.
-constexpr double kSecondRankMargin = 0.5;
+constexpr double kSecondRankMargin = 2.0;
 constexpr double kLastRankMargin = -0.5;
+/// Added for accounts over their share.
+constexpr double kOverShareMargin = -2.5;
+
+/// With this part of the runs of a more urgent kind delayed, less urgent work that cannot meet its
+/// own objective is refused.
+constexpr double kMoreUrgentDelayedLevel = 0.6;
 
 /// Requests of a more urgent kind were seen within this time, so that others may have to wait for
 /// them.
@@ -97,13 +103,26 @@
   return IsMostUrgent(aQuery.m_urgency, aNow) ? 0 : aQuery.m_urgency;
 }
 
-double OverloadControl::MostRunning(int aRank) const {
-  const double margin = aRank >= kUrgencyLevels - 1 ? kLastRankMargin : kSecondRankMargin;
-  return std::max(1.0, m_slots * m_usedPart + margin * std::sqrt(m_slots));
+double OverloadControl::MostRunning(int aRank, bool aIsOverShare) const {
+  const bool isLast = aRank >= kUrgencyLevels - 1;
+  const double margin =
+    (isLast ? kLastRankMargin : kSecondRankMargin) + (aIsOverShare ? kOverShareMargin : 0.0);
+  return std::max(1.0, m_slots * (isLast ? m_usedPart : 1.0) + margin * std::sqrt(m_slots));
 }
 
 bool OverloadControl::AreServersFull(Time aNow) {
-  return State(aNow) >= SurgeState::Surge && !HasRoom(kUrgencyLevels - 1);
+  const double full = m_slots - std::sqrt(m_slots);
+  return State(aNow) >= SurgeState::Surge && Running() + m_released >= full &&
+         m_signal.HasWaitingRun(aNow);
+}
+
+bool OverloadControl::IsMoreUrgentDelayed(int aUrgency, Time aNow) const {
+  for (int urgency = 0; urgency < aUrgency; ++urgency) {
+    if (m_signal.LevelOf(urgency, aNow) >= kMoreUrgentDelayedLevel) {
+      return true;
+    }
+  }
+  return false;
 }
 
 void OverloadControl::AdaptLimit(Time aNow) {
@@ -142,7 +161,11 @@
   if (aRequest.m_useRatio >= AccountUse::kOverShare && first > aRequest.m_objectiveAt) {
     return Admission::RefuseOverShare;
   }
-  return first > aRequest.m_lastUse ? Admission::RefuseLate : Admission::Send;
+  const bool isTooLate =
+    first > aRequest.m_lastUse ||
+    (aRequest.m_urgency >= kUrgencyLevels - 1 && first > aRequest.m_objectiveAt &&
+     IsMoreUrgentDelayed(aRequest.m_urgency, aNow));
+  return isTooLate ? Admission::RefuseLate : Admission::Send;
 }
 
 AdmissionDecision OverloadControl::Offer(const AdmissionQuery& aQuery, Time aNow) {
@@ -171,7 +194,7 @@
     .m_bytes = aQuery.m_bytes};
   const std::size_t ahead = m_queue.CountAhead(request);
   AdmissionDecision decision{.m_id = request.m_id, .m_useRatio = request.m_useRatio};
-  if (aNow >= request.m_leaveBy || (ahead == 0 && HasRoom(rank))) {
+  if (aNow >= request.m_leaveBy || (ahead == 0 && HasRoom(rank, request.m_useRatio))) {
     return decision;
   }
   decision.m_expectedWait = QueueWait(request, ahead);
@@ -207,7 +230,8 @@
   const bool isSurge = State(aNow) >= SurgeState::Surge;
   const double mostReleased = std::max(1.0, m_slots / kSlotsPerRelease);
   while (const WaitingRequest* first = m_queue.First()) {
-    const bool mayGo = isSurge ? HasRoom(std::max(1, first->m_urgency)) : m_released < mostReleased;
+    const bool mayGo = isSurge ? HasRoom(std::max(1, first->m_urgency), first->m_useRatio)
+                               : m_released < mostReleased;
     if (!mayGo) {
       break;
     }
@@ -218,15 +242,24 @@
   return decisions;
 }
 
-bool OverloadControl::HasCapacityToEscalate(int aUrgency, Time aNow) {
+bool OverloadControl::HasCapacityToEscalate(const EscalationQuery& aQuery, Time aNow) {
   const SurgeState state = State(aNow);
+  if (state == SurgeState::Calm) {
+    return true;
+  }
+  const int urgency = aQuery.m_urgency;
+  const Duration toFirstEvent = m_signal.ServerWait(urgency, aNow) +
+                                m_signal.ExpectedFirstEvent(aQuery.m_model, aQuery.m_promptTokens);
+  if (aQuery.m_objectiveAt != kNever && aNow + toFirstEvent > aQuery.m_objectiveAt) {
+    return false;
+  }
   if (IsUniform(aNow)) {
     return state <= SurgeState::Tight;
   }
-  if (IsMostUrgent(aUrgency, aNow)) {
+  if (IsMostUrgent(urgency, aNow)) {
     return state <= SurgeState::Surge;
   }
-  return aUrgency < kUrgencyLevels - 1 ? state <= SurgeState::Tight : state == SurgeState::Calm;
+  return urgency < kUrgencyLevels - 1 && state == SurgeState::Tight;
 }
 
 Duration OverloadControl::RetryAfter(int aUrgency, bool aIsOverShare, double aSpread, Time aNow) {
--- a/Libraries/LibRouting/OverloadControl.h
+++ b/Libraries/LibRouting/OverloadControl.h
@@ -67,6 +67,15 @@
   bool m_isRejected = false;
 };
 
+/// A request whose answer at hand could be replaced by one of a larger model.
+struct EscalationQuery {
+  int m_urgency = 0;
+  std::string m_model;
+  std::int64_t m_promptTokens = 0;
+  /// When the latency objective is missed; kNever without one.
+  Time m_objectiveAt = kNever;
+};
+
 struct AdmissionDecision {
   std::uint64_t m_id = 0;
   Admission m_admission = Admission::Send;
@@ -96,7 +105,7 @@
   void Leave(std::uint64_t aId) { m_queue.Remove(aId); }
 
   /// Whether a request may be escalated to a larger model, which is new work for the servers.
-  bool HasCapacityToEscalate(int aUrgency, Time aNow);
+  bool HasCapacityToEscalate(const EscalationQuery& aQuery, Time aNow);
   /// When the caller of a refused request should come back. Each refused caller is given a later
   /// time, as fast as the servers take requests from the queue. aSpread: uniform in [0, 1).
   Duration RetryAfter(int aUrgency, bool aIsOverShare, double aSpread, Time aNow);
@@ -118,8 +127,12 @@
   bool IsUniform(Time aNow) const;
   bool IsMostUrgent(int aUrgency, Time aNow) const;
   /// How many requests the entry may have at the servers when one of this rank is sent.
-  double MostRunning(int aRank) const;
-  bool HasRoom(int aRank) const { return Running() + m_released < MostRunning(aRank); }
+  double MostRunning(int aRank, bool aIsOverShare) const;
+  bool HasRoom(int aRank, double aUseRatio) const {
+    return Running() + m_released < MostRunning(aRank, aUseRatio >= AccountUse::kOverShare);
+  }
+  /// Whether a more urgent kind misses its objectives.
+  bool IsMoreUrgentDelayed(int aUrgency, Time aNow) const;
   bool AreServersFull(Time aNow);
   Duration QueueWait(const WaitingRequest& aRequest, std::size_t aAhead) const;
   Admission DecideOnTime(const WaitingRequest& aRequest, Duration aWait, Time aNow);
--- a/Services/Edge/Overload.cpp
+++ b/Services/Edge/Overload.cpp
@@ -107,9 +107,9 @@
   });
 }
 
-bool Overload::HasCapacityToEscalate(const std::string& aService, int aUrgency) {
+bool Overload::HasCapacityToEscalate(const std::string& aService, const EscalationQuery& aQuery) {
   const bool hasCapacity =
-    StateOf(aService).m_control.HasCapacityToEscalate(aUrgency, m_context.m_loop.Now());
+    StateOf(aService).m_control.HasCapacityToEscalate(aQuery, m_context.m_loop.Now());
   if (!hasCapacity) {
     m_context.m_metrics.OnEscalationWithheld();
   }
--- a/Services/Edge/Overload.h
+++ b/Services/Edge/Overload.h
@@ -33,7 +33,7 @@
   AdmissionDecision Offer(const std::string& aService, const AdmissionQuery& aQuery,
                           OnDecision aOnDecision);
   void Leave(const std::string& aService, std::uint64_t aId);
-  bool HasCapacityToEscalate(const std::string& aService, int aUrgency);
+  bool HasCapacityToEscalate(const std::string& aService, const EscalationQuery& aQuery);
   Duration RetryAfter(const std::string& aService, int aUrgency, Admission aCause);
   SurgeState State(const std::string& aService);
 
--- a/Services/Edge/RelayOverload.cpp
+++ b/Services/Edge/RelayOverload.cpp
@@ -101,7 +101,13 @@
 }
 
 bool RequestRelay::HasCapacityToEscalate() {
-  return m_context.m_overload->HasCapacityToEscalate(m_service, Urgency());
+  const bool hasObjective = m_route->m_objective > Duration(0);
+  return m_context.m_overload->HasCapacityToEscalate(
+    m_service,
+    {.m_urgency = Urgency(),
+     .m_model = m_route->m_models.back(),
+     .m_promptTokens = m_prefillTokens,
+     .m_objectiveAt = hasObjective ? m_request.m_arrived + m_route->m_objective : kNever});
 }
 
 void RequestRelay::OnRunSent() {
