Expect longer waits at full servers, and see surges of few servers

Cause: waiting runs were counted with the time they had waited so far, so that drafts were sent which the servers answered after their deadline; with four servers, the bound per server hid a surge. Change: a waiting run counts twice its time so far; a server may count twice its equal part of all runs. Result: TestOverloadControl passes (185 checks).

--- a/Libraries/LibRouting/CongestionSignal.cpp
+++ b/Libraries/LibRouting/CongestionSignal.cpp
@@ -25,8 +25,10 @@
 /// Runs without delay that are assumed in addition, so that the first two delays are no surge.
 constexpr double kPriorRuns = 3.0;
 
-/// A slow server counts for at most this many delayed runs.
+/// A slow server counts for at most this many delayed runs, or this many times its equal part of
+/// all runs.
 constexpr double kMaxDelayedPerServer = 2.0;
+constexpr double kMaxPart = 2.0;
 
 /// What is learned of the usual time changes by at most this per answer, and only with a level up
 /// to this one.
@@ -48,10 +50,12 @@
   if (m_delayedOfServer.size() < 2) {
     return 0.0;
   }
+  const double most =
+    std::max(kMaxDelayedPerServer, kMaxPart * m_all / static_cast<double>(m_servers.size()));
   double counted = 0.0;
   double delayedRuns = 0.0;
   for (const auto& [server, delayed] : m_delayedOfServer) {
-    counted += std::min(kMaxDelayedPerServer, delayed);
+    counted += std::min(most, delayed);
     delayedRuns += delayed;
   }
   return counted / (m_all - delayedRuns + counted + kPriorRuns);
@@ -132,6 +136,7 @@
   const auto count = [&](int aUrgency, std::uint64_t aServer, bool aIsDelayed) {
     if (aUrgency >= aFirstUrgency && aUrgency <= aLastUrgency) {
       counts.m_all += 1.0;
+      counts.m_servers.insert(aServer);
       if (aIsDelayed) {
         counts.m_delayedOfServer[aServer] += 1.0;
       }
@@ -182,7 +187,8 @@
   for (const auto& [id, run] : m_runs) {
     const Duration excess = aNow - run.m_run.m_sentAt - run.m_expected;
     if (!run.m_hasBegun && run.m_run.m_urgency == aUrgency && excess > Duration(0)) {
-      sum += excess;
+      // On average, those that wait now have waited for half of their time.
+      sum += excess * 2;
       ++count;
     }
   }
--- a/Libraries/LibRouting/CongestionSignal.h
+++ b/Libraries/LibRouting/CongestionSignal.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 
 namespace fennelline {
 
@@ -67,6 +68,7 @@
   /// Recent samples and the runs that are already overdue.
   struct Counts {
     double m_all = 0.0;
+    std::unordered_set<std::uint64_t> m_servers;
     std::unordered_map<std::uint64_t, double> m_delayedOfServer;
     double Level() const;
   };
