--- a/Services/Edge/EdgeProcess.cpp
+++ b/Services/Edge/EdgeProcess.cpp
@@ -126,6 +126,7 @@
   , m_paths(m_context)
   , m_peers(m_context, m_members)
   , m_room(aLoop)
+  , m_overload(m_context)
   , m_sessions(m_context, m_members)
   , m_leaving(m_context, m_members)
   , m_withheld(m_context, m_members, m_storeView) {
@@ -134,6 +135,7 @@
   m_context.m_paths = &m_paths;
   m_context.m_peers = &m_peers;
   m_context.m_room = &m_room;
+  m_context.m_overload = &m_overload;
   m_context.m_sessions = &m_sessions;
   m_context.m_leaving = &m_leaving;
   m_rollouts.SetSend([this](const std::string& aAddress, const RolloutReport& aReport) {
@@ -459,6 +461,7 @@
   m_metrics.SetServerWishes(m_context.m_backends.CountLeaving(),
                             m_context.m_backends.CountLeftAlone());
   m_metrics.SetLostPaths(m_paths.CountLost());
+  m_overload.UpdateMetrics();
   int running = 0;
   for (const std::shared_ptr<BackendLink>& backend : m_context.m_backends.All()) {
     running += m_context.IsEvacuated(*backend) ? backend->m_runningRequests : 0;
