Withhold escalations in a surge by their confidence, not all at once

Change: levels 0.25, 0.4 and 0.6, and a confidence threshold that falls with the level and is lower for less urgent kinds.

--- a/Libraries/LibRouting/OverloadControl.cpp
+++ b/Libraries/LibRouting/OverloadControl.cpp
@@ -9,9 +9,18 @@
 namespace {
 
 /// Parts of the recent runs that are delayed or rejected, see CongestionSignal.
-constexpr double kTightLevel = 0.12;
-constexpr double kSurgeLevel = 0.25;
-constexpr double kSevereLevel = 0.5;
+constexpr double kTightLevel = 0.25;
+constexpr double kSurgeLevel = 0.4;
+constexpr double kSevereLevel = 0.6;
+
+/// During a surge, answers with this confidence (percent) are kept. It falls from the usual
+/// threshold to zero at kNoEscalationLevel, and is lower by a part of it for each step of urgency:
+/// the least certain answers, and those of the most urgent kind, gain most by a larger model.
+constexpr double kDoubtfulPercent = 60.0;
+constexpr double kNoEscalationLevel = 0.8;
+constexpr double kEscalationPerUrgency = 0.2;
+/// A late answer of a larger model is worth more than one on time with less confidence (percent).
+constexpr double kLateWorthPercent = 20.0;
 
 /// A request leaves the queue after this fraction of its objective, so that it can still be served
 /// within the objective if the estimate of the capacity is wrong.
@@ -243,23 +252,19 @@
 }
 
 bool OverloadControl::HasCapacityToEscalate(const EscalationQuery& aQuery, Time aNow) {
-  const SurgeState state = State(aNow);
-  if (state == SurgeState::Calm) {
+  if (State(aNow) == SurgeState::Calm) {
     return true;
   }
-  const int urgency = aQuery.m_urgency;
-  const Duration toFirstEvent = m_signal.ServerWait(urgency, aNow) +
+  const Duration toFirstEvent = m_signal.ServerWait(aQuery.m_urgency, aNow) +
                                 m_signal.ExpectedFirstEvent(aQuery.m_model, aQuery.m_promptTokens);
-  if (aQuery.m_objectiveAt != kNever && aNow + toFirstEvent > aQuery.m_objectiveAt) {
+  const bool isLate = aQuery.m_objectiveAt != kNever && aNow + toFirstEvent > aQuery.m_objectiveAt;
+  if (isLate && aQuery.m_confidence >= kLateWorthPercent) {
     return false;
   }
-  if (IsUniform(aNow)) {
-    return state <= SurgeState::Tight;
-  }
-  if (IsMostUrgent(urgency, aNow)) {
-    return state <= SurgeState::Surge;
-  }
-  return urgency < kUrgencyLevels - 1 && state == SurgeState::Tight;
+  const int rank = IsUniform(aNow) || IsMostUrgent(aQuery.m_urgency, aNow) ? 0 : aQuery.m_urgency;
+  const double surge = (m_signal.Level(aNow) - kTightLevel) / (kNoEscalationLevel - kTightLevel) +
+                       kEscalationPerUrgency * rank;
+  return aQuery.m_confidence < kDoubtfulPercent * (1.0 - surge);
 }
 
 Duration OverloadControl::RetryAfter(int aUrgency, bool aIsOverShare, double aSpread, Time aNow) {
--- a/Libraries/LibRouting/OverloadControl.h
+++ b/Libraries/LibRouting/OverloadControl.h
@@ -69,6 +69,8 @@
 
 /// A request whose answer at hand could be replaced by one of a larger model.
 struct EscalationQuery {
+  /// Confidence of the answer at hand, in percent.
+  int m_confidence = 0;
   int m_urgency = 0;
   std::string m_model;
   std::int64_t m_promptTokens = 0;
--- a/Services/Edge/RelayOverload.cpp
+++ b/Services/Edge/RelayOverload.cpp
@@ -104,7 +104,8 @@
   const bool hasObjective = m_route->m_objective > Duration(0);
   return m_context.m_overload->HasCapacityToEscalate(
     m_service,
-    {.m_urgency = Urgency(),
+    {.m_confidence = m_attempt->m_metadata.m_confidence.value_or(0),
+     .m_urgency = Urgency(),
      .m_model = m_route->m_models.back(),
      .m_promptTokens = m_prefillTokens,
      .m_objectiveAt = hasObjective ? m_request.m_arrived + m_route->m_objective : kNever});
