Learn the servers' speed and the length of answers, share and use them in placement

Cause: a quarter of the servers runs at half the speed of the others, and placement counted prefill only. Placement sends long answers to slow servers less often and avoids an expected end past the deadline. A server that has just rejected a request costs more for a second. With equal servers nothing changes.

--- a/Libraries/LibRouting/Placement.h
+++ b/Libraries/LibRouting/Placement.h
@@ -15,6 +15,10 @@
   std::uint64_t m_identity = 0;
   /// Estimated number of requests there from all entries.
   double m_load = 0.0;
+  /// Its time for the same work relative to the usual server, see ServerSpeed.
+  double m_speedFactor = 1.0;
+  /// How recently it rejected a request for lack of capacity: 1 for just now, 0 for not lately.
+  double m_recentRejection = 0.0;
   /// Prefill backlog, including the prompt being processed, in milliseconds.
   double m_prefillMs = 0.0;
   /// Length of the current uninterrupted prefill period, including the backlog, in milliseconds.
@@ -43,6 +47,11 @@
   /// prompt.
   double m_promptMs = 0.0;
   double m_prefixMs = 0.0;
+  /// Expected time from the first to the last event on a usual server, in milliseconds; zero if it
+  /// is unknown.
+  double m_generateMs = 0.0;
+  /// Time until the deadline in milliseconds; zero for none.
+  double m_timeLeftMs = 0.0;
   /// The latency objective in milliseconds; zero for none.
   double m_objectiveMs = 0.0;
   /// Maximum pause between events of other streams, in milliseconds; zero if prefill cannot make
--- a/Libraries/LibRouting/ReplicaHealth.cpp
+++ b/Libraries/LibRouting/ReplicaHealth.cpp
@@ -19,6 +19,10 @@
 /// A server that rejected a request stays full for about the duration of a request.
 constexpr Duration kRejectionAvoidTime = Milliseconds(150);
 
+/// Its slots are likely to be taken for this time, so it is used less, until those of other
+/// requests are free again.
+constexpr Duration kRejectionCostTime = Seconds(1);
+
 /// How long an unreachable server is avoided at first; doubled for each further failure in a row.
 constexpr Duration kFirstAvoidTime = Milliseconds(400);
 /// A crashed server restarts within seconds, and its capacity is needed.
@@ -52,6 +56,12 @@
 
 void ReplicaHealth::OnRejected(Time aNow) {
   Avoid(kRejectionAvoidTime, aNow);
+  m_rejectedAt = aNow;
+}
+
+double ReplicaHealth::RecentRejection(Time aNow) const {
+  const double part = InSeconds(aNow - m_rejectedAt) / InSeconds(kRejectionCostTime);
+  return std::clamp(1.0 - part, 0.0, 1.0);
 }
 
 void ReplicaHealth::OnUnreachable(Time aNow) {
--- a/Libraries/LibRouting/ReplicaHealth.h
+++ b/Libraries/LibRouting/ReplicaHealth.h
@@ -22,6 +22,9 @@
   /// Moving average of the share of failed requests, from 0 to 1; recent results weigh more.
   double FailureRate(Time aNow) const;
 
+  /// 1 if it has just rejected a request, falling to 0 within about a second.
+  double RecentRejection(Time aNow) const;
+
 private:
   void Count(double aFailure, Time aNow);
   void Avoid(Duration aTime, Time aNow);
@@ -29,6 +32,7 @@
   double m_failureRate = 0.0;
   Time m_counted{};
   Time m_avoidedUntil{};
+  Time m_rejectedAt{};
   int m_unreachableInRow = 0;
 };
 
--- a/Libraries/LibRouting/RequestMetadata.h
+++ b/Libraries/LibRouting/RequestMetadata.h
@@ -28,6 +28,8 @@
   std::string m_model;
   std::int64_t m_promptTokens = 0;
   std::int64_t m_mostOutputTokens = 0;
+  /// The caller's estimate of the output tokens; zero if there is none.
+  std::int64_t m_lengthHintTokens = 0;
   std::vector<PromptPart> m_promptParts;
 };
 
--- a/Services/Edge/EdgeContext.h
+++ b/Services/Edge/EdgeContext.h
@@ -27,6 +27,7 @@
 class RoomQueue;
 class ServerPaths;
 class ServerPermits;
+class ServerSpeeds;
 class SessionKeeper;
 
 enum class VersionOutcome : std::uint8_t {
@@ -97,6 +98,7 @@
   RoomQueue* m_room = nullptr;
   SessionKeeper* m_sessions = nullptr;
   LeavingNotices* m_leaving = nullptr;
+  ServerSpeeds* m_speeds = nullptr;
   /// Requests in hand that other entries have passed on.
   std::size_t m_passedOnRequests = 0;
 
--- a/Services/Edge/EdgeMetrics.cpp
+++ b/Services/Edge/EdgeMetrics.cpp
@@ -131,6 +131,7 @@
   m_lostPaths = gauge("fennelline_lost_paths", "Services whose servers this entry does not reach.");
   m_refusedContents =
     gauge("fennelline_refused_contents", "Contents known to crash backend servers.");
+  m_slowServers = gauge("fennelline_slow_servers", "Backend servers slower than the usual one.");
   m_limitedServers = gauge("fennelline_limited_servers", "Backend servers that limit requests.");
   m_leavingServers =
     gauge("fennelline_leaving_servers", "Backend servers whose answers said that they leave.");
@@ -218,6 +219,10 @@
   m_permits[aIsGranted ? 1 : 0]->Increment();
 }
 
+void EdgeMetrics::SetSlowServers(std::size_t aCount) {
+  m_slowServers->Set(static_cast<double>(aCount));
+}
+
 void EdgeMetrics::SetLimitedServers(std::size_t aCount) {
   m_limitedServers->Set(static_cast<double>(aCount));
 }
--- a/Services/Edge/EdgeMetrics.h
+++ b/Services/Edge/EdgeMetrics.h
@@ -97,6 +97,8 @@
   /// A permit for a request to a server that limits requests was asked for.
   void OnPermit(bool aIsGranted);
   void SetLimitedServers(std::size_t aCount);
+  /// Servers that take clearly longer than the usual one.
+  void SetSlowServers(std::size_t aCount);
   /// Servers that have said that they leave, and that asked this entry to be left alone now.
   void SetServerWishes(std::size_t aLeaving, std::size_t aLeftAlone);
   void SetGauges(std::size_t aCallerChannels, std::size_t aServerChannels, std::size_t aMembers,
@@ -132,6 +134,7 @@
   prometheus::Gauge* m_refusedContents = nullptr;
   std::array<prometheus::Counter*, 2> m_permits{};
   prometheus::Gauge* m_limitedServers = nullptr;
+  prometheus::Gauge* m_slowServers = nullptr;
   prometheus::Gauge* m_leavingServers = nullptr;
   prometheus::Gauge* m_leftAloneServers = nullptr;
   prometheus::Gauge* m_callerChannels = nullptr;
--- a/Services/Edge/EdgeProcess.cpp
+++ b/Services/Edge/EdgeProcess.cpp
@@ -128,7 +128,8 @@
   , m_room(aLoop)
   , m_sessions(m_context, m_members)
   , m_leaving(m_context, m_members)
-  , m_withheld(m_context, m_members, m_storeView) {
+  , m_withheld(m_context, m_members, m_storeView)
+  , m_speeds(m_context, m_members) {
   m_context.m_crashWatch = &m_crashWatch;
   m_context.m_permits = &m_permits;
   m_context.m_paths = &m_paths;
@@ -136,6 +137,7 @@
   m_context.m_room = &m_room;
   m_context.m_sessions = &m_sessions;
   m_context.m_leaving = &m_leaving;
+  m_context.m_speeds = &m_speeds;
   m_rollouts.SetSend([this](const std::string& aAddress, const RolloutReport& aReport) {
     m_members.SendPeerMessage(aAddress, kRolloutMessageType + EncodeRolloutReport(aReport));
   });
@@ -344,7 +346,8 @@
     return;
   }
   if (m_permits.OnPeerMessage(aMessage) || m_sessions.OnPeerMessage(aMessage) ||
-      m_leaving.OnPeerMessage(aMessage) || m_withheld.OnPeerMessage(aMessage)) {
+      m_leaving.OnPeerMessage(aMessage) || m_withheld.OnPeerMessage(aMessage) ||
+      m_speeds.OnPeerMessage(aMessage)) {
     return;
   }
   const Time now = m_loop.Now();
@@ -455,6 +458,7 @@
                       m_loop.Now() - m_context.m_storeConfirmedAt);
   m_metrics.SetRefusedContents(m_crashWatch.CountRefused());
   m_metrics.SetLimitedServers(m_permits.CountLimited());
+  m_metrics.SetSlowServers(m_speeds.CountSlow());
   m_metrics.SetServerWishes(m_context.m_backends.CountLeaving(),
                             m_context.m_backends.CountLeftAlone());
   m_metrics.SetLostPaths(m_paths.CountLost());
@@ -478,6 +482,7 @@
 void EdgeProcess::OnSecondTimer() {
   m_context.m_backends.Sweep();
   m_peers.Sweep();
+  m_speeds.OnSecond();
   std::string text;
   static_cast<void>(ReadSettingsFile(m_options.m_settingsPath, text));
   if (!text.empty() && text != m_options.m_settingsText) {
--- a/Services/Edge/EdgeProcess.h
+++ b/Services/Edge/EdgeProcess.h
@@ -11,6 +11,7 @@
 #include "Services/Edge/RoomQueue.h"
 #include "Services/Edge/ServerPaths.h"
 #include "Services/Edge/ServerPermits.h"
+#include "Services/Edge/ServerSpeeds.h"
 #include "Services/Edge/SessionKeeper.h"
 #include "Services/Edge/StoreClient.h"
 #include "Services/Edge/StoreView.h"
@@ -87,6 +88,7 @@
   SessionKeeper m_sessions;
   LeavingNotices m_leaving;
   WithheldNotices m_withheld;
+  ServerSpeeds m_speeds;
   std::unique_ptr<HttpServer> m_callers;
   std::unique_ptr<HttpServer> m_entries;
   std::vector<std::unique_ptr<HttpServer>> m_servers;
--- a/Services/Edge/RelayAnswer.cpp
+++ b/Services/Edge/RelayAnswer.cpp
@@ -161,8 +161,7 @@
   m_context.Log(LogPriority::Routine, line);
   const Time now = m_context.m_loop.Now();
   m_attempt->m_backend->m_health.OnSuccess(now);
-  m_context.m_prefillSpeed.Learn(m_attempt->m_model, m_prefillTokens, m_expectedPrefillWait,
-                                 now - m_attempt->m_sentAt);
+  LearnFirstEvent();
   m_useLargestModel = true;
   m_context.m_crashWatch->OnCancelled(*m_attempt->m_backend, CurrentRun());
   ReleaseAttempt();
@@ -233,8 +232,7 @@
   if (m_attempt->m_events == 0) {
     m_attempt->m_firstEventAt = now;
     if (!m_attempt->m_backend->m_isEntry) {
-      m_context.m_prefillSpeed.Learn(m_attempt->m_model, m_prefillTokens, m_expectedPrefillWait,
-                                     now - m_attempt->m_sentAt);
+      LearnFirstEvent();
     }
   }
   if (!m_answerBegun) {
@@ -252,6 +250,7 @@
   m_attempt->m_pace.OnEvent(now);
   ReportProvenRun();
   ReportPace();
+  LearnPace(false);
   m_caller->SendBodyPart(events);
   if (m_ended || !m_attempt) {
     return;
@@ -352,6 +351,7 @@
   const int status = m_attempt->m_head.m_status;
   m_attempt->m_backend->m_health.OnSuccess(now);
   m_context.m_crashWatch->OnFinished(Causes());
+  LearnLength();
   ReportEvidence(VersionOutcome::Answered);
   if (m_answerBegun) {
     m_caller->SendBodyPart(m_attempt->m_body);
@@ -406,6 +406,7 @@
   if (!m_attempt) {
     return;
   }
+  LearnPace(true);
   const Attempt attempt = std::move(*m_attempt);
   m_attempt.reset();
   --attempt.m_backend->m_runningRequests;
--- a/Services/Edge/RelayPlacement.cpp
+++ b/Services/Edge/RelayPlacement.cpp
@@ -155,6 +155,7 @@
     query.m_promptMs = InFractionalMilliseconds(promptTime);
     query.m_prefixMs = InFractionalMilliseconds(speed.PrefillTime(model, query.m_prefixTokens));
     query.m_isLong = promptTime >= PrefillLoad::kLongPrefill;
+    AddExpectedTimes(query, *aService, model);
     if (LongPromptsDelayEvents(*aService)) {
       query.m_pauseObjectiveMs = InFractionalMilliseconds(m_route->m_pauseObjective);
     }
@@ -182,19 +183,22 @@
   return ChooseLongPromptServers(candidates);
 }
 
-void RequestRelay::RecordPrefill(BackendLink& aBackend, const PlacementQuery& aQuery,
-                                 bool aIsPrefixCached) {
+void RequestRelay::RecordPrefill(const Choice& aChoice) {
+  BackendLink& backend = *aChoice.m_backend;
+  const PlacementQuery& query = aChoice.m_query;
   const Time now = m_context.m_loop.Now();
-  m_prefillTokens = m_metadata.m_promptTokens - (aIsPrefixCached ? aQuery.m_prefixTokens : 0);
-  const Duration time = m_context.m_prefillSpeed.PrefillTime(ChooseModel(), m_prefillTokens);
-  m_prefixCached = aIsPrefixCached;
-  m_expectedPrefillWait = aBackend.m_prefillLoad.Left(now);
-  aBackend.m_prefillLoad.Add(time, now);
+  m_prefillTokens =
+    m_metadata.m_promptTokens - (aChoice.m_isPrefixCached ? query.m_prefixTokens : 0);
+  const Duration usualTime = m_context.m_prefillSpeed.PrefillTime(ChooseModel(), m_prefillTokens);
+  const Duration time = std::chrono::duration_cast<Duration>(usualTime * aChoice.m_speedFactor);
+  m_prefixCached = aChoice.m_isPrefixCached;
+  m_expectedPrefillWait = backend.m_prefillLoad.Left(now);
+  backend.m_prefillLoad.Add(time, now);
   if (time >= kAnnouncedPrefillTime && m_context.m_onLoad) {
-    m_context.m_onLoad({.m_backend = aBackend.m_identity, .m_prefillTime = time});
+    m_context.m_onLoad({.m_backend = backend.m_identity, .m_prefillTime = time});
   }
-  if (aQuery.m_prefix != 0) {
-    aBackend.m_prefixes.OnSent(aQuery.m_prefix, now);
+  if (query.m_prefix != 0) {
+    backend.m_prefixes.OnSent(query.m_prefix, now);
   }
 }
 
@@ -259,6 +263,8 @@
       {.m_identity = backend->m_identity,
        .m_load = isEngine ? EstimateLoad(backend->m_runningRequests, ownMean, m_context.m_entries)
                           : backend->m_runningRequests,
+       .m_speedFactor = isEngine ? SpeedFactor(*backend) : 1.0,
+       .m_recentRejection = isEngine ? backend->m_health.RecentRejection(now) : 0.0,
        .m_prefillMs = InFractionalMilliseconds(prefillLoad.Left(now)),
        .m_continuousPrefillMs = InFractionalMilliseconds(prefillLoad.ContinuousTime(now)),
        .m_slots = static_cast<double>(backend->m_record.m_slots),
@@ -279,7 +285,9 @@
   return Choice{.m_backend = eligible[*chosen],
                 .m_query = query,
                 .m_isPrefixCached = candidates[*chosen].m_holdsPrefix,
-                .m_isEngine = isEngine};
+                .m_isEngine = isEngine,
+                .m_load = candidates[*chosen].m_load,
+                .m_speedFactor = candidates[*chosen].m_speedFactor};
 }
 
 } // namespace fennelline
--- a/Services/Edge/RequestRelay.cpp
+++ b/Services/Edge/RequestRelay.cpp
@@ -334,13 +334,15 @@
   m_withoutPermit.clear();
   m_framer.BeginAttempt();
   if (aChoice.m_isEngine) {
-    RecordPrefill(*backend, aChoice.m_query, aChoice.m_isPrefixCached);
+    RecordPrefill(aChoice);
   }
   Attempt attempt;
   attempt.m_backend = backend;
   attempt.m_model = ChooseModel();
   attempt.m_sentAt = m_context.m_loop.Now();
   attempt.m_isSuspect = IsSuspect();
+  attempt.m_load = aChoice.m_load;
+  attempt.m_speedFactor = aChoice.m_speedFactor;
   LogLine line("attempt");
   line.Text("id", m_metadata.m_requestId).Text("backend", backend->m_record.m_id);
   line.Text("service", m_service).Text("version", backend->m_record.m_version);
@@ -348,6 +350,7 @@
   line.Count("running", backend->m_runningRequests).Count("tokens", m_prefillTokens);
   line.Flag("prefix-held", m_prefixCached);
   line.Ms("reading", backend->m_prefillLoad.Left(attempt.m_sentAt));
+  line.Real("speed-factor", aChoice.m_speedFactor);
   line.Real("failure-rate", backend->m_health.FailureRate(attempt.m_sentAt));
   line.Count("configuration", m_routes->Version());
   line.Ms("belief-age", attempt.m_sentAt - m_context.m_storeConfirmedAt);
--- a/Services/Edge/RequestRelay.h
+++ b/Services/Edge/RequestRelay.h
@@ -66,6 +66,10 @@
     /// Its evidence for or against the server's version has been reported.
     bool m_hasReported = false;
     bool m_hasReportedPace = false;
+    bool m_hasLearnedPace = false;
+    /// Estimated number of requests on the server and its speed factor when it was sent.
+    double m_load = 0.0;
+    double m_speedFactor = 1.0;
     /// The response head; valid if m_hasHead.
     MessageHead m_head;
     ResponseMetadata m_metadata;
@@ -93,6 +97,8 @@
     PlacementQuery m_query;
     bool m_isPrefixCached = false;
     bool m_isEngine = false;
+    double m_load = 0.0;
+    double m_speedFactor = 1.0;
   };
   /// A backend server's error response, forwarded if all further attempts fail too.
   struct FailureAnswer {
@@ -141,13 +147,26 @@
   std::optional<Duration> UntilServersReturn() const;
   /// Whether a server without a limit, other than aExcept, could run it now.
   bool HasUnlimitedServer(const BackendLink* aExcept = nullptr) const;
+  /// Expected number of events that are still to come.
+  double EventsLeft(const Service& aService) const;
+  /// Only streams of the same kind are compared. The model is empty if the caller names it.
+  std::string SpeedKind(const std::string& aModel) const;
+  /// Expected time from the next event to the last one on a usual server.
+  double GenerateMs(const Service& aService, const std::string& aModel) const;
+  void AddExpectedTimes(PlacementQuery& aQuery, const Service& aService,
+                        const std::string& aModel) const;
+  double SpeedFactor(const BackendLink& aBackend) const;
+  /// Learns the server's speed from this stream, once; aIsEnd: no more events will come.
+  void LearnPace(bool aIsEnd);
+  void LearnFirstEvent();
+  void LearnLength();
   PlacementQuery MakeQuery(const Service* aService) const;
   /// Whether the prefill of long prompts on the route's largest model delays the events of other
   /// streams past the route's objective.
   bool LongPromptsDelayEvents(const Service& aService) const;
   static std::vector<bool> MarkLongPromptServers(
     const std::vector<std::shared_ptr<BackendLink>>& aServers);
-  void RecordPrefill(BackendLink& aBackend, const PlacementQuery& aQuery, bool aIsPrefixCached);
+  void RecordPrefill(const Choice& aChoice);
   /// Whether this request is not sent to the server again.
   bool WasTried(const BackendLink& aBackend) const;
   /// Why the request is not sent to the server now. All choices of a server go by it.
--- /dev/null
+++ b/Tests/LibRouting/TestServerSpeed.cpp
@@ -0,0 +1,282 @@
+#include "LibBase/Random.h"
+#include "LibRouting/AnswerLength.h"
+#include "LibRouting/Placement.h"
+#include "LibRouting/ServerSpeed.h"
+
+#include <algorithm>
+#include <cmath>
+#include <doctest/doctest.h>
+#include <vector>
+
+using namespace fennelline;
+
+namespace {
+
+const std::string kKind = "engines/large";
+constexpr Duration kUsualEvent = Milliseconds(100);
+
+/// A quarter of the servers runs at half the speed of the others.
+double TrueFactor(std::size_t aServer) {
+  return aServer % 4 == 0 ? 2.0 : 1.0;
+}
+
+std::uint64_t Identity(std::size_t aServer) {
+  return Random(aServer + 1).Next();
+}
+
+/// The time between events of a stream, which one in ten times falls into half a second in which
+/// the server is 2.5 times slower.
+Duration EventTime(double aFactor, Random& aRandom) {
+  const double noise = std::exp(aRandom.Normal() * 0.1) * (aRandom.Chance(0.1) ? 2.5 : 1.0);
+  return std::chrono::duration_cast<Duration>(kUsualEvent * (aFactor * noise));
+}
+
+} // namespace
+
+TEST_CASE("ten streams a server under half-second noise tell its speed within 25%") {
+  // Guards against estimates that a few slow half-seconds spoil.
+  constexpr std::size_t kServers = 90;
+  int wrong = 0;
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    Random random(seed);
+    ServerSpeed speeds;
+    Time now = Time(Seconds(1000));
+    for (int stream = 0; stream < 10; ++stream) {
+      for (std::size_t server = 0; server < kServers; ++server) {
+        now += Milliseconds(10);
+        speeds.LearnEventTime(Identity(server), kKind, EventTime(TrueFactor(server), random), 8.0,
+                              now);
+      }
+    }
+    for (std::size_t server = 0; server < kServers; ++server) {
+      const double ratio = speeds.Factor(Identity(server), now) / TrueFactor(server);
+      wrong += ratio < 0.75 || ratio > 1.25 ? 1 : 0;
+    }
+  }
+  CHECK(wrong == 0);
+}
+
+TEST_CASE("equal servers all have a factor of exactly 1") {
+  // Guards existing deployments: a factor other than 1 changes choices.
+  Random random(7);
+  ServerSpeed speeds;
+  Time now = Time(Seconds(1000));
+  std::size_t unequal = 0;
+  for (int stream = 0; stream < 20; ++stream) {
+    for (std::size_t server = 0; server < 90; ++server) {
+      now += Milliseconds(5);
+      const double noise = std::exp(random.Normal() * 0.1);
+      speeds.LearnEventTime(Identity(server), kKind,
+                            std::chrono::duration_cast<Duration>(kUsualEvent * noise), 8.0, now);
+      unequal += speeds.Factor(Identity(server), now) != 1.0 ? 1 : 0;
+    }
+  }
+  CHECK(unequal == 0);
+}
+
+TEST_CASE("streams on other models and a fuller batch do not make a server look slow") {
+  ServerSpeed speeds;
+  Time now = Time(Seconds(1000));
+  for (int stream = 0; stream < 40; ++stream) {
+    now += Milliseconds(50);
+    const std::size_t server = static_cast<std::size_t>(stream) % 4;
+    const bool isLarge = server == 0;
+    speeds.LearnEventTime(Identity(server), isLarge ? "engines/large" : "engines/small",
+                          isLarge ? Milliseconds(100) : Milliseconds(10), 8.0, now);
+    // A batch of 24 instead of 8 takes some 28% longer.
+    speeds.LearnEventTime(Identity(4 + server), "engines/small",
+                          Milliseconds(server == 0 ? 13 : 10), server == 0 ? 24.0 : 8.0, now);
+  }
+  for (std::size_t server = 0; server < 8; ++server) {
+    CHECK(speeds.Factor(Identity(server), now) == 1.0);
+  }
+}
+
+TEST_CASE("a slow server is not avoided for ever, and an unknown one is usual") {
+  ServerSpeed speeds;
+  Time now = Time(Seconds(1000));
+  for (int stream = 0; stream < 12; ++stream) {
+    for (std::size_t server = 0; server < 8; ++server) {
+      speeds.LearnEventTime(Identity(server), kKind,
+                            std::chrono::duration_cast<Duration>(kUsualEvent * TrueFactor(server)),
+                            8.0, now);
+    }
+  }
+  CHECK(speeds.Factor(Identity(0), now) > 1.5);
+  CHECK(speeds.CountSlow(now) == 2);
+  CHECK(speeds.Factor(Identity(99), now) == 1.0);
+  now += Seconds(90);
+  CHECK(speeds.Factor(Identity(0), now) < 1.2);
+  speeds.Sweep(now + Seconds(120));
+  CHECK(speeds.CountSlow(now) == 0);
+}
+
+TEST_CASE("an entry without own streams learns from others, and nothing is told twice") {
+  // Guards against 59 entries of which each knows only the few streams of its own.
+  Random random(3);
+  ServerSpeed teller;
+  ServerSpeed listener;
+  const Time now = Time(Seconds(1000));
+  for (int stream = 0; stream < 10; ++stream) {
+    for (std::size_t server = 0; server < 20; ++server) {
+      teller.LearnEventTime(Identity(server), kKind, EventTime(TrueFactor(server), random), 8.0,
+                            now);
+    }
+  }
+  const std::vector<SpeedReport> first = teller.TakeReports(15);
+  const std::vector<SpeedReport> rest = teller.TakeReports(15);
+  CHECK(first.size() == 15);
+  CHECK(rest.size() == 5);
+  CHECK(teller.TakeReports(15).empty());
+  for (const std::vector<SpeedReport>& reports : {first, rest}) {
+    const std::string bytes = EncodeSpeedReports(reports);
+    CHECK(bytes.size() == reports.size() * kSpeedReportBytes);
+    const Result<std::vector<SpeedReport>> decoded = DecodeSpeedReports(bytes);
+    REQUIRE(!decoded.IsError());
+    for (const SpeedReport& report : decoded.Get()) {
+      listener.OnReport(report, now);
+    }
+  }
+  CHECK(listener.TakeReports(15).empty());
+  CHECK(listener.CountSlow(now) == 5);
+}
+
+TEST_CASE("speed reports keep their values within the resolution, and broken ones are refused") {
+  const std::vector<SpeedReport> reports = {
+    {.m_server = 0xdeadbeef, .m_logFactor = 0.69, .m_weight = 3.5},
+    {.m_server = 7, .m_logFactor = -9.0, .m_weight = 900.0}};
+  const Result<std::vector<SpeedReport>> decoded = DecodeSpeedReports(EncodeSpeedReports(reports));
+  REQUIRE(!decoded.IsError());
+  CHECK(decoded.Get()[0].m_server == 0xdeadbeef);
+  CHECK(decoded.Get()[0].m_logFactor == doctest::Approx(0.69).epsilon(0.02));
+  CHECK(decoded.Get()[0].m_weight == doctest::Approx(3.5));
+  CHECK(decoded.Get()[1].m_logFactor == doctest::Approx(-127.0 / 64.0));
+  CHECK(DecodeSpeedReports("12345").IsError());
+}
+
+TEST_CASE("the length of an answer is expected from the caller's words and the route's answers") {
+  AnswerLength lengths;
+  RequestMetadata plain;
+  RequestMetadata hinted;
+  hinted.m_lengthHintTokens = 900;
+  RequestMetadata limited;
+  limited.m_mostOutputTokens = 720;
+  CHECK(lengths.ExpectedEvents("r", plain, 9) == 0.0);
+  CHECK(lengths.ExpectedEvents("r", hinted, 9) == doctest::Approx(100.0));
+  CHECK(lengths.ExpectedEvents("r", limited, 9) == doctest::Approx(80.0));
+  for (int answer = 0; answer < 20; ++answer) {
+    lengths.Learn("r", limited, 40.0, 9);
+  }
+  CHECK(lengths.ExpectedEvents("r", plain, 9) == doctest::Approx(40.0));
+  CHECK(lengths.ExpectedEvents("r", limited, 9) == doctest::Approx(40.0));
+  // A hint that is far off is drawn towards what the route has shown.
+  CHECK(lengths.ExpectedEvents("r", hinted, 9) == doctest::Approx(std::sqrt(4000.0)));
+}
+
+namespace {
+
+/// Servers with speeds from 0.55 to 1.2.
+std::vector<PlacementCandidate> UnequalServers(std::size_t aCount) {
+  std::vector<PlacementCandidate> servers(aCount);
+  for (std::size_t index = 0; index < aCount; ++index) {
+    servers[index].m_identity = Identity(index);
+    servers[index].m_slots = 16.0;
+    const double part = static_cast<double>(index) / static_cast<double>(aCount - 1);
+    servers[index].m_speedFactor = index % 4 == 0 ? 1.0 / 0.55 : 1.0 / (0.95 + part * 0.25);
+  }
+  return servers;
+}
+
+PlacementQuery Answer(double aEvents, double aTimeLeftMs, std::uint64_t aPrefix) {
+  return {.m_prefix = aPrefix,
+          .m_prefixTokens = 198,
+          .m_promptMs = 40.0,
+          .m_prefixMs = 10.0,
+          .m_generateMs = (aEvents - 1.0) * 100.0,
+          .m_timeLeftMs = aTimeLeftMs,
+          .m_objectiveMs = 1500.0};
+}
+
+} // namespace
+
+TEST_CASE(
+  "no stream is placed where its end lies past the deadline while another server makes it") {
+  // Answers of up to 124 events with 15 s: on slow servers the longest would be cut.
+  Random random(5);
+  std::vector<PlacementCandidate> servers = UnequalServers(24);
+  for (int round = 0; round < 3000; ++round) {
+    for (PlacementCandidate& server : servers) {
+      server.m_load = random.Uniform() * 20.0;
+      server.m_prefillMs = random.Uniform() * 600.0;
+    }
+    const PlacementQuery query = Answer(3.0 + random.Uniform() * 121.0,
+                                        4000.0 + random.Uniform() * 11000.0, 1 + random.Below(9));
+    const auto end = [&query](const PlacementCandidate& aServer) {
+      return aServer.m_prefillMs + (query.m_promptMs + query.m_generateMs) * aServer.m_speedFactor;
+    };
+    const std::size_t chosen = *ChoosePlacement(query, servers, random);
+    const bool isPossible =
+      std::any_of(servers.begin(), servers.end(), [&](const PlacementCandidate& aServer) {
+        return end(aServer) <= query.m_timeLeftMs;
+      });
+    CHECK((!isPossible || end(servers[chosen]) <= query.m_timeLeftMs));
+  }
+}
+
+TEST_CASE("work is in proportion to what servers can do, and slow ones get some of it") {
+  // Guards against slow servers that are avoided, and against slow ones that are flooded because
+  // they look idle, at about two thirds of the slots.
+  Random random(9);
+  std::vector<PlacementCandidate> servers = UnequalServers(24);
+  std::vector<std::vector<double>> ends(servers.size());
+  std::vector<double> placed(servers.size(), 0.0);
+  double speeds = 0.0;
+  for (const PlacementCandidate& server : servers) {
+    speeds += 1.0 / server.m_speedFactor;
+  }
+  constexpr double kMeanGenerateMs = 3500.0;
+  const double perMs = speeds * 10.0 / kMeanGenerateMs;
+  double now = 0.0;
+  double work = 0.0;
+  while (now < 120'000.0) {
+    now += random.Exponential(1.0 / perMs);
+    for (std::size_t index = 0; index < servers.size(); ++index) {
+      std::erase_if(ends[index], [now](double aEnd) { return aEnd <= now; });
+      servers[index].m_load = static_cast<double>(ends[index].size());
+    }
+    const PlacementQuery query = Answer(3.0 + random.Uniform() * 66.0, 15'000.0, 0);
+    const std::size_t chosen = *ChoosePlacement(query, servers, random);
+    ends[chosen].push_back(now + query.m_generateMs * servers[chosen].m_speedFactor);
+    placed[chosen] += query.m_generateMs;
+    work += query.m_generateMs;
+  }
+  for (std::size_t index = 0; index < servers.size(); ++index) {
+    const double share = placed[index] / work * speeds * servers[index].m_speedFactor;
+    CAPTURE(servers[index].m_speedFactor);
+    CAPTURE(share);
+    CHECK(share > 0.5);
+    CHECK(share < 1.5);
+  }
+}
+
+TEST_CASE("with equal servers the length of the answer and the time left change no choice") {
+  // Guards existing deployments.
+  Random state(11);
+  std::vector<PlacementCandidate> servers(12);
+  for (std::size_t index = 0; index < servers.size(); ++index) {
+    servers[index].m_identity = Identity(index);
+    servers[index].m_slots = 16.0;
+  }
+  for (std::uint64_t seed = 1; seed <= 500; ++seed) {
+    for (PlacementCandidate& server : servers) {
+      server.m_load = state.Uniform() * 20.0;
+      server.m_prefillMs = state.Uniform() * 2000.0;
+    }
+    PlacementQuery query = Answer(100.0, 3000.0, seed % 7);
+    Random one(seed);
+    Random other(seed);
+    const std::optional<std::size_t> choice = ChoosePlacement(query, servers, one);
+    query.m_generateMs = query.m_timeLeftMs = 0.0;
+    CHECK(choice == ChoosePlacement(query, servers, other));
+  }
+}
--- a/Tests/Platform/TestCodecs.cpp
+++ b/Tests/Platform/TestCodecs.cpp
@@ -39,6 +39,22 @@
   CHECK(traits.Get().m_promptParts[1].m_tokens == 250);
 }
 
+TEST_CASE("DecodeRequest reads the length hint, and one that cannot be read as none") {
+  // Guards against requests refused, or taken for endless, for a mere estimate.
+  const auto read = [](const char* aValue) {
+    HeaderList headers = CallerHeaders();
+    headers.Add("Fennelline-Length-Hint", aValue);
+    const Result<RequestMetadata> traits = platform::DecodeRequest(headers);
+    REQUIRE(!traits.IsError());
+    return traits.Get().m_lengthHintTokens;
+  };
+  CHECK(read("378") == 378);
+  CHECK(read("-4") == 0);
+  CHECK(read("long") == 0);
+  CHECK(read("99999999999999999999") == 0);
+  CHECK(platform::DecodeRequest(CallerHeaders()).Get().m_lengthHintTokens == 0);
+}
+
 TEST_CASE(
   "DecodeRequest rejects missing, duplicate and malformed headers and names the malformed one") {
   HeaderList headers = CallerHeaders();
