Escalate to the model that can end in time, and move streams that would be cut

Cause: every doubtful answer went to the largest model, whatever time was left, and a stream on a server that turned slow was cut at its deadline. Change: EscalationPolicy chooses the model from confidence, time left and expected times; the middle one only if the largest cannot end in time. A stream is moved only if it would be cut and its rest ends in time elsewhere. The thresholds of confidence stay.

--- a/Libraries/LibRouting/Placement.cpp
+++ b/Libraries/LibRouting/Placement.cpp
@@ -47,9 +47,10 @@
 /// it, but holds its slot and memory for longer.
 constexpr double kGenerationCost = 0.05;
 
-/// Answers that take this long on a usual server go to each server in proportion to its speed,
-/// much longer ones in proportion to its square, and very short ones regardless of it.
-constexpr double kProportionalMs = 1500.0;
+/// Answers that take this long on a usual server (a mean one on the largest model) go to each
+/// server in proportion to its speed, much longer ones in proportion to its square, and very short
+/// ones regardless of it.
+constexpr double kProportionalMs = 3000.0;
 
 /// Cost of an expected end past the deadline: the answer is lost. Larger than all other costs but
 /// that of an avoided server. The risk starts at this fraction of the time left, because neither
--- a/Services/Edge/RelayAnswer.cpp
+++ b/Services/Edge/RelayAnswer.cpp
@@ -1,6 +1,5 @@
 // Forwards a backend server's response to the caller.
 
-#include "LibRouting/EscalationPolicy.h"
 #include "Services/Edge/CrashWatch.h"
 #include "Services/Edge/RequestRelay.h"
 #include "Services/Edge/RoomQueue.h"
@@ -108,9 +107,10 @@
   if (m_answerBegun && !m_attempt->m_isStream) {
     // Part of another response was already sent to the caller, and this one cannot continue it.
     EndAttempt(AttemptOutcome::Failed);
-  } else if (IsLowConfidence() && MayRun() && HasUnlimitedServer() &&
+  } else if (const std::optional<std::size_t> larger = LargerModelToAsk();
+             larger && MayRun() && HasUnlimitedServer() &&
              TryReplaceRun(kAttemptsReservedForFailures)) {
-    Escalate();
+    Escalate(*larger);
   }
   return HeadAction::Accept;
 }
@@ -136,13 +136,6 @@
                                      m_context.RetryPlan(), m_context.m_loop.Now());
 }
 
-bool RequestRelay::IsLowConfidence() const {
-  const EscalationPolicy policy;
-  return m_attempt->m_isStream && !m_answerBegun && !m_useLargestModel &&
-         m_route->m_models.size() > 1 &&
-         policy.IsDoubtful(m_attempt->m_metadata.m_confidence, MeanPrefillMs());
-}
-
 double RequestRelay::MeanPrefillMs() const {
   const Time now = m_context.m_loop.Now();
   double sum = 0.0;
@@ -153,16 +146,16 @@
   return eligible.empty() ? 0.0 : sum / static_cast<double>(eligible.size());
 }
 
-void RequestRelay::Escalate() {
+void RequestRelay::Escalate(std::size_t aModel) {
   LogLine line("escalate");
   line.Text("id", m_metadata.m_requestId).Text("backend", m_attempt->m_backend->m_record.m_id);
   line.Count("confidence", m_attempt->m_metadata.m_confidence.value_or(0));
-  line.Text("from", m_attempt->m_model).Text("to", m_route->m_models.back());
+  line.Text("from", m_attempt->m_model).Text("to", m_route->m_models[aModel]);
   m_context.Log(LogPriority::Routine, line);
   const Time now = m_context.m_loop.Now();
   m_attempt->m_backend->m_health.OnSuccess(now);
   LearnFirstEvent();
-  m_useLargestModel = true;
+  m_modelIndex = aModel;
   m_context.m_crashWatch->OnCancelled(*m_attempt->m_backend, CurrentRun());
   ReleaseAttempt();
   Dispatch();
@@ -209,6 +202,7 @@
     return;
   }
   m_attempt->m_channel->SetReading(false);
+  m_attempt->m_wasPaused = true;
   m_caller->SetOnDrained([self = shared_from_this()] {
     if (self->m_attempt) {
       self->m_attempt->m_channel->SetReading(true);
@@ -259,6 +253,9 @@
     EndAttempt(AttemptOutcome::Corrupt);
     return;
   }
+  if (MoveSlowStream(Duration(0))) {
+    return;
+  }
   m_context.m_loop.Cancel(std::exchange(m_stallTimer, EventLoop::kNoTimer));
   // Another entry watches the pauses of its servers itself.
   if (!m_attempt->m_backend->m_isEntry && m_retryPolicy.HasRunLeft() &&
@@ -540,6 +537,7 @@
                                m_attempt->m_backend->m_lastReceivedAt > m_attempt->m_sentAt;
   if (isBusyElsewhere) {
     // The server is alive but busy. Sending the request again would add to the load.
+    MoveSlowStream(m_context.m_loop.Now() - m_lastEvents);
     return;
   }
   if (!HasUnlimitedServer(m_attempt->m_backend.get())) {
--- a/Services/Edge/RelayPlacement.cpp
+++ b/Services/Edge/RelayPlacement.cpp
@@ -129,21 +129,20 @@
   if (m_route->m_models.empty()) {
     return {};
   }
-  return m_useLargestModel ? m_route->m_models.back() : m_route->m_models.front();
+  return m_route->m_models[std::min(m_modelIndex, m_route->m_models.size() - 1)];
 }
 
-PlacementQuery RequestRelay::MakeQuery(const Service* aService) const {
+PlacementQuery RequestRelay::MakeQuery(const Service* aService, const std::string& aModel) const {
   const bool isEngine = aService != nullptr && aService->m_isEngine;
   PlacementQuery query;
   query.m_delayPerRequestMs = isEngine ? kEngineDelayPerRequestMs : kPlainDelayPerRequestMs;
   query.m_bytes = static_cast<double>(m_request.m_body.size()) + kTypicalResponseBytes +
                   static_cast<double>(m_metadata.m_mostOutputTokens) * kBytesPerOutputToken;
   query.m_objectiveMs = InFractionalMilliseconds(m_route->m_objective);
-  const std::string model = ChooseModel();
   if (m_metadata.m_promptParts.size() > 1) {
     // All parts but the last, which is unique to the request, may be cached.
     const PromptPart& lastShared = m_metadata.m_promptParts[m_metadata.m_promptParts.size() - 2];
-    query.m_prefix = lastShared.m_id ^ HashOf(model);
+    query.m_prefix = lastShared.m_id ^ HashOf(aModel);
     for (const PromptPart& part : m_metadata.m_promptParts) {
       query.m_prefixTokens += part.m_tokens;
     }
@@ -151,11 +150,11 @@
   }
   if (isEngine) {
     const PrefillSpeedEstimator& speed = m_context.m_prefillSpeed;
-    const Duration promptTime = speed.PrefillTime(model, m_metadata.m_promptTokens);
+    const Duration promptTime = speed.PrefillTime(aModel, m_metadata.m_promptTokens);
     query.m_promptMs = InFractionalMilliseconds(promptTime);
-    query.m_prefixMs = InFractionalMilliseconds(speed.PrefillTime(model, query.m_prefixTokens));
+    query.m_prefixMs = InFractionalMilliseconds(speed.PrefillTime(aModel, query.m_prefixTokens));
     query.m_isLong = promptTime >= PrefillLoad::kLongPrefill;
-    AddExpectedTimes(query, *aService, model);
+    AddExpectedTimes(query, *aService, aModel);
     if (LongPromptsDelayEvents(*aService)) {
       query.m_pauseObjectiveMs = InFractionalMilliseconds(m_route->m_pauseObjective);
     }
@@ -237,7 +236,7 @@
   const Service* service = m_routes->FindService(m_service);
   const bool isEngine = service != nullptr && service->m_isEngine;
   const double entries = static_cast<double>(m_context.m_entries);
-  const PlacementQuery query = MakeQuery(service);
+  const PlacementQuery query = MakeQuery(service, ChooseModel());
   const bool isSuspect = IsSuspect();
   // Another server can run it if the limited one answers too late.
   const bool mayCheckLimit = m_retryPolicy.Promise().MayRepeat() && !isSuspect;
--- a/Services/Edge/RequestRelay.h
+++ b/Services/Edge/RequestRelay.h
@@ -3,6 +3,7 @@
 #include "LibCoordination/Observation/CrashHistory.h"
 #include "LibCoordination/Observation/CrashSuspects.h"
 #include "LibHttp/ServerConnection.h"
+#include "LibRouting/EscalationPolicy.h"
 #include "LibRouting/EventFramer.h"
 #include "LibRouting/PassedOnRequest.h"
 #include "LibRouting/Placement.h"
@@ -67,6 +68,11 @@
     bool m_hasReported = false;
     bool m_hasReportedPace = false;
     bool m_hasLearnedPace = false;
+    /// Reading from the server was paused for a caller that reads slowly, so its pace is unknown.
+    bool m_wasPaused = false;
+    /// When its pace was last checked, see MoveSlowStream().
+    Time m_paceCheckedAt{};
+    std::int64_t m_paceCheckedEvents = 0;
     /// Estimated number of requests on the server and its speed factor when it was sent.
     double m_load = 0.0;
     double m_speedFactor = 1.0;
@@ -160,7 +166,17 @@
   void LearnPace(bool aIsEnd);
   void LearnFirstEvent();
   void LearnLength();
-  PlacementQuery MakeQuery(const Service* aService) const;
+  /// The model that would answer instead of the current one with low confidence; none to keep it.
+  std::optional<std::size_t> LargerModelToAsk() const;
+  /// What the model could do on the server, other than aExcept, that would end first.
+  LargerModel ExpectModel(const Service& aService, std::size_t aIndex,
+                          const BackendLink* aExcept = nullptr) const;
+  /// Expected time until the current stream's last event; none if it is not due to be checked.
+  std::optional<double> CheckRestMs(const Service& aService, Duration aStalled);
+  /// Moves a stream that would be cut at its deadline, if another server ends it in time. aStalled:
+  /// time since the last event. Returns whether it was moved.
+  bool MoveSlowStream(Duration aStalled);
+  PlacementQuery MakeQuery(const Service* aService, const std::string& aModel) const;
   /// Whether the prefill of long prompts on the route's largest model delays the events of other
   /// streams past the route's objective.
   bool LongPromptsDelayEvents(const Service& aService) const;
@@ -216,10 +232,9 @@
   void OnStall();
   /// Learns whether the server that gave this answer limits requests.
   void LearnRequestLimit(const ResponseMetadata& aMetadata);
-  bool IsLowConfidence() const;
   double MeanPrefillMs() const;
   bool TryReplaceRun(int aReservedAttempts);
-  void Escalate();
+  void Escalate(std::size_t aModel);
   Duration MeasuredLatency() const;
   /// Reports a stream whose server has sent events for a while: nothing in its prompt crashes it.
   void ReportProvenRun();
@@ -278,8 +293,8 @@
   /// Expected prefill time of other prompts on the server when the request was sent.
   Duration m_expectedPrefillWait{0};
   bool m_ended = false;
-  /// The smallest model reported low confidence, so the largest one is used.
-  bool m_useLargestModel = false;
+  /// Among the route's models. Above zero if the smallest one reported low confidence.
+  std::size_t m_modelIndex = 0;
   /// The session runs on the version being replaced, or the new version failed this request.
   bool m_excludedFromTrial = false;
   EventLoop::TimerId m_deadlineTimer = EventLoop::kNoTimer;
--- a/Tests/LibRouting/TestServerSpeed.cpp
+++ b/Tests/LibRouting/TestServerSpeed.cpp
@@ -1,7 +1,11 @@
 #include "LibBase/Random.h"
 #include "LibRouting/AnswerLength.h"
+#include "LibRouting/EscalationPolicy.h"
+#include "LibRouting/LoadEstimate.h"
 #include "LibRouting/Placement.h"
+#include "LibRouting/ReplicaHealth.h"
 #include "LibRouting/ServerSpeed.h"
+#include "LibRouting/StreamMove.h"
 
 #include <algorithm>
 #include <cmath>
@@ -259,6 +263,89 @@
   }
 }
 
+TEST_CASE("59 entries that know only their own requests neither idle nor flood slow servers") {
+  // Guards against choices that are right only with exact loads: here an entry has a request on
+  // one in seven servers, and the servers are half full.
+  constexpr std::size_t kEntries = 59;
+  Random random(13);
+  std::vector<PlacementCandidate> servers = UnequalServers(90);
+  struct Running {
+    double m_end = 0.0;
+    std::size_t m_server = 0;
+  };
+  std::vector<std::vector<Running>> running(kEntries);
+  std::vector<double> placed(servers.size(), 0.0);
+  std::vector<double> busyMs(servers.size(), 0.0);
+  double speeds = 0.0;
+  for (const PlacementCandidate& server : servers) {
+    speeds += 1.0 / server.m_speedFactor;
+  }
+  const double perMs = speeds * 8.0 / 3500.0;
+  double work = 0.0;
+  double now = 0.0;
+  while (now < 60'000.0) {
+    now += random.Exponential(1.0 / perMs);
+    std::vector<Running>& own = running[random.Below(kEntries)];
+    std::erase_if(own, [now](const Running& aRunning) { return aRunning.m_end <= now; });
+    const double ownMean = static_cast<double>(own.size()) / static_cast<double>(servers.size());
+    std::vector<double> counts(servers.size(), 0.0);
+    for (const Running& request : own) {
+      counts[request.m_server] += 1.0;
+    }
+    for (std::size_t index = 0; index < servers.size(); ++index) {
+      servers[index].m_load = EstimateLoad(counts[index], ownMean, kEntries);
+    }
+    const PlacementQuery query = Answer(3.0 + random.Uniform() * 66.0, 15'000.0, 0);
+    const std::size_t chosen = *ChoosePlacement(query, servers, random);
+    const double takes = query.m_generateMs * servers[chosen].m_speedFactor;
+    own.push_back({.m_end = now + takes, .m_server = chosen});
+    placed[chosen] += query.m_generateMs;
+    busyMs[chosen] += takes;
+    work += query.m_generateMs;
+  }
+  for (std::size_t index = 0; index < servers.size(); ++index) {
+    const double share = placed[index] / work * speeds * servers[index].m_speedFactor;
+    CAPTURE(servers[index].m_speedFactor);
+    CHECK(share > 0.5);
+    CHECK(share < 1.6);
+    CHECK(busyMs[index] / now < 14.0);
+  }
+}
+
+TEST_CASE("requests of a hot prefix leave a server that is full, has just rejected, or is late") {
+  // Guards against one server that gets all requests of the most used prefix, whatever its load.
+  std::vector<PlacementCandidate> servers = UnequalServers(12);
+  for (PlacementCandidate& server : servers) {
+    server.m_speedFactor = 1.0;
+  }
+  const PlacementQuery hot = {.m_prefix = 5,
+                              .m_prefixTokens = 5382,
+                              .m_promptMs = 180.0,
+                              .m_prefixMs = 80.0,
+                              .m_generateMs = 4000.0,
+                              .m_timeLeftMs = 15'000.0,
+                              .m_objectiveMs = 3000.0};
+  Random random(1);
+  const std::size_t preferred = *ChoosePlacement(hot, servers, random);
+  const auto choose = [&](auto aSpoil) {
+    std::vector<PlacementCandidate> spoilt = servers;
+    aSpoil(spoilt[preferred]);
+    return *ChoosePlacement(hot, spoilt, random);
+  };
+  CHECK(choose([](PlacementCandidate&) {}) == preferred);
+  CHECK(choose([](PlacementCandidate& aServer) { aServer.m_load = 16.0; }) != preferred);
+  CHECK(choose([](PlacementCandidate& aServer) { aServer.m_recentRejection = 1.0; }) != preferred);
+  CHECK(choose([](PlacementCandidate& aServer) { aServer.m_prefillMs = 400.0; }) != preferred);
+  CHECK(choose([](PlacementCandidate& aServer) { aServer.m_speedFactor = 5.0; }) != preferred);
+
+  ReplicaHealth health;
+  const Time now = Time(Seconds(1000));
+  CHECK(health.RecentRejection(now) == 0.0);
+  health.OnRejected(now);
+  CHECK(health.RecentRejection(now + Milliseconds(500)) == doctest::Approx(0.5));
+  CHECK(health.RecentRejection(now + Seconds(2)) == 0.0);
+}
+
 TEST_CASE("with equal servers the length of the answer and the time left change no choice") {
   // Guards existing deployments.
   Random state(11);
@@ -280,3 +367,58 @@
     CHECK(choice == ChoosePlacement(query, servers, other));
   }
 }
+
+namespace {
+
+/// The middle and the largest model.
+std::vector<LargerModel> Larger(double aMiddleEndMs, double aLargestEndMs) {
+  return {{.m_index = 1, .m_firstEventMs = 150.0, .m_endMs = aMiddleEndMs},
+          {.m_index = 2, .m_firstEventMs = 600.0, .m_endMs = aLargestEndMs}};
+}
+
+DoubtfulAnswer Doubtful(int aConfidence, double aTimeLeftMs, double aObjectiveLeftMs) {
+  return {.m_confidence = aConfidence,
+          .m_timeLeftMs = aTimeLeftMs,
+          .m_objectiveLeftMs = aObjectiveLeftMs};
+}
+
+} // namespace
+
+TEST_CASE("a doubtful answer goes to the largest model that can end in time") {
+  // Guards against escalations that are cut at the deadline, with nothing answered.
+  const EscalationPolicy policy;
+  const DoubtfulAnswer answer = Doubtful(30, 10'000.0, 1'200.0);
+  CHECK(policy.ChooseModel(answer, Larger(1'500.0, 5'000.0)) == 2U);
+  CHECK(policy.ChooseModel(answer, Larger(1'500.0, 9'500.0)) == 1U);
+  CHECK(policy.ChooseModel(answer, Larger(9'500.0, 30'000.0)) == std::nullopt);
+  CHECK(policy.ChooseModel(answer, {}) == std::nullopt);
+  CHECK(policy.ChooseModel(Doubtful(60, 10'000.0, 1'200.0), Larger(1'500.0, 5'000.0)) ==
+        std::nullopt);
+  DoubtfulAnswer behind = answer;
+  behind.m_msBehind = 1'100.0;
+  CHECK(policy.ChooseModel(behind, Larger(1'500.0, 5'000.0)) == std::nullopt);
+}
+
+TEST_CASE(
+  "a late answer of the largest model is asked for only if the doubtful one is worth less") {
+  const EscalationPolicy policy;
+  CHECK(policy.ChooseModel(Doubtful(5, 10'000.0, 400.0), Larger(1'500.0, 5'000.0)) == 2U);
+  CHECK(policy.ChooseModel(Doubtful(30, 10'000.0, 400.0), Larger(1'500.0, 5'000.0)) == 1U);
+  CHECK(policy.ChooseModel(Doubtful(30, 10'000.0, 100.0), Larger(1'500.0, 5'000.0)) ==
+        std::nullopt);
+  DoubtfulAnswer withoutObjective = Doubtful(30, 10'000.0, 0.0);
+  withoutObjective.m_objectiveLeftMs = std::nullopt;
+  CHECK(policy.ChooseModel(withoutObjective, Larger(1'500.0, 5'000.0)) == 2U);
+}
+
+TEST_CASE("a stream is moved only if it would be cut here and ends in time elsewhere") {
+  // Guards against streams that wander between busy servers and use up the retry budget.
+  const auto isMoved = [](double aHere, double aElsewhere, double aTimeLeft) {
+    return IsMoveWorthwhile(
+      {.m_restHereMs = aHere, .m_restElsewhereMs = aElsewhere, .m_timeLeftMs = aTimeLeft});
+  };
+  CHECK(isMoved(9'000.0, 4'000.0, 8'000.0));
+  CHECK(!isMoved(7'000.0, 4'000.0, 8'000.0));
+  CHECK(!isMoved(9'000.0, 7'000.0, 8'000.0));
+  CHECK(!isMoved(9'000.0, 10'000.0, 8'000.0));
+}
