--- a/Services/Edge/ServerSpeeds.h
+++ b/Services/Edge/ServerSpeeds.h
@@ -31,8 +31,6 @@
   Members& m_members;
   ServerSpeed m_speeds;
   AnswerLength m_lengths;
-  /// Bytes that may be sent.
-  double m_creditBytes = 0.0;
 };
 
 } // namespace fennelline
--- a/Tests/LibRouting/TestServerSpeed.cpp
+++ b/Tests/LibRouting/TestServerSpeed.cpp
@@ -5,6 +5,7 @@
 #include "LibRouting/Placement.h"
 #include "LibRouting/ReplicaHealth.h"
 #include "LibRouting/ServerSpeed.h"
+#include "LibRouting/SpeedReportPlan.h"
 #include "LibRouting/StreamMove.h"
 
 #include <algorithm>
@@ -145,6 +146,19 @@
   CHECK(listener.CountSlow(now) == 5);
 }
 
+TEST_CASE("reports take at most 200 bytes a second, and every sample gets to three entries") {
+  // Guards the links of 460 entries, each of which sees more streams than it can report.
+  for (const std::size_t others : {1U, 2U, 8U, 58U, 85U, 459U}) {
+    const SpeedReportPlan plan{.m_others = others};
+    for (std::size_t reports = 1; reports <= plan.MaxReports(); ++reports) {
+      const std::size_t bytes = 2 + reports * kSpeedReportBytes;
+      CHECK(plan.Receivers(reports) * bytes <= 200);
+      CHECK(plan.Receivers(reports) >= std::min<std::size_t>(3, others));
+    }
+    CHECK(plan.MaxReports() >= 10);
+  }
+}
+
 TEST_CASE("speed reports keep their values within the resolution, and broken ones are refused") {
   const std::vector<SpeedReport> reports = {
     {.m_server = 0xdeadbeef, .m_logFactor = 0.69, .m_weight = 3.5},
