--- a/Services/Edge/EdgeContext.h
+++ b/Services/Edge/EdgeContext.h
@@ -29,6 +29,7 @@
 class RoomQueue;
 class ServerPaths;
 class ServerPermits;
+class ServerSpeeds;
 class SessionKeeper;
 
 enum class VersionOutcome : std::uint8_t {
@@ -101,6 +102,7 @@
   Overload* m_overload = nullptr;
   SessionKeeper* m_sessions = nullptr;
   LeavingNotices* m_leaving = nullptr;
+  ServerSpeeds* m_speeds = nullptr;
   /// Requests in hand that other entries have passed on.
   std::size_t m_passedOnRequests = 0;
 
--- a/Services/Edge/EdgeMetrics.cpp
+++ b/Services/Edge/EdgeMetrics.cpp
@@ -163,6 +163,7 @@
        .Register(*m_registry)
        .Add({});
   m_coldServers = gauge("fennelline_cold_servers", "Backend servers that count as cold.");
+  m_slowServers = gauge("fennelline_slow_servers", "Backend servers slower than the usual one.");
   m_limitedServers = gauge("fennelline_limited_servers", "Backend servers that limit requests.");
   m_leavingServers =
     gauge("fennelline_leaving_servers", "Backend servers whose answers said that they leave.");
@@ -278,6 +279,10 @@
   m_coldServers->Set(static_cast<double>(aCount));
 }
 
+void EdgeMetrics::SetSlowServers(std::size_t aCount) {
+  m_slowServers->Set(static_cast<double>(aCount));
+}
+
 void EdgeMetrics::SetLimitedServers(std::size_t aCount) {
   m_limitedServers->Set(static_cast<double>(aCount));
 }
--- a/Services/Edge/EdgeMetrics.h
+++ b/Services/Edge/EdgeMetrics.h
@@ -106,6 +106,8 @@
   void OnTurnedFromCold();
   void SetColdServers(std::size_t aCount);
   void SetLimitedServers(std::size_t aCount);
+  /// Servers that take clearly longer than the usual one.
+  void SetSlowServers(std::size_t aCount);
   /// Servers that have said that they leave, and that asked this entry to be left alone now.
   void SetServerWishes(std::size_t aLeaving, std::size_t aLeftAlone);
   /// Evacuated data centres, and requests of this entry that still run there.
@@ -149,6 +151,7 @@
   prometheus::Counter* m_turnedFromCold = nullptr;
   prometheus::Gauge* m_coldServers = nullptr;
   prometheus::Gauge* m_limitedServers = nullptr;
+  prometheus::Gauge* m_slowServers = nullptr;
   prometheus::Gauge* m_leavingServers = nullptr;
   prometheus::Gauge* m_leftAloneServers = nullptr;
   prometheus::Gauge* m_evacuatedZones = nullptr;
--- a/Services/Edge/RelayAnswer.cpp
+++ b/Services/Edge/RelayAnswer.cpp
@@ -1,6 +1,5 @@
 // Forwards a backend server's response to the caller.
 
-#include "LibRouting/EscalationPolicy.h"
 #include "Services/Edge/CrashWatch.h"
 #include "Services/Edge/RequestRelay.h"
 #include "Services/Edge/RoomQueue.h"
@@ -112,9 +111,10 @@
   if (m_answerBegun && !m_attempt->m_isStream) {
     // Part of another response was already sent to the caller, and this one cannot continue it.
     EndAttempt(AttemptOutcome::Failed);
-  } else if (IsLowConfidence() && HasCapacityToEscalate() && MayRun() && HasUnlimitedServer() &&
+  } else if (const std::optional<std::size_t> larger = LargerModelToAsk();
+             larger && HasCapacityToEscalate() && MayRun() && HasUnlimitedServer() &&
              TryReplaceRun(kAttemptsReservedForFailures)) {
-    Escalate();
+    Escalate(*larger);
   }
   return HeadAction::Accept;
 }
@@ -140,13 +140,6 @@
                                      m_context.RetryPlan(), m_context.m_loop.Now());
 }
 
-bool RequestRelay::IsLowConfidence() const {
-  const EscalationPolicy policy;
-  return m_attempt->m_isStream && !m_answerBegun && !m_useLargestModel &&
-         m_route->m_models.size() > 1 &&
-         policy.IsDoubtful(m_attempt->m_metadata.m_confidence, MeanPrefillMs());
-}
-
 double RequestRelay::MeanPrefillMs() const {
   const Time now = m_context.m_loop.Now();
   double sum = 0.0;
@@ -157,17 +150,16 @@
   return eligible.empty() ? 0.0 : sum / static_cast<double>(eligible.size());
 }
 
-void RequestRelay::Escalate() {
+void RequestRelay::Escalate(std::size_t aModel) {
   LogLine line("escalate");
   line.Text("id", m_metadata.m_requestId).Text("backend", m_attempt->m_backend->m_record.m_id);
   line.Count("confidence", m_attempt->m_metadata.m_confidence.value_or(0));
-  line.Text("from", m_attempt->m_model).Text("to", m_route->m_models.back());
+  line.Text("from", m_attempt->m_model).Text("to", m_route->m_models[aModel]);
   m_context.Log(LogPriority::Routine, line);
   const Time now = m_context.m_loop.Now();
   m_attempt->m_backend->m_health.OnSuccess(now);
-  m_context.m_prefillSpeed.Learn(m_attempt->m_model, m_prefillTokens, m_expectedPrefillWait,
-                                 now - m_attempt->m_sentAt);
-  m_useLargestModel = true;
+  LearnFirstEvent();
+  m_modelIndex = aModel;
   m_context.m_crashWatch->OnCancelled(*m_attempt->m_backend, CurrentRun());
   ReleaseAttempt();
   Dispatch();
@@ -214,6 +206,7 @@
     return;
   }
   m_attempt->m_channel->SetReading(false);
+  m_attempt->m_wasPaused = true;
   m_caller->SetOnDrained([self = shared_from_this()] {
     if (self->m_attempt) {
       self->m_attempt->m_channel->SetReading(true);
@@ -237,8 +230,7 @@
   if (m_attempt->m_events == 0) {
     m_attempt->m_firstEventAt = now;
     if (!m_attempt->m_backend->m_isEntry) {
-      m_context.m_prefillSpeed.Learn(m_attempt->m_model, m_prefillTokens, m_expectedPrefillWait,
-                                     now - m_attempt->m_sentAt);
+      LearnFirstEvent();
     }
   }
   if (!m_answerBegun) {
@@ -256,6 +248,7 @@
   m_attempt->m_pace.OnEvent(now);
   ReportProvenRun();
   ReportPace();
+  LearnPace(false);
   m_caller->SendBodyPart(events);
   if (m_ended || !m_attempt) {
     return;
@@ -264,6 +257,9 @@
     EndAttempt(AttemptOutcome::Corrupt);
     return;
   }
+  if (MoveSlowStream(Duration(0))) {
+    return;
+  }
   m_context.m_loop.Cancel(std::exchange(m_stallTimer, EventLoop::kNoTimer));
   // Another entry watches the pauses of its servers itself.
   if (!m_attempt->m_backend->m_isEntry && m_retryPolicy.HasRunLeft() &&
@@ -356,6 +352,7 @@
   const int status = m_attempt->m_head.m_status;
   m_attempt->m_backend->m_health.OnSuccess(now);
   m_context.m_crashWatch->OnFinished(Causes());
+  LearnLength();
   ReportEvidence(VersionOutcome::Answered);
   if (m_answerBegun) {
     m_caller->SendBodyPart(m_attempt->m_body);
@@ -410,6 +407,7 @@
   if (!m_attempt) {
     return;
   }
+  LearnPace(true);
   const Attempt attempt = std::move(*m_attempt);
   m_attempt.reset();
   --attempt.m_backend->m_runningRequests;
@@ -544,6 +542,7 @@
                                m_attempt->m_backend->m_lastReceivedAt > m_attempt->m_sentAt;
   if (isBusyElsewhere) {
     // The server is alive but busy. Sending the request again would add to the load.
+    MoveSlowStream(m_context.m_loop.Now() - m_lastEvents);
     return;
   }
   if (!HasUnlimitedServer(m_attempt->m_backend.get())) {
--- a/Services/Edge/RelayPlacement.cpp
+++ b/Services/Edge/RelayPlacement.cpp
@@ -128,21 +128,20 @@
   if (m_route->m_models.empty()) {
     return {};
   }
-  return m_useLargestModel ? m_route->m_models.back() : m_route->m_models.front();
+  return m_route->m_models[std::min(m_modelIndex, m_route->m_models.size() - 1)];
 }
 
-PlacementQuery RequestRelay::MakeQuery(const Service* aService) const {
+PlacementQuery RequestRelay::MakeQuery(const Service* aService, const std::string& aModel) const {
   const bool isEngine = aService != nullptr && aService->m_isEngine;
   PlacementQuery query;
   query.m_delayPerRequestMs = isEngine ? kEngineDelayPerRequestMs : kPlainDelayPerRequestMs;
   query.m_bytes = static_cast<double>(m_request.m_body.size()) + kTypicalResponseBytes +
                   static_cast<double>(m_metadata.m_mostOutputTokens) * kBytesPerOutputToken;
   query.m_objectiveMs = InFractionalMilliseconds(m_route->m_objective);
-  const std::string model = ChooseModel();
   if (m_metadata.m_promptParts.size() > 1) {
     // All parts but the last, which is unique to the request, may be cached.
     const PromptPart& lastShared = m_metadata.m_promptParts[m_metadata.m_promptParts.size() - 2];
-    query.m_prefix = lastShared.m_id ^ HashOf(model);
+    query.m_prefix = lastShared.m_id ^ HashOf(aModel);
     for (const PromptPart& part : m_metadata.m_promptParts) {
       query.m_prefixTokens += part.m_tokens;
     }
@@ -150,10 +149,11 @@
   }
   if (isEngine) {
     const PrefillSpeedEstimator& speed = m_context.m_prefillSpeed;
-    const Duration promptTime = speed.PrefillTime(model, m_metadata.m_promptTokens);
+    const Duration promptTime = speed.PrefillTime(aModel, m_metadata.m_promptTokens);
     query.m_promptMs = InFractionalMilliseconds(promptTime);
-    query.m_prefixMs = InFractionalMilliseconds(speed.PrefillTime(model, query.m_prefixTokens));
+    query.m_prefixMs = InFractionalMilliseconds(speed.PrefillTime(aModel, query.m_prefixTokens));
     query.m_isLong = promptTime >= PrefillLoad::kLongPrefill;
+    AddExpectedTimes(query, *aService, aModel);
     if (LongPromptsDelayEvents(*aService)) {
       query.m_pauseObjectiveMs = InFractionalMilliseconds(m_route->m_pauseObjective);
     }
@@ -181,19 +181,22 @@
   return ChooseLongPromptServers(candidates);
 }
 
-void RequestRelay::RecordPrefill(BackendLink& aBackend, const PlacementQuery& aQuery,
-                                 bool aIsPrefixCached) {
+void RequestRelay::RecordPrefill(const Choice& aChoice) {
+  BackendLink& backend = *aChoice.m_backend;
+  const PlacementQuery& query = aChoice.m_query;
   const Time now = m_context.m_loop.Now();
-  m_prefillTokens = m_metadata.m_promptTokens - (aIsPrefixCached ? aQuery.m_prefixTokens : 0);
-  const Duration time = m_context.m_prefillSpeed.PrefillTime(ChooseModel(), m_prefillTokens);
-  m_prefixCached = aIsPrefixCached;
-  m_expectedPrefillWait = aBackend.m_prefillLoad.Left(now);
-  aBackend.m_prefillLoad.Add(time, now);
+  m_prefillTokens =
+    m_metadata.m_promptTokens - (aChoice.m_isPrefixCached ? query.m_prefixTokens : 0);
+  const Duration usualTime = m_context.m_prefillSpeed.PrefillTime(ChooseModel(), m_prefillTokens);
+  const Duration time = std::chrono::duration_cast<Duration>(usualTime * aChoice.m_speedFactor);
+  m_prefixCached = aChoice.m_isPrefixCached;
+  m_expectedPrefillWait = backend.m_prefillLoad.Left(now);
+  backend.m_prefillLoad.Add(time, now);
   if (time >= kAnnouncedPrefillTime && m_context.m_onLoad) {
-    m_context.m_onLoad({.m_backend = aBackend.m_identity, .m_prefillTime = time});
+    m_context.m_onLoad({.m_backend = backend.m_identity, .m_prefillTime = time});
   }
-  if (aQuery.m_prefix != 0) {
-    aBackend.m_prefixes.OnSent(aQuery.m_prefix, now);
+  if (query.m_prefix != 0) {
+    backend.m_prefixes.OnSent(query.m_prefix, now);
   }
 }
 
@@ -236,7 +239,7 @@
   const Service* service = m_routes->FindService(m_service);
   const bool isEngine = service != nullptr && service->m_isEngine;
   const double entries = static_cast<double>(m_context.m_entries);
-  const PlacementQuery query = MakeQuery(service);
+  const PlacementQuery query = MakeQuery(service, ChooseModel());
   const bool isSuspect = IsSuspect();
   // Another server can run it if the limited one answers too late.
   const bool mayCheckLimit = m_retryPolicy.Promise().MayRepeat() && !isSuspect;
@@ -262,6 +265,8 @@
       {.m_identity = backend->m_identity,
        .m_load = isEngine ? EstimateLoad(backend->m_runningRequests, ownMean, m_context.m_entries)
                           : backend->m_runningRequests,
+       .m_speedFactor = isEngine ? SpeedFactor(*backend) : 1.0,
+       .m_recentRejection = isEngine ? backend->m_health.RecentRejection(now) : 0.0,
        .m_prefillMs = InFractionalMilliseconds(prefillLoad.Left(now)),
        .m_continuousPrefillMs = InFractionalMilliseconds(prefillLoad.ContinuousTime(now)),
        .m_slots = static_cast<double>(backend->m_record.m_slots),
@@ -284,7 +289,9 @@
   return Choice{.m_backend = eligible[*chosen],
                 .m_query = query,
                 .m_isPrefixCached = candidates[*chosen].m_holdsPrefix,
-                .m_isEngine = isEngine};
+                .m_isEngine = isEngine,
+                .m_load = candidates[*chosen].m_load,
+                .m_speedFactor = candidates[*chosen].m_speedFactor};
 }
 
 } // namespace fennelline
--- a/Services/Edge/RequestRelay.h
+++ b/Services/Edge/RequestRelay.h
@@ -3,6 +3,7 @@
 #include "LibCoordination/Observation/CrashHistory.h"
 #include "LibCoordination/Observation/CrashSuspects.h"
 #include "LibHttp/ServerConnection.h"
+#include "LibRouting/EscalationPolicy.h"
 #include "LibRouting/EventFramer.h"
 #include "LibRouting/PassedOnRequest.h"
 #include "LibRouting/Placement.h"
@@ -69,6 +70,15 @@
     /// Its evidence for or against the server's version has been reported.
     bool m_hasReported = false;
     bool m_hasReportedPace = false;
+    bool m_hasLearnedPace = false;
+    /// Reading from the server was paused for a caller that reads slowly, so its pace is unknown.
+    bool m_wasPaused = false;
+    /// When its pace was last checked, see MoveSlowStream().
+    Time m_paceCheckedAt{};
+    std::int64_t m_paceCheckedEvents = 0;
+    /// Estimated number of requests on the server and its speed factor when it was sent.
+    double m_load = 0.0;
+    double m_speedFactor = 1.0;
     /// The response head; valid if m_hasHead.
     MessageHead m_head;
     ResponseMetadata m_metadata;
@@ -98,6 +108,8 @@
     PlacementQuery m_query;
     bool m_isPrefixCached = false;
     bool m_isEngine = false;
+    double m_load = 0.0;
+    double m_speedFactor = 1.0;
   };
   /// A backend server's error response, forwarded if all further attempts fail too.
   struct FailureAnswer {
@@ -155,13 +167,36 @@
   std::optional<Duration> UntilServersReturn() const;
   /// Whether a server without a limit, other than aExcept, could run it now.
   bool HasUnlimitedServer(const BackendLink* aExcept = nullptr) const;
-  PlacementQuery MakeQuery(const Service* aService) const;
+  /// Expected number of events that are still to come.
+  double EventsLeft(const Service& aService) const;
+  /// Only streams of the same kind are compared. The model is empty if the caller names it.
+  std::string SpeedKind(const std::string& aModel) const;
+  /// Expected time from the next event to the last one on a usual server.
+  double GenerateMs(const Service& aService, const std::string& aModel) const;
+  void AddExpectedTimes(PlacementQuery& aQuery, const Service& aService,
+                        const std::string& aModel) const;
+  double SpeedFactor(const BackendLink& aBackend) const;
+  /// Learns the server's speed from this stream, once; aIsEnd: no more events will come.
+  void LearnPace(bool aIsEnd);
+  void LearnFirstEvent();
+  void LearnLength();
+  /// The model that would answer instead of the current one with low confidence; none to keep it.
+  std::optional<std::size_t> LargerModelToAsk() const;
+  /// What the model could do on the server, other than aExcept, that would end first.
+  LargerModel ExpectModel(const Service& aService, std::size_t aIndex,
+                          const BackendLink* aExcept = nullptr) const;
+  /// Expected time until the current stream's last event; none if it is not due to be checked.
+  std::optional<double> CheckRestMs(const Service& aService, Duration aStalled);
+  /// Moves a stream that would be cut at its deadline, if another server ends it in time. aStalled:
+  /// time since the last event. Returns whether it was moved.
+  bool MoveSlowStream(Duration aStalled);
+  PlacementQuery MakeQuery(const Service* aService, const std::string& aModel) const;
   /// Whether the prefill of long prompts on the route's largest model delays the events of other
   /// streams past the route's objective.
   bool LongPromptsDelayEvents(const Service& aService) const;
   static std::vector<bool> MarkLongPromptServers(
     const std::vector<std::shared_ptr<BackendLink>>& aServers);
-  void RecordPrefill(BackendLink& aBackend, const PlacementQuery& aQuery, bool aIsPrefixCached);
+  void RecordPrefill(const Choice& aChoice);
   /// Whether this request is not sent to the server again.
   bool WasTried(const BackendLink& aBackend) const;
   /// Why the request is not sent to the server now. All choices of a server go by it.
@@ -219,10 +254,9 @@
   /// Lets the request go to a server that gets many requests, if no other one is to be had. Returns
   /// whether that changes anything.
   bool IgnoreCrowding();
-  bool IsLowConfidence() const;
   double MeanPrefillMs() const;
   bool TryReplaceRun(int aReservedAttempts);
-  void Escalate();
+  void Escalate(std::size_t aModel);
   Duration MeasuredLatency() const;
   /// Reports a stream whose server has sent events for a while: nothing in its prompt crashes it.
   void ReportProvenRun();
@@ -289,8 +323,8 @@
   /// Expected prefill time of other prompts on the server when the request was sent.
   Duration m_expectedPrefillWait{0};
   bool m_ended = false;
-  /// The smallest model reported low confidence, so the largest one is used.
-  bool m_useLargestModel = false;
+  /// Among the route's models. Above zero if the smallest one reported low confidence.
+  std::size_t m_modelIndex = 0;
   /// The session runs on the version being replaced, or the new version failed this request.
   bool m_excludedFromTrial = false;
   EventLoop::TimerId m_deadlineTimer = EventLoop::kNoTimer;
