Do not take waits in a surge for a server's speed

Cause: the time to the first event is compared with the expected prefill to learn a server's speed; in a surge it includes the server's queue.

--- a/Services/Edge/RelaySpeed.cpp
+++ b/Services/Edge/RelaySpeed.cpp
@@ -2,6 +2,7 @@
 
 #include "LibRouting/StreamMove.h"
 #include "Services/Edge/CrashWatch.h"
+#include "Services/Edge/Overload.h"
 #include "Services/Edge/RequestRelay.h"
 #include "Services/Edge/ServerSpeeds.h"
 
@@ -65,6 +66,10 @@
   const Time now = m_context.m_loop.Now();
   const Duration taken = now - m_attempt->m_sentAt;
   m_context.m_prefillSpeed.Learn(m_attempt->m_model, m_prefillTokens, m_expectedPrefillWait, taken);
+  if (m_context.m_overload->State(m_service) != SurgeState::Calm) {
+    // The request may have waited in the server's queue, which says nothing of the server's speed.
+    return;
+  }
   m_context.m_speeds->Speeds().LearnPrefill(
     m_attempt->m_backend->m_identity, SpeedKind(m_attempt->m_model),
     m_context.m_prefillSpeed.PrefillTime(m_attempt->m_model, m_prefillTokens),
