Count no slots of evacuated data centres in overload control, and document the new parts

Cause: an entry's part of the slots included engines that may get nothing, so it sent too much while a data centre was evacuated. The comments on the states of a surge and the operator's table still described the escalation steps that were replaced. Not measured on its own: TestOverloadControl sets the slots by itself.

--- a/Libraries/LibRouting/OverloadControl.h
+++ b/Libraries/LibRouting/OverloadControl.h
@@ -16,11 +16,11 @@
 /// How congested the engines of a service are.
 enum class SurgeState : std::uint8_t {
   Calm,
-  /// The least urgent requests are no longer escalated.
+  /// Only answers with little confidence are escalated to a larger model.
   Tight,
-  /// Less urgent requests wait for capacity.
+  /// Less urgent requests wait for capacity, too.
   Surge,
-  /// No request is escalated.
+  /// Most of the recent runs are delayed.
   Severe,
 };
 
--- a/Services/Edge/Overload.cpp
+++ b/Services/Edge/Overload.cpp
@@ -30,7 +30,8 @@
   aState.m_slotsCountedAt = now;
   double slots = 0.0;
   for (const std::shared_ptr<BackendLink>& backend : m_context.m_backends.OfService(aService)) {
-    slots += backend->TakesRequests(now) ? backend->m_record.m_slots : 0;
+    const bool isUsable = backend->TakesRequests(now) && !m_context.IsEvacuated(*backend);
+    slots += isUsable ? backend->m_record.m_slots : 0;
   }
   aState.m_control.SetSlots(slots /
                             static_cast<double>(std::max<std::size_t>(1, m_context.m_entries)));
