Let both simulations of permits share their fleet

Cause: the simulation of cold servers repeated the entries, members, splits, messages and event clock of the one of server limits.

--- a/Tests/LibRouting/TestColdFleet.cpp
+++ b/Tests/LibRouting/TestColdFleet.cpp
@@ -1,22 +1,21 @@
 // Entries that send requests to servers that are cold, or turn cold without anybody knowing, in
 // simulated time. Messages take time and may be lost.
 
-#include "LibBase/Random.h"
 #include "LibRouting/ColdServers.h"
-#include "LibRouting/RequestPermits.h"
+#include "Tests/LibRouting/SimulatedFleet.h"
 
 #include <algorithm>
 #include <doctest/doctest.h>
 #include <functional>
 #include <map>
 #include <memory>
-#include <set>
+#include <utility>
+#include <vector>
 
 using namespace fennelline;
 
 namespace {
 
-constexpr Time kStart{Seconds(1'000'000)};
 const ColdRules kRules{.m_coldTime = Seconds(3),
                        .m_perSecond = 7.6,
                        .m_overage = 1.5,
@@ -30,19 +29,6 @@
 constexpr std::size_t kMaxAdvisedAsks = 2;
 constexpr Duration kUnansweredAfter = Milliseconds(60);
 
-double MostInWindow(std::vector<Time> aTimes) {
-  std::sort(aTimes.begin(), aTimes.end());
-  std::size_t most = 0;
-  std::size_t first = 0;
-  for (std::size_t last = 0; last < aTimes.size(); ++last) {
-    while (aTimes[last] - aTimes[first] >= kWindow) {
-      ++first;
-    }
-    most = std::max(most, last - first + 1);
-  }
-  return static_cast<double>(most);
-}
-
 struct Load {
   std::size_t m_entries = 1;
   std::size_t m_servers = 40;
@@ -58,43 +44,31 @@
   std::uint64_t m_seed = 1;
 };
 
-class Fleet {
+struct ColdFleetEntry : SimulatedEntry {
+  PermitIssuer m_own;
+  std::vector<Time> m_coldUntil;
+  std::vector<Time> m_crowdedUntil;
+  std::map<std::size_t, Time> m_told;
+  std::map<std::size_t, Time> m_nextPermit;
+};
+
+class Fleet : public SimulatedFleet<ColdFleetEntry> {
 public:
   explicit Fleet(const Load& aLoad)
-    : m_load(aLoad)
-    , m_random(aLoad.m_seed)
+    : SimulatedFleet(aLoad.m_seed)
+    , m_load(aLoad)
     , m_arrivals(aLoad.m_servers) {
     for (std::size_t index = 0; index < aLoad.m_entries; ++index) {
       Start();
     }
-    for (const std::size_t entry : m_alive) {
-      LearnMembers(entry, m_alive);
-    }
+    LearnAllMembers();
   }
 
   std::size_t Start() {
-    m_entries.push_back(std::make_unique<Entry>());
-    m_entries.back()->m_coldUntil.resize(m_load.m_servers);
-    m_entries.back()->m_crowdedUntil.resize(m_load.m_servers);
-    m_alive.push_back(m_entries.size() - 1);
-    return m_entries.size() - 1;
-  }
-  void Announce() {
-    for (const std::size_t entry : m_alive) {
-      After(Spread(800, 700), [this, entry, members = m_alive] { LearnMembers(entry, members); });
-    }
-  }
-  void Kill(std::size_t aEntry) {
-    std::erase(m_alive, aEntry);
-    Announce();
-  }
-  void Split(std::size_t aCount) {
-    m_side = aCount;
-    for (const std::size_t entry : m_alive) {
-      std::vector<std::size_t> members = m_alive;
-      std::erase_if(members, [&](std::size_t aOther) { return IsCut(entry, aOther); });
-      After(Spread(800, 700), [this, entry, members] { LearnMembers(entry, members); });
-    }
+    ColdFleetEntry& entry = AddEntry();
+    entry.m_coldUntil.resize(m_load.m_servers);
+    entry.m_crowdedUntil.resize(m_load.m_servers);
+    return m_alive.back();
   }
   /// All entries learn within 100 ms that the first aServers are cold.
   void TellCold(std::size_t aServers, Duration aTime) {
@@ -122,16 +96,12 @@
     }
   }
 
-  std::size_t IssuerOf(std::size_t aEntry, std::size_t aServer) const {
-    const Entry& entry = *m_entries[aEntry];
-    return entry.m_members[ChoosePermitIssuer(aServer, entry.m_hashes)];
-  }
   std::size_t AnyEntry() const { return m_alive.back(); }
   const std::vector<Time>& Arrivals(std::size_t aServer) const { return m_arrivals[aServer]; }
   double Most() const {
     double most = 0.0;
     for (const std::vector<Time>& arrivals : m_arrivals) {
-      most = std::max(most, MostInWindow(arrivals));
+      most = std::max(most, MostInWindow(arrivals, kWindow));
     }
     return most;
   }
@@ -145,17 +115,6 @@
   std::size_t Refused() const { return m_refused; }
 
 private:
-  struct Entry {
-    PermitIssuer m_issuer;
-    PermitIssuer m_own;
-    IssuableShare m_share;
-    std::vector<std::size_t> m_members;
-    std::vector<std::uint64_t> m_hashes;
-    std::vector<Time> m_coldUntil;
-    std::vector<Time> m_crowdedUntil;
-    std::map<std::size_t, Time> m_told;
-    std::map<std::size_t, Time> m_nextPermit;
-  };
   struct Request {
     std::size_t m_entry = 0;
     std::size_t m_server = 0;
@@ -164,51 +123,15 @@
     bool m_ignoresCrowding = false;
   };
 
-  bool IsCut(std::size_t aOne, std::size_t aOther) const {
-    return m_side > 0 && (aOne < m_side) != (aOther < m_side);
-  }
-  Duration Spread(std::int64_t aLeast, std::uint64_t aMore) {
-    return Milliseconds(aLeast + static_cast<std::int64_t>(m_random.Below(aMore)));
-  }
-  void LearnMembers(std::size_t aEntry, const std::vector<std::size_t>& aMembers) {
-    Entry& entry = *m_entries[aEntry];
-    entry.m_members = aMembers;
-    entry.m_hashes.clear();
-    std::set<std::string> nodes;
-    for (const std::size_t member : aMembers) {
-      entry.m_hashes.push_back(Random(member).Next());
-      nodes.insert(std::to_string(member));
-    }
-    entry.m_share.OnMembers(nodes, m_now);
-    entry.m_issuer.OnMembersChanged(m_now);
-  }
-  void After(Duration aTime, std::function<void()> aAction) {
-    m_events.emplace(m_now + aTime, std::move(aAction));
-  }
-  void RunEvents(Time aUntil) {
-    while (!m_events.empty() && m_events.begin()->first <= aUntil) {
-      const auto first = m_events.begin();
-      m_now = first->first;
-      const std::function<void()> action = std::move(first->second);
-      m_events.erase(first);
-      action();
-    }
-    m_now = aUntil;
-  }
-  /// Returns whether the message arrives.
+  /// Up to 8 ms between two entries.
   bool Deliver(std::size_t aFrom, std::size_t aTo, std::function<void()> aAction) {
-    const bool isAlive = std::find(m_alive.begin(), m_alive.end(), aTo) != m_alive.end();
-    if (!isAlive || IsCut(aFrom, aTo) || m_random.Chance(0.02)) {
-      return false;
-    }
-    After(Spread(1, 8), std::move(aAction));
-    return true;
+    return SimulatedFleet::Deliver(aFrom, aTo, 8, std::move(aAction));
   }
   void Arrive(std::size_t aServer) { m_arrivals[aServer].push_back(m_now); }
 
   void Try(Request aRequest) {
     m_requests += aRequest.m_tried == 0 ? 1 : 0;
-    Entry& entry = *m_entries[aRequest.m_entry];
+    ColdFleetEntry& entry = *m_entries[aRequest.m_entry];
     if (entry.m_members.empty()) {
       return;
     }
@@ -269,7 +192,7 @@
   }
   void OnDecision(const Request& aRequest, const PermitDecision& aDecision) {
     if (!aDecision.m_isGranted) {
-      Entry& entry = *m_entries[aRequest.m_entry];
+      ColdFleetEntry& entry = *m_entries[aRequest.m_entry];
       entry.m_nextPermit[aRequest.m_server] = m_now + aDecision.m_nextPermit;
       if (m_now < entry.m_crowdedUntil[aRequest.m_server]) {
         entry.m_crowdedUntil[aRequest.m_server] = m_now + kCrowdedTime;
@@ -283,12 +206,12 @@
     }
   }
   PermitDecision Take(std::size_t aIssuer, std::size_t aServer) {
-    Entry& entry = *m_entries[aIssuer];
+    ColdFleetEntry& entry = *m_entries[aIssuer];
     return entry.m_issuer.Take(aServer, kRules.Terms(), entry.m_share.At(m_now), 1, m_now);
   }
   void SendFreely(std::size_t aEntry, std::size_t aServer) {
     Arrive(aServer);
-    Entry& entry = *m_entries[aEntry];
+    ColdFleetEntry& entry = *m_entries[aEntry];
     const std::size_t issuer = IssuerOf(aEntry, aServer);
     if (issuer != aEntry &&
         entry.m_own.Count(aServer, kRules.Terms(), 1.0, m_now) >= kRules.CrowdedFromOne()) {
@@ -302,7 +225,7 @@
     }
   }
   void CountSent(std::size_t aIssuer, std::size_t aServer, std::size_t aSender) {
-    Entry& issuer = *m_entries[aIssuer];
+    ColdFleetEntry& issuer = *m_entries[aIssuer];
     const std::size_t sent =
       issuer.m_issuer.Count(aServer, kRules.Terms(), issuer.m_share.At(m_now), m_now);
     if (sent >= kRules.CrowdedFrom()) {
@@ -327,12 +250,6 @@
   }
 
   Load m_load;
-  Random m_random;
-  Time m_now = kStart;
-  std::vector<std::unique_ptr<Entry>> m_entries;
-  std::vector<std::size_t> m_alive;
-  std::size_t m_side = 0;
-  std::multimap<Time, std::function<void()>> m_events;
   std::vector<std::vector<Time>> m_arrivals;
   std::size_t m_requests = 0;
   std::size_t m_asked = 0;
--- a/Tests/LibRouting/TestRequestPermits.cpp
+++ b/Tests/LibRouting/TestRequestPermits.cpp
@@ -1,78 +1,40 @@
-#include "LibBase/Random.h"
 #include "LibRouting/RequestLimit.h"
-#include "LibRouting/RequestPermits.h"
+#include "Tests/LibRouting/SimulatedFleet.h"
 
 #include <algorithm>
 #include <doctest/doctest.h>
 #include <functional>
-#include <map>
-#include <memory>
+#include <utility>
+#include <vector>
 
 using namespace fennelline;
 
 namespace {
 
-constexpr Time kStart{Seconds(1'000'000)};
+constexpr Time kStart = SimulatedFleet<SimulatedEntry>::kStart;
 /// The platform's rule: in any window of this length, half as much again as the limit allows and
 /// five more.
 constexpr Duration kWindow = Seconds(4);
 
-double MostInWindow(const std::vector<Time>& aTimes) {
-  std::size_t most = 0;
-  std::size_t first = 0;
-  for (std::size_t last = 0; last < aTimes.size(); ++last) {
-    while (aTimes[last] - aTimes[first] >= kWindow) {
-      ++first;
-    }
-    most = std::max(most, last - first + 1);
-  }
-  return static_cast<double>(most);
-}
-
-/// Entries that send requests to servers with limits. Messages take time and may be lost; entries
-/// learn at different times of members that die, are cut off or start.
-class Simulation {
+/// Entries that send requests to servers with limits. Messages take time and may be lost.
+class Simulation : public SimulatedFleet<SimulatedEntry> {
 public:
   Simulation(std::size_t aEntries, std::vector<double> aLimits, double aDemand, std::uint64_t aSeed)
-    : m_limits(std::move(aLimits))
+    : SimulatedFleet(aSeed)
+    , m_limits(std::move(aLimits))
     , m_demand(aDemand)
-    , m_random(aSeed)
     , m_arrivals(m_limits.size())
     , m_served(kUrgencyLevels)
     , m_sent(kUrgencyLevels) {
     for (std::size_t index = 0; index < aEntries; ++index) {
       Start();
     }
-    for (const std::size_t entry : m_alive) {
-      LearnMembers(entry, m_alive);
-    }
+    LearnAllMembers();
   }
 
   std::size_t Start() {
-    m_entries.push_back(std::make_unique<Entry>());
-    const std::size_t entry = m_entries.size() - 1;
-    m_alive.push_back(entry);
-    return entry;
-  }
-  void Announce() {
-    for (const std::size_t entry : m_alive) {
-      After(Milliseconds(800 + static_cast<std::int64_t>(m_random.Below(700))),
-            [this, entry, members = m_alive] { LearnMembers(entry, members); });
-    }
-  }
-  void Kill(std::size_t aEntry) {
-    std::erase(m_alive, aEntry);
-    Announce();
-  }
-  /// Splits the fleet: the first aCount entries reach only each other.
-  void Split(std::size_t aCount) {
-    m_side = aCount;
-    for (const std::size_t entry : m_alive) {
-      std::vector<std::size_t> members = m_alive;
-      std::erase_if(members, [&](std::size_t aOther) { return IsCut(entry, aOther); });
-      After(Milliseconds(800 + static_cast<std::int64_t>(m_random.Below(700))),
-            [this, entry, members] { LearnMembers(entry, members); });
-    }
+    AddEntry();
+    return m_alive.back();
   }
   void Run(Duration aTime) {
     const Time end = m_now + aTime;
@@ -98,49 +60,9 @@
   }
 
 private:
-  struct Entry {
-    PermitIssuer m_issuer;
-    IssuableShare m_share;
-    std::vector<std::size_t> m_members;
-    std::vector<std::uint64_t> m_hashes;
-  };
-
-  bool IsCut(std::size_t aOne, std::size_t aOther) const {
-    return m_side > 0 && (aOne < m_side) != (aOther < m_side);
-  }
-  void LearnMembers(std::size_t aEntry, const std::vector<std::size_t>& aMembers) {
-    Entry& entry = *m_entries[aEntry];
-    entry.m_members = aMembers;
-    entry.m_hashes.clear();
-    std::set<std::string> nodes;
-    for (const std::size_t member : aMembers) {
-      entry.m_hashes.push_back(Random(member).Next());
-      nodes.insert(std::to_string(member));
-    }
-    entry.m_share.OnMembers(nodes, m_now);
-  }
-  std::size_t IssuerOf(std::size_t aEntry, std::size_t aServer) const {
-    const Entry& entry = *m_entries[aEntry];
-    return entry.m_members[ChoosePermitIssuer(aServer, entry.m_hashes)];
-  }
-  void After(Duration aTime, std::function<void()> aAction) {
-    m_events.emplace(m_now + aTime, std::move(aAction));
-  }
-  void RunEvents(Time aUntil) {
-    while (!m_events.empty() && m_events.begin()->first <= aUntil) {
-      const auto first = m_events.begin();
-      m_now = first->first;
-      const std::function<void()> action = std::move(first->second);
-      m_events.erase(first);
-      action();
-    }
-    m_now = aUntil;
-  }
+  /// Up to 5 ms between two entries.
   void Deliver(std::size_t aFrom, std::size_t aTo, std::function<void()> aAction) {
-    const bool isAlive = std::find(m_alive.begin(), m_alive.end(), aTo) != m_alive.end();
-    if (isAlive && !IsCut(aFrom, aTo) && !m_random.Chance(0.02)) {
-      After(Milliseconds(1 + static_cast<std::int64_t>(m_random.Below(5))), std::move(aAction));
-    }
+    SimulatedFleet::Deliver(aFrom, aTo, 5, std::move(aAction));
   }
   void Request() {
     const std::size_t entry = m_alive[m_random.Below(m_alive.size())];
@@ -173,19 +95,13 @@
     });
   }
   bool Take(std::size_t aIssuer, std::size_t aServer, int aUrgency) {
-    Entry& entry = *m_entries[aIssuer];
+    SimulatedEntry& entry = *m_entries[aIssuer];
     return entry.m_issuer.Take(aServer, m_limits[aServer], entry.m_share.At(m_now), aUrgency, m_now)
       .m_isGranted;
   }
 
   std::vector<double> m_limits;
   double m_demand;
-  Random m_random;
-  Time m_now = kStart;
-  std::vector<std::unique_ptr<Entry>> m_entries;
-  std::vector<std::size_t> m_alive;
-  std::size_t m_side = 0;
-  std::multimap<Time, std::function<void()>> m_events;
   std::vector<std::vector<Time>> m_arrivals;
   std::vector<double> m_served;
   std::vector<double> m_sent;
@@ -195,7 +111,7 @@
 
 void CheckLimits(const Simulation& aFleet) {
   for (std::size_t server = 0; server < kLimits.size(); ++server) {
-    CHECK(MostInWindow(aFleet.Arrivals(server)) <=
+    CHECK(MostInWindow(aFleet.Arrivals(server), kWindow) <=
           1.5 * kLimits[server] * InSeconds(kWindow) + 5.0);
   }
 }
