--- a/review/lib-2/bed.py
+++ b/review/lib-2/bed.py
@@ -8,7 +8,6 @@
 import os
 import random
 import shutil
-import signal
 import socket
 import sys
 import tempfile
