ServerConnection: take no message once the end has been announced

Cause: a connection whose answer carries close lingers, but the loop over its input went on as long as no request was in progress and bytes were left. After a refused head the parser holds a complete message and consumes nothing, so the same message was refused without end: the event loop never returned. After an answer of the entry itself (404, a refusal) the requests behind it were run and their answers dropped.

Evidence: two stacks of a process in that state, both below ServerConnection::Reject; no system call in a second; a core in use.

Change: the loop ends once an answer has announced the end. What has arrived or arrives then is discarded, as for any lingering connection.

--- a/Libraries/LibHttp/ServerConnection.cpp
+++ b/Libraries/LibHttp/ServerConnection.cpp
@@ -85,7 +85,7 @@
 }
 
 void ServerConnection::OnInput() {
-  while (!m_busy && m_socket->IsOpen() && !m_socket->Input().empty()) {
+  while (TakesMessages() && !m_socket->Input().empty()) {
     if (!FeedParser()) {
       return;
     }
--- a/Libraries/LibHttp/ServerConnection.h
+++ b/Libraries/LibHttp/ServerConnection.h
@@ -99,6 +99,9 @@
 private:
   void OnInput();
   void OnEnd();
+  /// Whether the next message may be taken. A connection that closes after a response lingers until
+  /// its client has closed it too, and whatever it receives then is discarded.
+  bool TakesMessages() const { return !m_busy && !m_closes && m_socket->IsOpen(); }
   bool FeedParser();
   bool IsWithinLimits();
   /// Counts the body of the current request. Returns false if there is no memory left for it.
--- a/Tests/LibHttp/TestServer.cpp
+++ b/Tests/LibHttp/TestServer.cpp
@@ -1,8 +1,11 @@
 #include "Tests/LibHttp/LoopbackServer.h"
 
+#include <array>
 #include <deque>
 #include <doctest/doctest.h>
 #include <memory>
+#include <stdexcept>
+#include <string_view>
 #include <vector>
 
 using namespace fennelline;
@@ -51,6 +54,37 @@
 constexpr const char* kTwoLengths = "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n"
                                     "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n";
 
+/// Complete requests that the parser accepts and the server refuses.
+constexpr std::array<std::string_view, 9> kRefusedRequests = {
+  "GET /a HTTP/1.1\r\n\r\n",
+  "GET /a HTTP/1.1\r\nHost: x\r\nHost: y\r\n\r\n",
+  "GET http://x/a HTTP/1.1\r\nHost: x\r\n\r\n",
+  "CONNECT x:1 HTTP/1.1\r\nHost: x\r\n\r\n",
+  "OPTIONS * HTTP/1.1\r\nHost: x\r\n\r\n",
+  "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n"
+  "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+  "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+  "POST /a HTTP/1.1\r\n\r\n",
+  kTwoLengths,
+};
+
+/// What may follow a message in the same write.
+constexpr std::array<std::string_view, 4> kBytesBehind = {
+  "GET /b HTTP/1.1\r\nHost: x\r\n\r\n",
+  "GET /b HTTP/1.1\r\nHost: x\r\n\r\nGET /c HTTP/1.1\r\nHost: x\r\n\r\n",
+  "GET /b HT",
+  "\r\n",
+};
+
+std::size_t CountOf(const std::string& aText, std::string_view aPart) {
+  std::size_t count = 0;
+  for (std::size_t at = aText.find(aPart); at != std::string::npos;
+       at = aText.find(aPart, at + 1)) {
+    ++count;
+  }
+  return count;
+}
+
 } // namespace
 
 TEST_CASE("malformed and smuggled requests get 400 and a closed connection, and are not executed") {
@@ -68,6 +102,58 @@
   }
 }
 
+// Guards against an event loop that never returns: the connection lingers after its rejection, and
+// the unread bytes made the server reject the same message again without end.
+TEST_CASE("a refused request with bytes behind it is rejected once, and others are served") {
+  for (const std::string_view refused : kRefusedRequests) {
+    for (const std::string_view behind : kBytesBehind) {
+      const std::string sent = std::string(refused) + std::string(behind);
+      CAPTURE(sent);
+      EchoServer server;
+      int rejections = 0;
+      server.m_context->m_onRejected = [&rejections](int, std::string_view) {
+        if (++rejections > 1) {
+          throw std::runtime_error("rejected again");
+        }
+      };
+      RawClient client(server.m_address);
+      client.Send(sent);
+      std::string response;
+      RunUntil(server.m_loop, [&] {
+        response += client.Receive();
+        return client.IsClosed();
+      });
+      CHECK(CountOf(response, "HTTP/1.1 ") == 1);
+      CHECK(response.starts_with("HTTP/1.1 400"));
+      CHECK(server.m_targets.empty());
+      // The connection lingers, since its client has not closed it.
+      client.Send(behind);
+      CHECK(
+        server.SendRequest("GET /other HTTP/1.1\r\nHost: x\r\n\r\n").starts_with("HTTP/1.1 200"));
+      CHECK(server.m_targets == std::vector<std::string>{"/other"});
+      CHECK(rejections == 1);
+    }
+  }
+}
+
+// Guards against requests that run although their answers can no longer be sent.
+TEST_CASE("a request behind one whose response closes the connection is not executed") {
+  const std::string behind = "GET /2 HTTP/1.1\r\nHost: x\r\n\r\nGET /3 HTTP/1.1\r\nHost: x\r\n\r\n";
+  for (const char* first : {"GET /1 HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n",
+                            "GET /1 HTTP/1.0\r\nHost: x\r\n\r\n"}) {
+    EchoServer server;
+    CHECK(server.SendRequest(first + behind).ends_with("/1"));
+    CHECK(server.m_targets == std::vector<std::string>{"/1"});
+  }
+  EchoServer closing;
+  closing.m_context->m_closing = true;
+  const std::string first = "GET /1 HTTP/1.1\r\nHost: x\r\n\r\n";
+  const std::string response = closing.SendRequest(first + behind);
+  CHECK(response.find("Connection: close") != std::string::npos);
+  CHECK(CountOf(response, "HTTP/1.1 ") == 1);
+  CHECK(closing.m_targets == std::vector<std::string>{"/1"});
+}
+
 TEST_CASE("too large headers get 431 and too large bodies 413") {
   EchoServer server;
   server.m_context->m_limits.m_headerBytes = 1000;
