ServerConnection: check no time limits of a connection that closes

A connection that lingers after a refusal still counted as one that reads a head, so a head limit shorter than the lingering refused it again at each check.

Seen: the refusal logged and counted four times in the new case of TestServer (a limit of 50 ms, checks each 250 ms); callers see nothing.

--- a/Libraries/LibHttp/ServerConnection.cpp
+++ b/Libraries/LibHttp/ServerConnection.cpp
@@ -285,7 +285,7 @@
 }
 
 void ServerConnection::CheckTimeouts(Time aNow) {
-  if (m_busy || !m_socket->IsOpen()) {
+  if (!TakesMessages()) {
     return;
   }
   const bool isReadingHead = m_parser.HasStarted() && !m_parser.HasHead();
--- a/Tests/LibHttp/TestServer.cpp
+++ b/Tests/LibHttp/TestServer.cpp
@@ -136,6 +136,23 @@
   }
 }
 
+// Guards against rejections that are logged and counted again while the connection lingers.
+TEST_CASE("a rejected request is not rejected again once its header timeout has expired") {
+  for (const std::string_view sent : {"nonsense\r\n\r\n", "GET /a HTTP/1.1\r\nHost:"}) {
+    CAPTURE(sent);
+    EchoServer server;
+    server.m_context->m_limits.m_headerTime = Milliseconds(50);
+    int rejections = 0;
+    server.m_context->m_onRejected = [&rejections](int, std::string_view) { ++rejections; };
+    RawClient client(server.m_address);
+    client.Send(sent);
+    // The server checks timeouts several times while the connection lingers.
+    CHECK(RunUntil(server.m_loop, [&] { return server.m_server->CountConnections() == 1; }));
+    CHECK(RunUntil(server.m_loop, [&] { return server.m_server->CountConnections() == 0; }));
+    CHECK(rejections == 1);
+  }
+}
+
 // Guards against requests that run although their answers can no longer be sent.
 TEST_CASE("a request behind one whose response closes the connection is not executed") {
   const std::string behind = "GET /2 HTTP/1.1\r\nHost: x\r\n\r\nGET /3 HTTP/1.1\r\nHost: x\r\n\r\n";
