Tests: early answers that are reset in an upload, in each framing

The users report of another system that a part of an answer without a length, cut by a reset while a long upload was still being written, passed for the whole one.

No change of the product.

--- a/Tests/Edge/reset_answer.py
+++ b/Tests/Edge/reset_answer.py
@@ -20,6 +20,8 @@
 MAX_BODY_BYTES = 4_194_304
 # Windows are as small as on the platform's links.
 RECEIVE_BUFFER_BYTES = 65536
+# Framings without a length: until the end of the connection, said or not, and a chunk of which a part comes.
+FRAMINGS = [("", b""), ("Connection: close\r\n", b""), ("Transfer-Encoding: chunked\r\n", b"fffff\r\n")]
 # Of four servers one is not chosen for so many streams in one of 10^12 runs.
 MOST_STREAMS = 100
 LEAST_STREAMS = 12
@@ -40,10 +42,23 @@
     end: "reset", or "close" as the system closes for a killed process.
     """
 
+    # What it sends of an answer, all at once, instead of events; None for events.
+    part_bytes = None
+    # How long it waits then.
+    pause_s = 0.0
+    # Headers that tell how its answer is framed, and what stands before each part of its body.
+    framing = ("", b"")
+
     def __init__(self, *arguments, end="reset", **more):
         super().__init__(*arguments, **more)
         self.end = end
 
+    def parts(self, request):
+        """The parts of its body, each with the pause after it."""
+        if self.part_bytes is None:
+            return [(self.event_of(request, number), 0.05) for number in range(1, 4)]
+        return [(self.framing[1] + b"x" * self.part_bytes, self.pause_s)]
+
     async def start(self, port=0):
         listener = socket.socket()
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
@@ -63,11 +78,12 @@
             is_stream = "/stream/" in head[0]
             writer.write(
                 f"HTTP/1.1 200 OK\r\nContent-Type: {EVENTS if is_stream else 'text/plain'}\r\n"
-                f"Fennelline-Request-Id: {request}\r\nFennelline-Response-Seal: seal\r\n\r\n".encode())
-            for number in range(1, 4):
-                writer.write(self.event_of(request, number))
+                f"{self.framing[0]}Fennelline-Request-Id: {request}\r\n"
+                "Fennelline-Response-Seal: seal\r\n\r\n".encode())
+            for part, pause_s in self.parts(request):
+                writer.write(part)
                 await writer.drain()
-                await asyncio.sleep(0.05)
+                await asyncio.sleep(pause_s)
             if self.end == "reset":
                 reset(writer)
             else:
@@ -115,6 +131,27 @@
         async with EarlyFleet() as fleet:
             await self.check(fleet, fleet.front, "direct")
 
+    async def test_an_early_answer_that_is_reset_while_the_request_is_being_written_is_not_whole(self):
+        """Guards against a part of an answer that passes for the whole one, in each framing that has no length."""
+        async with EarlyFleet() as fleet:
+            fleet.store.put("op/config", with_large_bodies(configuration(2)))
+            await fleet.until_version(2)
+            number = 0
+            for framing in FRAMINGS:
+                for part_bytes in (3, 20_000, 300_000):
+                    for pause_s in (0.0, 0.03):
+                        for replica in fleet.replicas:
+                            replica.framing, replica.part_bytes, replica.pause_s = framing, part_bytes, pause_s
+                        for body in (LONG_BODY, LONG_BODY[:3_000_000]):
+                            number += 1
+                            answer = await call(fleet.front, "/once/x", f"early-{number}", body=body,
+                                                deadline_ms=4000)
+                            self.assertFalse(answer.status == 200 and answer.whole,
+                                             (framing, part_bytes, pause_s, len(body)))
+                            self.assertLessEqual(len(fleet.runs(f"early-{number}")), 1)
+            ran = {run["id"] for replica in fleet.replicas for run in replica.runs}
+            self.assertGreater(len(ran), number / 2)
+
     async def test_an_answer_that_another_entry_hands_on_cut_is_not_whole(self):
         async with StrandedEarlyFleet(entries=2) as fleet:
             await fleet.until_members_known()
--- a/Tests/LibPlatform/TestHttpTransport.cpp
+++ b/Tests/LibPlatform/TestHttpTransport.cpp
@@ -1,10 +1,16 @@
 #include "LibPlatform/HttpTransport.h"
 
+#include "LibPlatform/BackendReply.h"
 #include "LibPlatform/EngineClient.h"
+#include "LibWire/Socket.h"
 #include "Tests/LibPlatform/LocalServer.h"
 
+#include <array>
 #include <doctest/doctest.h>
 #include <future>
+#include <poll.h>
+#include <sys/socket.h>
+#include <thread>
 
 using namespace fennelline;
 
@@ -42,8 +48,68 @@
   return observed;
 }
 
+/// A server that answers one connection after the head of its request, then resets it.
+class ResettingServer {
+public:
+  explicit ResettingServer(std::string aAnswer)
+    : m_listener(ListenStream("127.0.0.1", 0).Take())
+    , m_answer(std::move(aAnswer))
+    , m_thread([this] { Serve(); }) {}
+  ~ResettingServer() { m_thread.join(); }
+  ResettingServer(const ResettingServer&) = delete;
+  ResettingServer& operator=(const ResettingServer&) = delete;
+
+  std::string Address() const { return "127.0.0.1:" + std::to_string(LocalPort(m_listener)); }
+
+private:
+  void Serve() {
+    pollfd waiting{.fd = m_listener.Number(), .events = POLLIN, .revents = 0};
+    constexpr int kMaxWaitMs = 5000;
+    ::poll(&waiting, 1, kMaxWaitMs);
+    const FileDescriptor accepted = AcceptStream(m_listener);
+    waiting.fd = accepted.Number();
+    ::poll(&waiting, 1, kMaxWaitMs);
+    std::array<char, 1024> head;
+    ::recv(accepted.Number(), head.data(), head.size(), 0);
+    ::send(accepted.Number(), m_answer.data(), m_answer.size(), MSG_NOSIGNAL);
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    const linger resetOnClose{.l_onoff = 1, .l_linger = 0};
+    setsockopt(accepted.Number(), SOL_SOCKET, SO_LINGER, &resetOnClose, sizeof(resetOnClose));
+  }
+
+  FileDescriptor m_listener;
+  std::string m_answer;
+  std::thread m_thread;
+};
+
 } // namespace
 
+// Guards against a part of an answer that passes for the whole one.
+TEST_CASE("A reply without a length that is reset early is lost, also during a long request") {
+  for (const std::size_t requestBytes : {0UL, 4'000'000UL}) {
+    for (const std::size_t partBytes : {3UL, 20'000UL}) {
+      for (const std::string framing : {"", "Connection: close\r\n"}) {
+        const ResettingServer server("HTTP/1.1 200 OK\r\n" + framing + "\r\n" +
+                                     std::string(partBytes, 'x'));
+        HttpTransport transport;
+        const HttpRequest request{
+          .m_method = "POST", .m_target = "/", .m_body = std::string(requestBytes, 'x')};
+        CHECK(transport.Call(server.Address(), request, {}).m_failure == HttpFailure::Lost);
+      }
+    }
+  }
+}
+
+TEST_CASE("A status that is none of HTTP/1 is no success") {
+  for (const char* line : {"HTTP/1.1 000 OK", "HTTP/1.1 099 OK", "HTTP/1.1 600 OK",
+                           "HTTP/1.1 20 OK", "HTTP/2.0 200 OK"}) {
+    const ResettingServer server(std::string(line) + "\r\nContent-Length: 2\r\n\r\nhi");
+    HttpTransport transport;
+    const HttpReply reply = transport.Call(server.Address(), {.m_target = "/"}, {});
+    CHECK_MESSAGE(!IsSuccess(reply), line);
+  }
+}
+
 TEST_CASE("A refused connection is reported as not sent") {
   std::string address;
   {
