MessageParser: take only status lines of HTTP/1, and no body by status

Cause: http_parser lets any version, any number up to 999 and several spaces through, and ends a body by the headers alone. A number below 200 passed for an interim answer.

--- a/Libraries/LibHttp/MessageParser.cpp
+++ b/Libraries/LibHttp/MessageParser.cpp
@@ -10,10 +10,14 @@
 
 constexpr int kSkipBody = 1;
 constexpr int kStopParsing = -1;
+constexpr int kSwitchingProtocols = 101;
 constexpr int kFirstFinalStatus = 200;
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
 
+/// Length of "HTTP/1.1 200 ".
+constexpr std::size_t kStatusLineBytes = 13;
+
 constexpr std::string_view kTokenPunctuation = "!#$%&'*+-.^_`|~";
 
 bool IsToken(std::string_view aText) {
@@ -32,6 +36,27 @@
   });
 }
 
+bool IsDigit(char aCharacter) {
+  return aCharacter >= '0' && aCharacter <= '9';
+}
+
+/// Whether the bytes begin the status line of a response in HTTP/1. http_parser also accepts other
+/// versions, further spaces and numbers of another length.
+bool IsStatusLine(std::string_view aStart) {
+  constexpr std::string_view kVersion = "HTTP/1.";
+  constexpr std::size_t kSpace = 8;
+  constexpr std::size_t kStatus = 9;
+  return aStart.size() == kStatusLineBytes && aStart.starts_with(kVersion) &&
+         aStart[kSpace] == ' ' && IsDigit(aStart[kStatus]) && !IsDigit(aStart.back());
+}
+
+/// Whether a response may have the status. No request asks for another protocol.
+bool IsStatus(int aStatus) {
+  constexpr int kFirst = 100;
+  constexpr int kLast = 599;
+  return aStatus >= kFirst && aStatus <= kLast && aStatus != kSwitchingProtocols;
+}
+
 bool AreWellFormed(const HeaderList& aHeaders) {
   return std::all_of(aHeaders.Rows().begin(), aHeaders.Rows().end(), [](const Header& aHeader) {
     return IsToken(aHeader.m_name) && !HasControlCharacter(aHeader.m_value);
@@ -49,6 +74,7 @@
   http_parser_init(&m_parser, m_kind == MessageKind::Request ? HTTP_REQUEST : HTTP_RESPONSE);
   m_parser.data = this;
   m_head = {};
+  m_statusLine.clear();
   m_body.clear();
   m_noBody = false;
   m_started = false;
@@ -117,28 +143,48 @@
   if (!AreWellFormed(m_head.m_headers)) {
     return kStopParsing;
   }
+  const bool isResponse = m_kind == MessageKind::Response;
+  const int status = static_cast<int>(m_parser.status_code);
+  if (isResponse && (!IsStatusLine(m_statusLine) || !IsStatus(status))) {
+    return kStopParsing;
+  }
   m_hasHead = true;
   // Protocol upgrades are not supported, so the following bytes are an ordinary body.
   m_parser.upgrade = 0;
   m_head.m_minorVersion = m_parser.http_minor;
   m_head.m_keepAlive = http_should_keep_alive(&m_parser) != 0;
-  if (m_kind == MessageKind::Request) {
+  if (!isResponse) {
     m_head.m_method = http_method_str(static_cast<http_method>(m_parser.method));
     return 0;
   }
-  m_head.m_status = static_cast<int>(m_parser.status_code);
+  m_head.m_status = status;
   const bool isInterim = m_head.m_status < kFirstFinalStatus;
   const bool hasBody =
     !m_noBody && !isInterim && m_head.m_status != kNoContent && m_head.m_status != kNotModified;
   const bool hasLength = (m_parser.flags & (F_CHUNKED | F_CONTENTLENGTH)) != 0;
   m_head.m_bodyEndsAtClose = hasBody && !hasLength;
-  return m_noBody && !isInterim ? kSkipBody : 0;
+  return hasBody ? 0 : kSkipBody;
+}
+
+void MessageParser::KeepStatusLine(std::string_view aBytes) {
+  for (const char byte : aBytes) {
+    if (m_statusLine.size() == kStatusLineBytes) {
+      return;
+    }
+    // Empty lines before a message are ignored.
+    if (!m_statusLine.empty() || (byte != '\r' && byte != '\n')) {
+      m_statusLine += byte;
+    }
+  }
 }
 
 Result<std::size_t> MessageParser::Feed(std::string_view aBytes) {
   if (m_complete || aBytes.empty()) {
     return std::size_t{0};
   }
+  if (m_kind == MessageKind::Response) {
+    KeepStatusLine(aBytes);
+  }
   const std::size_t taken =
     http_parser_execute(&m_parser, &Callbacks(), aBytes.data(), aBytes.size());
   const http_errno problem = HTTP_PARSER_ERRNO(&m_parser);
--- a/Libraries/LibHttp/MessageParser.h
+++ b/Libraries/LibHttp/MessageParser.h
@@ -64,10 +64,13 @@
   static const http_parser_settings& Callbacks();
   static MessageParser& Self(http_parser* aParser);
   int OnHeadersComplete();
+  void KeepStatusLine(std::string_view aBytes);
 
   MessageKind m_kind;
   http_parser m_parser{};
   MessageHead m_head;
+  /// The first bytes of a response, up to the one that follows its status.
+  std::string m_statusLine;
   std::string m_body;
   bool m_noBody = false;
   bool m_started = false;
--- a/Tests/LibHttp/TestMessageParser.cpp
+++ b/Tests/LibHttp/TestMessageParser.cpp
@@ -71,6 +71,46 @@
   CHECK(!cut.FinishAtClose());
 }
 
+// Guards against numbers that reach callers as statuses, and against waiting for the answer behind
+// one that is taken for an interim response.
+TEST_CASE("a response with a status line that is none of HTTP/1 is an error") {
+  for (const char* line :
+       {"HTTP/1.1 000 OK", "HTTP/1.1 001 OK", "HTTP/1.1 099 OK", "HTTP/1.1 20 OK", "HTTP/1.1 2 OK",
+        "HTTP/1.1 0200 OK", "HTTP/1.1 2000 OK", "HTTP/1.1 600 OK", "HTTP/1.1 999 OK",
+        "HTTP/1.1  200 OK", "HTTP/1.1 101 Switching Protocols", "HTTP/2.0 200 OK",
+        "HTTP/0.9 200 OK", "HTTP/9.9 200 OK", "HTTP/1.1 2x0 OK", "HTTP/1.1 -20 OK"}) {
+    for (const char* rest : {"\r\n\r\n", "\r\nContent-Length: 2\r\n\r\nhi",
+                             "\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"}) {
+      for (const std::size_t step : {1UL, 7UL, 1000UL}) {
+        MessageParser parser(MessageKind::Response);
+        CHECK_MESSAGE(FeedAll(parser, std::string(line) + rest, step).m_isError, std::string(line));
+      }
+    }
+  }
+  for (const char* line : {"HTTP/1.1 200 OK", "HTTP/1.1 200", "HTTP/1.0 599 Own", "HTTP/1.7 404 ",
+                           "\r\nHTTP/1.1 200 OK"}) {
+    for (const std::size_t step : {1UL, 7UL, 1000UL}) {
+      MessageParser parser(MessageKind::Response);
+      const std::string text = std::string(line) + "\r\nContent-Length: 2\r\n\r\nhi";
+      CHECK_MESSAGE(FeedAll(parser, text, step).m_isComplete, line);
+    }
+  }
+}
+
+TEST_CASE("a response with a status that has no body ends with its headers") {
+  for (const char* line :
+       {"HTTP/1.1 100 Continue", "HTTP/1.1 103 Early", "HTTP/1.1 204 None", "HTTP/1.1 304 Same"}) {
+    for (const char* framing : {"Content-Length: 2\r\n", "Transfer-Encoding: chunked\r\n", ""}) {
+      MessageParser parser(MessageKind::Response);
+      const std::string head = std::string(line) + "\r\n" + framing + "\r\n";
+      const Parsed parsed = FeedAll(parser, head + "2\r\nhi\r\n", 1000);
+      CHECK_MESSAGE(parsed.m_isComplete, head);
+      CHECK(parsed.m_taken == head.size());
+      CHECK(parsed.m_body.empty());
+    }
+  }
+}
+
 TEST_CASE("a response to a HEAD request has no body") {
   MessageParser parser(MessageKind::Response);
   parser.ExpectNoBody();
