Relay: an answer that ends with its connection is whole if its server runs

Cause: the system of a process that is killed or exits closes its connections like one that has sent its whole answer. The server was asked for a connection only after streams, and only if it was not known to leave.

A server that refuses is gone unless an idle connection to it is still open. The check keeps the server, which may be removed meanwhile, and with it the pool that it uses.

--- a/Libraries/LibHttp/ConnectionPool.h
+++ b/Libraries/LibHttp/ConnectionPool.h
@@ -57,6 +57,7 @@
   void Sweep();
 
   std::size_t CountInUse() const { return m_inUse; }
+  std::size_t CountIdle() const { return m_idle.size(); }
   std::size_t CountOpen() const { return m_inUse + m_idle.size(); }
   std::uint64_t CountConnected() const { return m_connected; }
 
--- a/Services/Edge/RelayAnswer.cpp
+++ b/Services/Edge/RelayAnswer.cpp
@@ -282,60 +282,6 @@
   m_context.Log(LogPriority::Notable, line);
 }
 
-void RequestRelay::OnComplete() {
-  if (m_ended || !m_attempt) {
-    return;
-  }
-  if (m_attempt->m_entryOutcome) {
-    EndPassedOn(*m_attempt->m_entryOutcome);
-    return;
-  }
-  if (m_attempt->m_notRun) {
-    EndAttempt(AttemptOutcome::NotRun);
-    return;
-  }
-  const bool endsAtClose = m_attempt->m_head.m_bodyEndsAtClose;
-  const bool mayBeAtEnd = m_route->m_resumable && m_metadata.m_lastEvent;
-  const bool hasNoEvent =
-    m_framer.CountEvents() == 0 && !mayBeAtEnd && (IsStreamDue() || endsAtClose);
-  if (m_attempt->m_isStream && (m_framer.HasPartial() || hasNoEvent)) {
-    if (endsAtClose) {
-      // The system of a killed server closes its connections so.
-      m_attempt->m_failure = CallFailure::TruncatedResponse;
-    }
-    EndAttempt(endsAtClose ? AttemptOutcome::Lost : AttemptOutcome::Corrupt);
-    return;
-  }
-  if (m_attempt->m_isStream && endsAtClose) {
-    CheckEndOfStream();
-    return;
-  }
-  CompleteAnswer();
-}
-
-void RequestRelay::CheckEndOfStream() {
-  const std::shared_ptr<BackendLink> backend = m_attempt->m_backend;
-  if (backend->IsLeaving(m_context.m_loop.Now())) {
-    CompleteAnswer();
-    return;
-  }
-  // The system of a server whose process is killed may close its connections in an orderly way.
-  // The connection of the check serves the next request.
-  backend->m_pool.CheckReachability(
-    [self = shared_from_this(), channel = m_attempt->m_channel](Reachability aResult) {
-      if (self->m_ended || !self->m_attempt || self->m_attempt->m_channel != channel) {
-        return;
-      }
-      self->m_context.m_metrics.OnServerCheck(aResult);
-      if (aResult == Reachability::Refuses) {
-        self->m_attempt->m_failure = CallFailure::TruncatedResponse;
-        self->EndAttempt(AttemptOutcome::Lost);
-      } else {
-        self->CompleteAnswer();
-      }
-    });
-}
-
 void RequestRelay::CompleteAnswer() {
   if (!m_attempt->m_isStream && m_attempt->m_head.m_status >= kFirstServerError && !m_answerBegun) {
     m_failure =
--- a/Services/Edge/RequestRelay.h
+++ b/Services/Edge/RequestRelay.h
@@ -231,9 +231,9 @@
   bool IsStreamDue() const;
   void OnBody(std::string_view aPart);
   void OnComplete();
-  /// A stream without a length has ended with its connection: tells whether its server still lives.
-  void CheckEndOfStream();
-  /// The server's answer is complete.
+  /// aServer: see AnswerEnd::m_server.
+  void OnAnswerEnded(std::optional<Reachability> aServer);
+  void AskServerAtEnd();
   void CompleteAnswer();
   void OnStreamPart(std::string_view aPart);
   void LogOddEvent(EventFault aFault);
