ServerConnection: a caller may read its answer for as long as its time lasts

Cause: TCP_USER_TIMEOUT, 1.5 s for all connections, also ends one whose peer keeps its receive window closed, although it acknowledges each probe.

Change: from the first kilobyte of an answer on the time-out is what is left of the request's time. What the system still holds counts as unfinished in a planned stop and keeps a closing connection for as long. An answer that is still being read after its time is reset.

--- a/Libraries/LibHttp/ServerConnection.cpp
+++ b/Libraries/LibHttp/ServerConnection.cpp
@@ -17,6 +17,9 @@
 /// Limit for bytes of pipelined requests that are buffered while a request is in progress.
 constexpr std::size_t kMaxPipelinedBytes = 64UL * 1024;
 
+/// Responses up to this size fit into the receive window of any client.
+constexpr std::size_t kMinWindowBytes = 1024;
+
 /// Idle connections are closed this long after the announced timeout, so that a request sent just
 /// before the timeout does not race with the close.
 constexpr Duration kIdleSlack = Seconds(1);
@@ -180,6 +183,11 @@
   m_parser.Reset();
   m_sawHead = false;
   m_headerBytes = 0;
+  m_readBy = Time{};
+  m_responseBytes = 0;
+  if (std::exchange(m_waitsForReader, false)) {
+    m_socket->SetUnacknowledgedTimeout(SocketLimits{}.m_unacknowledgedTimeout);
+  }
   m_context->m_onRequest(shared_from_this(), std::move(request));
 }
 
@@ -218,7 +226,7 @@
   AppendHeader(text, "Content-Length", std::to_string(aBody.size()));
   text += "\r\n";
   text += aBody;
-  m_socket->Write(text);
+  WriteResponse(text);
   FinishResponse();
 }
 
@@ -233,17 +241,28 @@
     AppendHeader(text, "Transfer-Encoding", "chunked");
   }
   text += "\r\n";
-  m_socket->Write(text);
+  WriteResponse(text);
+}
+
+void ServerConnection::WriteResponse(std::string_view aBytes) {
+  m_responseBytes += aBytes.size();
+  const Duration left = m_readBy - m_loop.Now();
+  if (!m_waitsForReader && m_responseBytes > kMinWindowBytes &&
+      left > SocketLimits{}.m_unacknowledgedTimeout) {
+    m_waitsForReader = true;
+    m_socket->SetUnacknowledgedTimeout(left);
+  }
+  m_socket->Write(aBytes);
 }
 
 void ServerConnection::SendBodyPart(std::string_view aPart) {
   if (m_isHttp10) {
-    m_socket->Write(aPart);
+    WriteResponse(aPart);
     return;
   }
   std::string chunk;
   AppendChunk(chunk, aPart);
-  m_socket->Write(chunk);
+  WriteResponse(chunk);
 }
 
 void ServerConnection::EndResponse() {
@@ -275,7 +294,7 @@
   m_since = m_loop.Now();
   m_lastIdleTimeout = m_context->m_limits.m_idleTime;
   if (m_closes) {
-    m_socket->CloseAfterWriting();
+    m_socket->CloseAfterWriting(m_readBy);
     return;
   }
   m_socket->SetReading(true);
@@ -285,6 +304,11 @@
 }
 
 void ServerConnection::CheckTimeouts(Time aNow) {
+  const Time readBy = std::max(m_readBy, m_since + SocketLimits{}.m_unacknowledgedTimeout);
+  if (m_readBy != Time{} && !m_busy && aNow >= readBy && m_socket->UnsentBytes() > 0) {
+    m_socket->Reset();
+    return;
+  }
   if (!TakesMessages()) {
     return;
   }
@@ -302,7 +326,7 @@
 
 bool ServerConnection::HasUnfinished() const {
   const bool isReceiving = !m_closes && !IsIdle();
-  return IsOpen() && (m_busy || isReceiving || UnsentBytes() > 0);
+  return IsOpen() && (m_busy || isReceiving || m_socket->UnacknowledgedBytes() > 0);
 }
 
 void ServerConnection::GiveUp() {
--- a/Libraries/LibHttp/ServerConnection.h
+++ b/Libraries/LibHttp/ServerConnection.h
@@ -72,6 +72,10 @@
   void EndResponse();
   /// Resets the connection in the middle of the response.
   void Abort();
+  /// Sets until when the client of the current request may take to read the response. By default,
+  /// one that leaves it unread for longer than SocketLimits::m_unacknowledgedTimeout counts as
+  /// gone.
+  void SetReadBy(Time aReadBy) { m_readBy = aReadBy; }
 
   /// Sets the callback for a client that disconnects while its request is in progress. It is called
   /// at most once.
@@ -112,6 +116,7 @@
   void Release(std::size_t aBytes);
   std::string WriteHead(const ResponseHead& aHead);
   void FinishResponse();
+  void WriteResponse(std::string_view aBytes);
 
   EventLoop& m_loop;
   std::shared_ptr<ServerContext> m_context;
@@ -125,6 +130,11 @@
   /// The idle timeout in effect when the last response was sent. It still applies if the limit has
   /// been lowered since.
   Duration m_lastIdleTimeout{0};
+  Time m_readBy{};
+  /// Bytes of the current response.
+  std::size_t m_responseBytes = 0;
+  /// The unacknowledged timeout of the socket is that of the response.
+  bool m_waitsForReader = false;
   std::size_t m_headerBytes = 0;
   /// What the current request takes of the budget for bodies.
   std::size_t m_reserved = 0;
--- a/Libraries/LibHttp/StreamSocket.cpp
+++ b/Libraries/LibHttp/StreamSocket.cpp
@@ -2,7 +2,9 @@
 
 #include <array>
 #include <cerrno>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <utility>
 
@@ -175,12 +177,31 @@
   }
   if (m_shutdownAfterWriting) {
     ::shutdown(m_descriptor.Number(), SHUT_WR);
-    m_loop.After(kLingerTimeout, [self = shared_from_this()] { self->Close(); });
+    Linger();
   } else if (done > 0 && m_listener->m_onDrained) {
     Notify(&SocketListener::m_onDrained);
   }
 }
 
+void StreamSocket::Linger() {
+  m_loop.After(kLingerTimeout, [self = shared_from_this()] {
+    if (self->IsOpen() && self->m_loop.Now() < self->m_readBy && self->UnacknowledgedBytes() > 0) {
+      self->Linger();
+    } else {
+      self->Close();
+    }
+  });
+}
+
+std::size_t StreamSocket::UnacknowledgedBytes() const {
+  int queued = 0;
+  // What the system cannot tell counts as acknowledged.
+  if (!IsOpen() || ::ioctl(m_descriptor.Number(), SIOCOUTQ, &queued) != 0) {
+    queued = 0;
+  }
+  return m_output.size() + static_cast<std::size_t>(queued);
+}
+
 void StreamSocket::End(SocketEnd aEnd) {
   const std::shared_ptr<StreamSocket> self = shared_from_this();
   const std::shared_ptr<const SocketListener> listener = m_listener;
@@ -211,10 +232,11 @@
   }
 }
 
-void StreamSocket::CloseAfterWriting() {
+void StreamSocket::CloseAfterWriting(Time aReadBy) {
   if (!IsOpen() || m_shutdownAfterWriting) {
     return;
   }
+  m_readBy = aReadBy;
   m_lingering = true;
   m_shutdownAfterWriting = true;
   SetListener({});
--- a/Libraries/LibHttp/StreamSocket.h
+++ b/Libraries/LibHttp/StreamSocket.h
@@ -62,6 +62,8 @@
   std::string& Input() { return m_input; }
   void Write(std::string_view aBytes);
   std::size_t UnsentBytes() const { return m_output.size(); }
+  /// Bytes that the peer has not acknowledged, including those not sent yet.
+  std::size_t UnacknowledgedBytes() const;
   /// Whether any byte has been passed to the kernel since the connection was established.
   bool HasSent() const { return m_sent; }
   bool IsOpen() const { return m_descriptor.IsOpen(); }
@@ -81,8 +83,8 @@
   void Reset();
   /// Sends the remaining output, shuts down the sending direction and closes once the peer has
   /// closed or a timeout expires. Closing with unread input would reset the connection and could
-  /// discard output that the peer has not read yet.
-  void CloseAfterWriting();
+  /// discard output that the peer has not read yet, so the peer may take until aReadBy for that.
+  void CloseAfterWriting(Time aReadBy = Time{});
 
 private:
   void Start();
@@ -92,6 +94,7 @@
   void Flush();
   void FinishConnecting();
   void UpdateInterest();
+  void Linger();
   void End(SocketEnd aEnd);
 
   EventLoop& m_loop;
@@ -110,6 +113,7 @@
   bool m_lingering = false;
   bool m_resetOnEnd = false;
   bool m_shutdownAfterWriting = false;
+  Time m_readBy{};
 };
 
 } // namespace fennelline
--- a/Services/Edge/RequestRelay.cpp
+++ b/Services/Edge/RequestRelay.cpp
@@ -126,12 +126,14 @@
     return;
   }
   const Duration callerTimeout = m_metadata.m_callerTimeout.value_or(m_route->m_timeout);
+  const Time answerBy = m_request.m_arrived + std::min(callerTimeout, m_route->m_timeout);
+  m_caller->SetReadBy(answerBy);
   m_retryPolicy =
     RetryPolicy({.m_kind = m_route->m_kind,
                  .m_resumable = m_route->m_resumable,
                  .m_attempts = m_passedOn ? std::min(m_route->m_attempts, m_passedOn->m_runsLeft)
                                           : m_route->m_attempts,
-                 .m_answerBy = m_request.m_arrived + std::min(callerTimeout, m_route->m_timeout)});
+                 .m_answerBy = answerBy});
   // A server does not resume a stream of another route: it sends all events, and all are due.
   m_framer = EventFramer({.m_after = m_route->m_resumable ? m_metadata.m_lastEvent : std::nullopt,
                           .m_otherStart = m_metadata.m_lastEvent,
--- a/Tests/Edge/slow_caller.py
+++ b/Tests/Edge/slow_caller.py
@@ -21,6 +21,10 @@
 LARGE_ANSWER = 6_000_000
 # Less than what the system and an entry keep for one connection.
 LEFT_UNREAD = 64_000
+# Larger than the caller's window, and less than what the system keeps for one connection.
+SMALL_ANSWER = 30_000
+# Longer than what tells that a peer is gone, and within the time limit of the route.
+LONG_PAUSE_S = 2.3
 GRACE_S = 4.0
 IDLE_END_S = 0.7 * GRACE_S
 
@@ -132,6 +136,44 @@
             answer = await call(self.entry.address("front"), "/stream/x", f"after-{events}", accept=EVENTS)
             self.assertEqual((answer.status, answer.whole), (200, True), f"after {events} events")
 
+    async def read_rest(self, size):
+        """Reads until the body has this size; fails if the connection ends before."""
+        while len(self.caller.body()) < size:
+            known = len(self.caller.received)
+            await asyncio.wait_for(self.caller.read(known + 1), 1.0)
+            self.assertGreater(len(self.caller.received), known, "the connection is open")
+
+    async def check_read_after(self, pause_s, size, headers=()):
+        self.answer_with(size)
+        await self.caller.send("/plain/x", "r1", headers=headers)
+        await wait_until(lambda: self.fleet.runs("r1"))
+        await asyncio.sleep(pause_s)
+        await self.read_rest(size)
+        self.assertTrue(self.caller.received.startswith(b"HTTP/1.1 200"))
+        self.assertEqual(len(self.fleet.runs("r1")), 1)
+
+    async def test_an_answer_that_is_not_read_for_most_of_its_time_is_whole(self):
+        """Guards against taking a caller that does not read for one that is gone."""
+        await self.check_read_after(LONG_PAUSE_S, SMALL_ANSWER)
+
+    async def test_a_large_answer_that_is_not_read_for_most_of_its_time_is_whole(self):
+        await self.check_read_after(LONG_PAUSE_S, LARGE_ANSWER)
+
+    async def test_an_answer_that_closes_and_is_not_read_for_most_of_its_time_is_whole(self):
+        await self.check_read_after(LONG_PAUSE_S, SMALL_ANSWER, headers=[("Connection", "close")])
+
+    async def test_an_answer_that_is_not_read_for_long_in_a_planned_stop_is_whole(self):
+        """Guards against losing what slow callers have not read yet when the entry stops."""
+        for replica in self.fleet.of("app"):
+            replica.work_s = 0.5
+        self.answer_with(SMALL_ANSWER)
+        await self.caller.send("/plain/x", "r1")
+        await wait_until(lambda: self.fleet.runs("r1"))
+        self.entry.signal(signal.SIGTERM)
+        await asyncio.sleep(LONG_PAUSE_S)
+        await self.read_rest(SMALL_ANSWER)
+        await asyncio.wait_for(self.entry.process.wait(), GRACE_S)
+
     async def test_a_planned_stop_waits_for_an_answer_whose_rest_is_read_late(self):
         self.answer_with(LARGE_ANSWER)
         self.entry.signal(signal.SIGTERM)
--- a/Tests/LibHttp/TestServer.cpp
+++ b/Tests/LibHttp/TestServer.cpp
@@ -278,6 +278,33 @@
   CHECK(response.find("0\r\n\r\n") == std::string::npos);
 }
 
+// Guards against memory that is held for clients which read a response for ever.
+TEST_CASE("a response that is still being read after its time is reset") {
+  constexpr std::size_t kLargeBytes = 32UL * 1024 * 1024;
+  for (const char* more : {"", "Connection: close\r\n"}) {
+    EchoServer server;
+    server.m_holdRequests = true;
+    RawClient client(server.m_address);
+    client.Send(std::string("GET /held HTTP/1.1\r\nHost: x\r\n") + more + "\r\n");
+    REQUIRE(RunUntil(server.m_loop, [&] { return server.m_heldConnection != nullptr; }));
+    const SystemClock clock;
+    const Time sent = clock.Now();
+    server.m_heldConnection->SetReadBy(sent + Milliseconds(2000));
+    server.m_heldConnection->SendResponse({.m_status = 200, .m_headers = {}},
+                                          std::string(kLargeBytes, 'x'));
+    Time read = sent;
+    CHECK(RunUntil(server.m_loop, [&] {
+      if (clock.Now() - read > Milliseconds(50)) {
+        client.Receive();
+        read = clock.Now();
+      }
+      return server.m_server->CountConnections() == 0;
+    }));
+    CHECK(clock.Now() - sent > Milliseconds(1900));
+    CHECK(clock.Now() - sent < Milliseconds(4000));
+  }
+}
+
 TEST_CASE("a response without a length is reset if its client shuts down its sending direction") {
   EchoServer server;
   server.m_holdRequests = true;
