ServerConnection: one state and one table of transitions

Change: ConnectionState and kConnectionTransitions; an event that the table does not have for a state has no effect.

With it, each with a case of TestServer that failed before: - a version other than HTTP/1 gets 505; HTTP/2.0, 0.9 and 9.9 were served. HTTP/1.7 is served as 1.1, as HTTP says of higher minor versions. - a refused head is answered at once, not after its body. - a body in many small chunks got 431: its framing counted as headers. - a body of which nothing arrives for the idle time gets 408, and no longer holds its memory.

--- a/Libraries/LibHttp/MessageParser.cpp
+++ b/Libraries/LibHttp/MessageParser.cpp
@@ -76,6 +76,7 @@
   m_head = {};
   m_statusLine.clear();
   m_body.clear();
+  m_headBytes = 0;
   m_noBody = false;
   m_started = false;
   m_hasHead = false;
@@ -121,6 +122,8 @@
       return 0;
     };
     callbacks.on_headers_complete = [](http_parser* aParser) {
+      // Execute() counts the bytes up to here.
+      http_parser_pause(aParser, 1);
       return Self(aParser).OnHeadersComplete();
     };
     callbacks.on_body = [](http_parser* aParser, const char* aText, std::size_t aLength) {
@@ -151,6 +154,7 @@
   m_hasHead = true;
   // Protocol upgrades are not supported, so the following bytes are an ordinary body.
   m_parser.upgrade = 0;
+  m_head.m_majorVersion = m_parser.http_major;
   m_head.m_minorVersion = m_parser.http_minor;
   m_head.m_keepAlive = http_should_keep_alive(&m_parser) != 0;
   if (!isResponse) {
@@ -178,6 +182,24 @@
   }
 }
 
+std::size_t MessageParser::Execute(std::string_view aBytes) {
+  const bool hadHead = m_hasHead;
+  const std::size_t taken =
+    http_parser_execute(&m_parser, &Callbacks(), aBytes.data(), aBytes.size());
+  if (hadHead) {
+    return taken;
+  }
+  m_headBytes += taken;
+  if (!m_hasHead || HTTP_PARSER_ERRNO(&m_parser) != HPE_PAUSED) {
+    return taken;
+  }
+  // The last byte of the head is parsed again.
+  ++m_headBytes;
+  http_parser_pause(&m_parser, 0);
+  return taken +
+         http_parser_execute(&m_parser, &Callbacks(), aBytes.data() + taken, aBytes.size() - taken);
+}
+
 Result<std::size_t> MessageParser::Feed(std::string_view aBytes) {
   if (m_complete || aBytes.empty()) {
     return std::size_t{0};
@@ -185,8 +207,7 @@
   if (m_kind == MessageKind::Response) {
     KeepStatusLine(aBytes);
   }
-  const std::size_t taken =
-    http_parser_execute(&m_parser, &Callbacks(), aBytes.data(), aBytes.size());
+  const std::size_t taken = Execute(aBytes);
   const http_errno problem = HTTP_PARSER_ERRNO(&m_parser);
   if (problem == HPE_OK || (problem == HPE_PAUSED && m_complete)) {
     return taken;
--- a/Libraries/LibHttp/MessageParser.h
+++ b/Libraries/LibHttp/MessageParser.h
@@ -20,7 +20,8 @@
   /// Responses only.
   int m_status = 0;
   HeaderList m_headers;
-  /// The minor version of HTTP/1.
+  /// Always 1 in responses, as others are errors.
+  int m_majorVersion = 1;
   int m_minorVersion = 1;
   /// Whether the connection may carry another message after this one.
   bool m_keepAlive = true;
@@ -59,11 +60,14 @@
   /// Allocates memory for a body of a known length.
   void ReserveBody(std::size_t aBytes) { m_body.reserve(aBytes); }
   std::size_t BodySize() const { return m_body.size(); }
+  /// Bytes of the start line and headers so far, with the empty lines around them.
+  std::size_t HeadBytes() const { return m_headBytes; }
 
 private:
   static const http_parser_settings& Callbacks();
   static MessageParser& Self(http_parser* aParser);
   int OnHeadersComplete();
+  std::size_t Execute(std::string_view aBytes);
   void KeepStatusLine(std::string_view aBytes);
 
   MessageKind m_kind;
@@ -72,6 +76,7 @@
   /// The first bytes of a response, up to the one that follows its status.
   std::string m_statusLine;
   std::string m_body;
+  std::size_t m_headBytes = 0;
   bool m_noBody = false;
   bool m_started = false;
   bool m_hasHead = false;
--- a/Libraries/LibHttp/ServerConnection.cpp
+++ b/Libraries/LibHttp/ServerConnection.cpp
@@ -1,5 +1,7 @@
 #include "LibHttp/ServerConnection.h"
 
+#include "LibHttp/RequestHead.h"
+
 #include <algorithm>
 #include <string_view>
 #include <utility>
@@ -24,26 +26,6 @@
 /// before the timeout does not race with the close.
 constexpr Duration kIdleSlack = Seconds(1);
 
-/// Returns why a request head is invalid, or an empty string if it is valid.
-std::string_view FindHeadProblem(const MessageHead& aHead) {
-  if (!aHead.m_target.starts_with('/')) {
-    return "request target is not an absolute path";
-  }
-  if (aHead.m_headers.Count("host") != 1) {
-    return "request must have exactly one Host header";
-  }
-  const std::string* coding = aHead.m_headers.Find("transfer-encoding");
-  if (coding != nullptr &&
-      (!EqualIgnoringCase(*coding, "chunked") || aHead.m_headers.Count("transfer-encoding") != 1 ||
-       aHead.m_headers.Count("content-length") != 0)) {
-    return "ambiguous or unsupported message framing";
-  }
-  if (aHead.m_headers.Count("content-length") > 1) {
-    return "more than one Content-Length header";
-  }
-  return {};
-}
-
 } // namespace
 
 ServerConnection::ServerConnection(EventLoop& aLoop, std::shared_ptr<ServerContext> aContext,
@@ -51,11 +33,8 @@
   : m_loop(aLoop)
   , m_context(std::move(aContext))
   , m_socket(std::move(aSocket))
-  , m_since(aLoop.Now()) {}
-
-ServerConnection::~ServerConnection() {
-  Release(m_reserved);
-}
+  , m_since(aLoop.Now())
+  , m_body(m_context->m_bodies) {}
 
 void ServerConnection::Start() {
   SocketListener listener;
@@ -63,7 +42,7 @@
   listener.m_onEnd = [self = shared_from_this()](SocketEnd) { self->OnEnd(); };
   listener.m_onDrained = [self = shared_from_this()] {
     // Copied, because the callback may finish the response, which destroys the callback.
-    const std::function<void()> onDrained = self->m_onDrained;
+    const std::function<void()> onDrained = self->m_listener.m_onDrained;
     if (onDrained) {
       onDrained();
     }
@@ -71,73 +50,76 @@
   m_socket->SetListener(std::move(listener));
 }
 
-void ServerConnection::Release(std::size_t aBytes) {
-  m_context->m_bodies->m_usedBytes -= aBytes;
-  m_reserved -= aBytes;
+bool ServerConnection::Advance(ConnectionEvent aEvent) {
+  const std::optional<ConnectionState> next = NextState(m_state, aEvent);
+  m_state = next.value_or(m_state);
+  return next.has_value();
 }
 
 void ServerConnection::OnEnd() {
-  Release(m_reserved);
-  const std::function<void()> onDisconnected = std::exchange(m_onDisconnected, {});
-  m_onGivenUp = {};
-  m_onDrained = {};
-  m_busy = false;
-  if (onDisconnected) {
-    onDisconnected();
+  Advance(ConnectionEvent::PeerEnded);
+  m_body.Release();
+  const Listener listener = std::exchange(m_listener, {});
+  if (listener.m_onDisconnected) {
+    listener.m_onDisconnected();
   }
 }
 
 void ServerConnection::OnInput() {
-  while (TakesMessages() && !m_socket->Input().empty()) {
-    if (!FeedParser()) {
-      return;
-    }
+  // Each turn consumes bytes or leaves the states in which requests are read.
+  while (IsReading(m_state) && !m_socket->Input().empty()) {
+    FeedParser();
   }
-  if (m_busy && m_socket->Input().size() > kMaxPipelinedBytes) {
+  if (IsBusy(m_state) && m_socket->Input().size() > kMaxPipelinedBytes) {
     m_socket->SetReading(false);
   }
 }
 
-bool ServerConnection::FeedParser() {
-  if (!m_parser.HasStarted()) {
-    m_since = m_loop.Now();
+void ServerConnection::FeedParser() {
+  m_lastInput = m_loop.Now();
+  if (m_parser.HeadBytes() == 0) {
+    m_since = m_lastInput;
   }
-  const bool hadHead = m_parser.HasHead();
   const Result<std::size_t> taken = m_parser.Feed(m_socket->Input());
   if (taken.IsError()) {
     const bool isTooLong = taken.GetError().m_code == ErrorCode::LimitExceeded;
     Reject(isTooLong ? kHeadersTooLarge : kBadRequest, taken.GetError().m_detail);
-    return false;
+    return;
   }
   m_socket->Input().erase(0, taken.Get());
-  m_headerBytes += hadHead ? 0 : taken.Get() - m_parser.BodySize();
-  if (!IsWithinLimits()) {
-    return false;
-  }
-  if (m_parser.HasHead() && !std::exchange(m_sawHead, m_parser.HasHead())) {
-    OnHead();
+  if (m_state == ConnectionState::ReadingHead && !AcceptHead()) {
+    return;
   }
-  if (m_socket->IsOpen() && m_parser.IsComplete()) {
+  if (m_state == ConnectionState::ReadingBody && AcceptBody() && m_parser.IsComplete()) {
     TakeRequest();
   }
-  return true;
 }
 
-bool ServerConnection::IsWithinLimits() {
-  const ServerLimits& limits = m_context->m_limits;
-  if (m_headerBytes > limits.m_headerBytes) {
+bool ServerConnection::AcceptHead() {
+  if (m_parser.HeadBytes() > m_context->m_limits.m_headerBytes) {
     Reject(kHeadersTooLarge, "request headers exceed the size limit");
     return false;
   }
+  if (!m_parser.HasHead()) {
+    return true;
+  }
+  if (const std::optional<HeadProblem> problem = FindHeadProblem(m_parser.Head())) {
+    Reject(problem->m_status, problem->m_reason);
+    return false;
+  }
+  Advance(ConnectionEvent::HeadComplete);
+  return true;
+}
+
+bool ServerConnection::AcceptBody() {
   const std::string* length = m_parser.Head().m_headers.Find("content-length");
-  const std::size_t announced =
-    m_parser.HasHead() && length != nullptr ? std::strtoull(length->c_str(), nullptr, 10) : 0;
+  const std::size_t announced = length != nullptr ? std::strtoull(length->c_str(), nullptr, 10) : 0;
   const std::size_t body = std::max(announced, m_parser.BodySize());
-  if (body > limits.m_bodyBytes) {
+  if (body > m_context->m_limits.m_bodyBytes) {
     Reject(kContentTooLarge, "request body exceeds the size limit");
     return false;
   }
-  if (!ReserveBody(body)) {
+  if (!m_body.Reserve(body)) {
     Reject(kUnavailable, "memory limit for request bodies reached");
     return false;
   }
@@ -145,65 +127,51 @@
     // A growing buffer would take up to twice as much.
     m_parser.ReserveBody(announced);
   }
-  return true;
-}
-
-bool ServerConnection::ReserveBody(std::size_t aBytes) {
-  BodyBudget& bodies = *m_context->m_bodies;
-  const std::size_t more = aBytes - std::min(aBytes, m_reserved);
-  if (bodies.m_usedBytes + more > bodies.m_maxBytes) {
-    return false;
-  }
-  bodies.m_usedBytes += more;
-  m_reserved += more;
-  return true;
-}
-
-void ServerConnection::OnHead() {
   const std::string* expectation = m_parser.Head().m_headers.Find("expect");
-  if (!m_parser.IsComplete() && expectation != nullptr &&
-      EqualIgnoringCase(*expectation, "100-continue")) {
+  const bool isExpected = expectation != nullptr && EqualIgnoringCase(*expectation, "100-continue");
+  if (isExpected && !m_parser.IsComplete() && !std::exchange(m_hasContinued, true)) {
     m_socket->Write("HTTP/1.1 100 Continue\r\n\r\n");
   }
+  return true;
 }
 
 void ServerConnection::TakeRequest() {
-  const std::string_view problem = FindHeadProblem(m_parser.Head());
-  if (!problem.empty()) {
-    Reject(kBadRequest, problem);
-    return;
-  }
   IncomingRequest request;
   request.m_head = std::move(m_parser.Head());
   request.m_body = m_parser.TakeBody();
   request.m_arrived = m_since;
-  m_busy = true;
   m_closes = !request.m_head.m_keepAlive;
   m_isHttp10 = request.m_head.m_minorVersion == 0;
   m_parser.Reset();
-  m_sawHead = false;
-  m_headerBytes = 0;
+  m_hasContinued = false;
   m_readBy = Time{};
   m_responseBytes = 0;
   if (std::exchange(m_waitsForReader, false)) {
     m_socket->SetUnacknowledgedTimeout(SocketLimits{}.m_unacknowledgedTimeout);
   }
+  Advance(ConnectionEvent::MessageComplete);
   m_context->m_onRequest(shared_from_this(), std::move(request));
 }
 
 void ServerConnection::Reject(int aStatus, std::string_view aReason) {
+  if (!Advance(ConnectionEvent::Rejected)) {
+    return;
+  }
   if (m_context->m_onRejected) {
     m_context->m_onRejected(aStatus, aReason);
   }
-  m_busy = true;
   m_closes = true;
-  // The connection may linger, and its body no longer counts.
+  // The connection lingers, and its body no longer counts.
   m_parser.TakeBody();
   ResponseHead head{.m_status = aStatus, .m_headers = {}};
   if (aStatus == kUnavailable && m_context->m_onRejectedForNow) {
     m_context->m_onRejectedForNow(head.m_headers);
   }
-  SendResponse(head, {});
+  std::string text = WriteHead(head);
+  AppendHeader(text, "Content-Length", "0");
+  m_socket->Write(text + "\r\n");
+  m_body.Release();
+  m_socket->CloseAfterWriting();
 }
 
 std::string ServerConnection::WriteHead(const ResponseHead& aHead) {
@@ -219,7 +187,7 @@
 }
 
 void ServerConnection::SendResponse(const ResponseHead& aHead, std::string_view aBody) {
-  if (!m_busy || !m_socket->IsOpen()) {
+  if (m_state != ConnectionState::InProgress) {
     return;
   }
   std::string text = WriteHead(aHead);
@@ -231,7 +199,7 @@
 }
 
 void ServerConnection::BeginResponse(const ResponseHead& aHead) {
-  if (!m_busy || !m_socket->IsOpen()) {
+  if (!Advance(ConnectionEvent::AnswerBegun)) {
     return;
   }
   m_closes = m_closes || m_isHttp10;
@@ -256,6 +224,9 @@
 }
 
 void ServerConnection::SendBodyPart(std::string_view aPart) {
+  if (m_state != ConnectionState::Answering) {
+    return;
+  }
   if (m_isHttp10) {
     WriteResponse(aPart);
     return;
@@ -266,7 +237,7 @@
 }
 
 void ServerConnection::EndResponse() {
-  if (!m_busy || !m_socket->IsOpen()) {
+  if (m_state != ConnectionState::Answering) {
     return;
   }
   if (!m_isHttp10) {
@@ -276,21 +247,17 @@
 }
 
 void ServerConnection::Abort() {
-  m_onDisconnected = {};
-  m_onGivenUp = {};
-  m_onDrained = {};
-  m_busy = false;
-  Release(m_reserved);
+  Advance(ConnectionEvent::Aborted);
+  m_listener = {};
+  m_body.Release();
   m_socket->Reset();
 }
 
 void ServerConnection::FinishResponse() {
-  m_onDisconnected = {};
-  m_onGivenUp = {};
-  m_onDrained = {};
-  m_busy = false;
+  Advance(m_closes ? ConnectionEvent::AnswerEndedClosing : ConnectionEvent::AnswerEnded);
+  m_listener = {};
   m_socket->SetResetOnEnd(false);
-  Release(m_reserved);
+  m_body.Release();
   m_since = m_loop.Now();
   m_lastIdleTimeout = m_context->m_limits.m_idleTime;
   if (m_closes) {
@@ -303,45 +270,48 @@
   }
 }
 
-void ServerConnection::CheckTimeouts(Time aNow) {
+void ServerConnection::CloseUnread(Time aNow) {
   const Time readBy = std::max(m_readBy, m_since + SocketLimits{}.m_unacknowledgedTimeout);
-  if (m_readBy != Time{} && !m_busy && aNow >= readBy && m_socket->UnsentBytes() > 0) {
-    m_socket->Reset();
-    return;
+  if (m_readBy != Time{} && aNow >= readBy && m_socket->UnsentBytes() > 0) {
+    Abort();
   }
-  if (!TakesMessages()) {
+}
+
+void ServerConnection::CheckTimeouts(Time aNow) {
+  if (!m_socket->IsOpen() || IsBusy(m_state)) {
     return;
   }
-  const bool isReadingHead = m_parser.HasStarted() && !m_parser.HasHead();
-  if (isReadingHead && aNow - m_since > m_context->m_limits.m_headerTime) {
+  CloseUnread(aNow);
+  const ServerLimits& limits = m_context->m_limits;
+  const Duration idleTime = std::max(m_lastIdleTimeout, limits.m_idleTime) + kIdleSlack;
+  const bool isReadingHead = m_state == ConnectionState::ReadingHead && m_parser.HasStarted();
+  if (isReadingHead && aNow - m_since > limits.m_headerTime) {
     Reject(kRequestTimeout, "timed out while reading request headers");
-    return;
-  }
-  const Duration idleTime =
-    std::max(m_lastIdleTimeout, m_context->m_limits.m_idleTime) + kIdleSlack;
-  if (IsIdle() && aNow - m_since > idleTime) {
+  } else if (m_state == ConnectionState::ReadingBody && aNow - m_lastInput > idleTime) {
+    Reject(kRequestTimeout, "timed out while reading a request body");
+  } else if (IsIdle() && aNow - m_since > idleTime && Advance(ConnectionEvent::IdleTimeout)) {
     m_socket->CloseAfterWriting();
   }
 }
 
 bool ServerConnection::HasUnfinished() const {
-  const bool isReceiving = !m_closes && !IsIdle();
-  return IsOpen() && (m_busy || isReceiving || m_socket->UnacknowledgedBytes() > 0);
+  const bool isReceiving = IsReading(m_state) && !IsIdle();
+  return IsOpen() && (IsBusy(m_state) || isReceiving || m_socket->UnacknowledgedBytes() > 0);
 }
 
 void ServerConnection::GiveUp() {
-  if (m_busy) {
-    const std::function<void()> onGivenUp = std::exchange(m_onGivenUp, {});
+  if (IsBusy(m_state)) {
+    const std::function<void()> onGivenUp = std::exchange(m_listener.m_onGivenUp, {});
     if (onGivenUp) {
       onGivenUp();
     }
-  } else if (IsOpen() && !m_closes && !IsIdle()) {
+  } else if (!IsIdle()) {
     Reject(kUnavailable, "stopping");
   }
 }
 
 void ServerConnection::CloseIfIdle() {
-  if (IsIdle() && m_socket->IsOpen()) {
+  if (IsIdle() && Advance(ConnectionEvent::IdleTimeout)) {
     m_socket->CloseAfterWriting();
   }
 }
--- a/Tests/LibHttp/TestServer.cpp
+++ b/Tests/LibHttp/TestServer.cpp
@@ -136,6 +136,48 @@
   }
 }
 
+TEST_CASE("a version that is none of HTTP/1 gets 505, and a later minor version is served") {
+  for (const char* version : {"HTTP/0.9", "HTTP/2.0", "HTTP/3.1", "HTTP/9.9"}) {
+    EchoServer server;
+    const std::string sent = std::string("POST /a ") + version + "\r\nHost: x\r\n\r\n";
+    CHECK_MESSAGE(server.SendRequest(sent).starts_with("HTTP/1.1 505"), sent);
+    CHECK(server.m_targets.empty());
+  }
+  EchoServer server;
+  CHECK(server.SendRequest("GET /a HTTP/1.7\r\nHost: x\r\n\r\n").ends_with("/a"));
+}
+
+// Guards against waiting for the body of a request that cannot be served.
+TEST_CASE("a refused head is rejected before its body arrives") {
+  EchoServer server;
+  const std::string response = server.SendRequest(
+    "POST /a HTTP/1.1\r\nHost: x\r\nHost: y\r\nExpect: 100-continue\r\nContent-Length: 9\r\n\r\n");
+  CHECK(response.starts_with("HTTP/1.1 400"));
+  CHECK(server.m_context->m_bodies->m_usedBytes == 0);
+}
+
+// Guards against counting the framing of a body as headers.
+TEST_CASE("a body in many small chunks is not limited by the size of headers") {
+  EchoServer server;
+  server.m_context->m_limits.m_headerBytes = 1000;
+  std::string chunks;
+  for (int chunk = 0; chunk < 3000; ++chunk) {
+    chunks += "1\r\nx\r\n";
+  }
+  const std::string head = "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n";
+  CHECK(server.SendRequest(head + chunks + "0\r\n\r\n").ends_with("/a"));
+}
+
+// Guards against clients that hold memory for bodies which they never finish.
+TEST_CASE("a body of which nothing arrives for the idle time gets 408") {
+  EchoServer server;
+  server.m_context->m_limits.m_idleTime = Milliseconds(100);
+  const std::string response =
+    server.SendRequest("POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\nhalf");
+  CHECK(response.starts_with("HTTP/1.1 408"));
+  CHECK(server.m_context->m_bodies->m_usedBytes == 0);
+}
+
 // Guards against rejections that are logged and counted again while the connection lingers.
 TEST_CASE("a rejected request is not rejected again once its header timeout has expired") {
   for (const std::string_view sent : {"nonsense\r\n\r\n", "GET /a HTTP/1.1\r\nHost:"}) {
