ServerConnection: a request behind an unread answer does not end its time

Cause: the next request on a connection set the time-out for unacknowledged data back to 1.5 s, also while answers before it were still unread.

Change: it is set back only once the client has acknowledged everything, and small answers count together.

Before: the new case of EdgeSlowCaller fails, reset after 1.5 s.

--- a/Libraries/LibHttp/ServerConnection.cpp
+++ b/Libraries/LibHttp/ServerConnection.cpp
@@ -144,10 +144,12 @@
   m_isHttp10 = request.m_head.m_minorVersion == 0;
   m_parser.Reset();
   m_hasContinued = false;
-  m_readBy = Time{};
-  m_responseBytes = 0;
-  if (std::exchange(m_waitsForReader, false)) {
-    m_socket->SetUnacknowledgedTimeout(SocketLimits{}.m_unacknowledgedTimeout);
+  if (m_responseBytes > kMinWindowBytes && m_socket->UnacknowledgedBytes() == 0) {
+    m_responseBytes = 0;
+    m_readBy = Time{};
+    if (std::exchange(m_timeoutSetFor, Time{}) != Time{}) {
+      m_socket->SetUnacknowledgedTimeout(SocketLimits{}.m_unacknowledgedTimeout);
+    }
   }
   Advance(ConnectionEvent::MessageComplete);
   m_context->m_onRequest(shared_from_this(), std::move(request));
@@ -215,9 +217,9 @@
 void ServerConnection::WriteResponse(std::string_view aBytes) {
   m_responseBytes += aBytes.size();
   const Duration left = m_readBy - m_loop.Now();
-  if (!m_waitsForReader && m_responseBytes > kMinWindowBytes &&
+  if (m_responseBytes > kMinWindowBytes && m_readBy > m_timeoutSetFor &&
       left > SocketLimits{}.m_unacknowledgedTimeout) {
-    m_waitsForReader = true;
+    m_timeoutSetFor = m_readBy;
     m_socket->SetUnacknowledgedTimeout(left);
   }
   m_socket->Write(aBytes);
--- a/Libraries/LibHttp/ServerConnection.h
+++ b/Libraries/LibHttp/ServerConnection.h
@@ -7,6 +7,7 @@
 #include "LibHttp/ServerContext.h"
 #include "LibHttp/StreamSocket.h"
 
+#include <algorithm>
 #include <cstddef>
 #include <functional>
 #include <memory>
@@ -36,7 +37,7 @@
   /// Sets until when the client of the current request may take to read the response. By default,
   /// one that leaves it unread for longer than SocketLimits::m_unacknowledgedTimeout counts as
   /// gone.
-  void SetReadBy(Time aReadBy) { m_readBy = aReadBy; }
+  void SetReadBy(Time aReadBy) { m_readBy = std::max(m_readBy, aReadBy); }
 
   /// Sets the callback for a client that disconnects while its request is in progress. It is called
   /// at most once.
@@ -103,11 +104,12 @@
   /// The idle timeout in effect when the last response was sent. It still applies if the limit has
   /// been lowered since.
   Duration m_lastIdleTimeout{0};
+  /// Until when the client may read what it has not acknowledged; the latest of its requests.
   Time m_readBy{};
-  /// Bytes of the current response.
+  /// For which m_readBy the unacknowledged timeout of the socket was set last.
+  Time m_timeoutSetFor{};
+  /// Bytes of responses since the client was last known to have acknowledged all.
   std::size_t m_responseBytes = 0;
-  /// The unacknowledged timeout of the socket is that of the response.
-  bool m_waitsForReader = false;
   BodyReservation m_body;
   ConnectionState m_state = ConnectionState::ReadingHead;
   bool m_hasContinued = false;
--- a/Tests/Edge/slow_caller.py
+++ b/Tests/Edge/slow_caller.py
@@ -162,6 +162,16 @@
     async def test_an_answer_that_closes_and_is_not_read_for_most_of_its_time_is_whole(self):
         await self.check_read_after(LONG_PAUSE_S, SMALL_ANSWER, headers=[("Connection", "close")])
 
+    async def test_an_answer_with_a_short_one_behind_it_that_is_read_late_is_whole(self):
+        """Guards against the next request bringing back the usual time-out while an answer is unread."""
+        self.answer_with(SMALL_ANSWER)
+        await self.caller.send("/plain/x", "r1")
+        await self.caller.send("/none/x", "r2")
+        await wait_until(lambda: self.fleet.runs("r1"))
+        await asyncio.sleep(LONG_PAUSE_S)
+        await self.read_rest(SMALL_ANSWER + 20)
+        self.assertIn(b"HTTP/1.1 404", self.caller.received)
+
     async def test_an_answer_that_is_not_read_for_long_in_a_planned_stop_is_whole(self):
         """Guards against losing what slow callers have not read yet when the entry stops."""
         for replica in self.fleet.of("app"):
