ClientConnection: one state in place of three flags

Change: idle, awaiting the head, skipping an answer to an earlier call, reading the body. Same behaviour. What a call's owner implements has a header of its own.

--- a/Libraries/LibHttp/ClientConnection.cpp
+++ b/Libraries/LibHttp/ClientConnection.cpp
@@ -79,12 +79,10 @@
   }
   m_waitsForWindow = mayWaitForWindow;
   m_listener = std::make_shared<const CallListener>(std::move(aListener));
-  m_busy = true;
+  m_state = CallState::AwaitingHead;
   ++m_calls;
   m_isHeadRequest = aIsHeadRequest;
   m_sawBytes = false;
-  m_sawHead = false;
-  m_isSkipping = false;
   m_skippedBytes = 0;
   m_parser.Reset();
   if (aIsHeadRequest) {
@@ -95,7 +93,7 @@
 
 void ClientConnection::Abort() {
   m_loop.Cancel(std::exchange(m_connectTimer, EventLoop::kNoTimer));
-  m_busy = false;
+  m_state = CallState::Idle;
   m_listener.reset();
   m_onConnected = {};
   m_onClosed = {};
@@ -113,7 +111,7 @@
 }
 
 void ClientConnection::Fail(CallFailure aFailure) {
-  const bool wasBusy = std::exchange(m_busy, false);
+  const bool wasBusy = m_state != CallState::Idle;
   const std::shared_ptr<const CallListener> listener = m_listener;
   const std::function<void(CallFailure)> onClosed = std::move(m_onClosed);
   Abort();
@@ -128,7 +126,7 @@
   // A server that is killed before it has received the whole request may also close in an orderly
   // way, so the end of the connection only ends a response to a request that was written.
   const bool mayEndResponse = aEnd == SocketEnd::Closed && m_socket->UnsentBytes() == 0;
-  const bool isComplete = m_busy && m_sawHead && mayEndResponse &&
+  const bool isComplete = m_state == CallState::ReadingBody && mayEndResponse &&
                           m_parser.Head().m_bodyEndsAtClose && m_parser.FinishAtClose();
   if (isComplete) {
     m_reusable = false;
@@ -141,12 +139,12 @@
 void ClientConnection::OnInput() {
   const std::shared_ptr<ClientConnection> self = shared_from_this();
   const std::shared_ptr<const CallListener> listener = m_listener;
-  if (!m_busy) {
+  if (m_state == CallState::Idle) {
     // The server sent bytes without a pending request.
     Fail(CallFailure::Malformed);
     return;
   }
-  while (m_busy && IsOpen() && !m_socket->Input().empty()) {
+  while (m_state != CallState::Idle && IsOpen() && !m_socket->Input().empty()) {
     m_sawBytes = true;
     const Result<std::size_t> taken = m_parser.Feed(m_socket->Input());
     if (taken.IsError()) {
@@ -154,21 +152,18 @@
       return;
     }
     m_socket->Input().erase(0, taken.Get());
-    m_skippedBytes += m_sawHead ? 0 : taken.Get();
+    m_skippedBytes += m_state == CallState::ReadingBody ? 0 : taken.Get();
     if (m_skippedBytes > kMaxSkippedBytes) {
       Fail(CallFailure::Malformed);
       return;
     }
-    if (m_parser.HasHead() && !m_sawHead && !OnHead()) {
+    if (m_parser.HasHead() && m_state != CallState::ReadingBody && !OnHead()) {
       continue;
     }
-    if (!m_busy) {
-      return;
-    }
-    if (m_sawHead && m_parser.BodySize() > 0) {
+    if (m_state == CallState::ReadingBody && m_parser.BodySize() > 0) {
       listener->m_onBody(m_parser.TakeBody());
     }
-    if (m_busy && m_parser.IsComplete()) {
+    if (m_state == CallState::ReadingBody && m_parser.IsComplete()) {
       FinishCall();
       return;
     }
@@ -177,26 +172,25 @@
 
 bool ClientConnection::OnHead() {
   const bool isInterim = m_parser.Head().m_status < kFirstFinalStatus;
-  if (!isInterim && !m_isSkipping) {
-    m_sawHead = true;
+  if (!isInterim && m_state != CallState::Skipping) {
+    m_state = CallState::ReadingBody;
     if (m_listener->m_onHead(m_parser.Head()) == HeadAction::Accept) {
       return true;
     }
-    if (!m_busy) {
+    if (m_state == CallState::Idle) {
       return false;
     }
     // The response to this call may still follow, but requests and responses on this connection
     // no longer match up, so it must not be reused.
     m_reusable = false;
-    m_sawHead = false;
-    m_isSkipping = true;
+    m_state = CallState::Skipping;
   }
   if (!m_parser.IsComplete()) {
     // Discard the remainder of the skipped message.
     m_parser.TakeBody();
     return false;
   }
-  m_isSkipping = false;
+  m_state = CallState::AwaitingHead;
   m_parser.Reset();
   if (m_isHeadRequest) {
     m_parser.ExpectNoBody();
@@ -208,7 +202,7 @@
   const bool isSynchronized = m_socket->Input().empty() && m_socket->UnsentBytes() == 0;
   m_reusable = m_reusable && isSynchronized && m_parser.Head().m_keepAlive && m_socket->IsOpen();
   m_serverIdleTimeout = ParseKeepAlive(m_parser.Head().m_headers);
-  m_busy = false;
+  m_state = CallState::Idle;
   m_onConnected = {};
   m_idleSince = m_loop.Now();
   const std::shared_ptr<const CallListener> listener = std::move(m_listener);
--- a/Libraries/LibHttp/ClientConnection.h
+++ b/Libraries/LibHttp/ClientConnection.h
@@ -1,8 +1,7 @@
 #pragma once
 
-#include "LibBase/NameTable.h"
+#include "LibHttp/CallListener.h"
 #include "LibHttp/EventLoop.h"
-#include "LibHttp/MessageParser.h"
 #include "LibHttp/StreamSocket.h"
 
 #include <cstdint>
@@ -13,38 +12,15 @@
 
 namespace fennelline {
 
-/// How far a call progressed before it failed, in order of progress.
-enum class CallFailure : std::uint8_t {
-  /// Nothing listens at the server's address.
-  Refused,
-  /// The connection could not be established, or failed before any request byte was written.
-  NotSent,
-  /// The server may have read the request, but sent no response.
-  NoResponse,
-  /// The connection ended in the middle of the response.
-  TruncatedResponse,
-  /// The received bytes are not a valid HTTP response.
-  Malformed,
-};
-
-constexpr NameTable<CallFailure, 5> kCallFailureNames = {{
-  {CallFailure::Refused, "refused"},
-  {CallFailure::NotSent, "not-sent"},
-  {CallFailure::NoResponse, "no-answer"},
-  {CallFailure::TruncatedResponse, "broken-answer"},
-  {CallFailure::Malformed, "malformed"},
-}};
-
-/// Whether to accept a response for the current call, or to skip it because it belongs to an
-/// earlier call.
-enum class HeadAction : std::uint8_t { Accept, Skip };
-
-struct CallListener {
-  std::function<HeadAction(const MessageHead&)> m_onHead;
-  /// Called with body bytes as they arrive. Not called for an empty body.
-  std::function<void(const std::string&)> m_onBody;
-  std::function<void()> m_onComplete;
-  std::function<void(CallFailure)> m_onFailed;
+/// What a connection to a server does for its current call.
+enum class CallState : std::uint8_t {
+  /// No call is under way.
+  Idle,
+  /// The call's own response has not begun. Interim responses may come before it.
+  AwaitingHead,
+  /// A response to an earlier call is being received.
+  Skipping,
+  ReadingBody,
 };
 
 /// A client-side HTTP/1.1 connection. It carries one request at a time, without pipelining.
@@ -69,7 +45,7 @@
   /// Whether calls before the current one were made on it. What they left may precede the response.
   bool HasEarlierCalls() const { return m_calls > 1; }
   /// Whether another request may be sent on this connection.
-  bool IsReusable() const { return m_reusable && !m_busy && IsOpen(); }
+  bool IsReusable() const { return m_reusable && m_state == CallState::Idle && IsOpen(); }
   Time IdleSince() const { return m_idleSince; }
   /// The idle timeout that the server announced in its Keep-Alive header, or zero.
   Duration ServerIdleTimeout() const { return m_serverIdleTimeout; }
@@ -102,16 +78,13 @@
   EventLoop::TimerId m_connectTimer = EventLoop::kNoTimer;
   Time m_idleSince{};
   Duration m_serverIdleTimeout{0};
-  bool m_busy = false;
+  CallState m_state = CallState::Idle;
   bool m_isHeadRequest = false;
   bool m_reusable = true;
   /// The current request may wait for the server's receive window.
   bool m_waitsForWindow = false;
   std::uint64_t m_calls = 0;
   bool m_sawBytes = false;
-  bool m_sawHead = false;
-  /// The message that is being received belongs to an earlier call.
-  bool m_isSkipping = false;
   /// Bytes received for the current call before the head of its answer.
   std::size_t m_skippedBytes = 0;
 };
