Edge: a loop that spins or stands still is seen

Change: a histogram of the time of a turn; a line for a turn above 100 ms with what it ran; a thread that looks once a second and writes a line while a turn lasts, after 2, 4, 8 ... s, with the descriptor. A timer that is set by a timer runs in the next turn at the earliest, so that one without a delay cannot hold a turn up.

--- a/Libraries/LibHttp/EventLoop.cpp
+++ b/Libraries/LibHttp/EventLoop.cpp
@@ -76,51 +76,75 @@
   if (m_timers.empty()) {
     return kMaxPollWait;
   }
-  const Duration left = m_timers.begin()->first.first - m_clock.Now();
+  const Duration left = m_timers.begin()->first.first - m_turnEnded;
   if (left <= Duration(0)) {
     return Duration(0);
   }
   return std::min(left + kPollResolution, kMaxPollWait);
 }
 
+void EventLoop::RunReady(const std::vector<Readiness>& aReady) {
+  BeginWork(LoopWork::Descriptor);
+  for (const Readiness& readiness : aReady) {
+    const auto found = m_watched.find(readiness.m_token);
+    if (found == m_watched.end()) {
+      continue;
+    }
+    ++m_turn.m_descriptors;
+    m_activity.m_descriptor.store(found->second.m_descriptor, std::memory_order_relaxed);
+    // The callback may unregister its own watch.
+    const std::shared_ptr<OnReady> onReady = found->second.m_onReady;
+    (*onReady)(readiness);
+  }
+}
+
 void EventLoop::RunTimers() {
-  while (!m_timers.empty() && m_timers.begin()->first.first <= m_now) {
+  BeginWork(LoopWork::Timer);
+  // A timer that is set now runs in the next turn at the earliest, so that one which sets itself
+  // again without a delay does not keep the descriptors waiting.
+  const TimerId last = m_lastTimer;
+  while (!m_timers.empty() && m_timers.begin()->first.first <= m_now &&
+         m_timers.begin()->first.second <= last) {
     const auto due = m_timers.begin();
     Task task = std::move(due->second);
     m_timerTimes.erase(due->first.second);
     m_timers.erase(due);
+    ++m_turn.m_timers;
     task();
   }
 }
 
 void EventLoop::RunPosted() {
+  BeginWork(LoopWork::Task);
   std::vector<Task> posted;
   posted.swap(m_posted);
   for (const Task& task : posted) {
+    ++m_turn.m_tasks;
     task();
   }
 }
 
 void EventLoop::Run() {
+  m_turnEnded = m_clock.Now();
   while (!m_stopped) {
     RunOnce(kMaxPollWait);
   }
 }
 
 void EventLoop::RunOnce(Duration aMaxWait) {
+  BeginWork(LoopWork::Waiting);
   const std::vector<Readiness> ready = m_poller.Wait(std::min(TimeToNextTimer(), aMaxWait));
   m_now = m_clock.Now();
-  for (const Readiness& readiness : ready) {
-    const auto found = m_watched.find(readiness.m_token);
-    if (found == m_watched.end()) {
-      continue;
-    }
-    // The callback may unregister its own watch.
-    const std::shared_ptr<OnReady> onReady = found->second.m_onReady;
-    (*onReady)(readiness);
-  }
+  m_turn = {};
+  m_activity.m_turn.fetch_add(1, std::memory_order_relaxed);
+  RunReady(ready);
   RunTimers();
   RunPosted();
+  m_turnEnded = m_clock.Now();
+  m_turn.m_time = m_turnEnded - m_now;
+  if (m_onTurn) {
+    m_onTurn(m_turn);
+  }
 }
 
 } // namespace fennelline
--- a/Libraries/LibHttp/EventLoop.h
+++ b/Libraries/LibHttp/EventLoop.h
@@ -1,9 +1,12 @@
 #pragma once
 
 #include "LibBase/Error.h"
+#include "LibBase/NameTable.h"
 #include "LibBase/Time.h"
 #include "LibWire/Poller.h"
 
+#include <atomic>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -14,6 +17,32 @@
 
 namespace fennelline {
 
+/// What one turn of the loop did.
+struct LoopTurn {
+  /// From the end of the wait to the end of the last callback.
+  Duration m_time{0};
+  std::size_t m_descriptors = 0;
+  std::size_t m_timers = 0;
+  std::size_t m_tasks = 0;
+};
+
+enum class LoopWork : std::uint8_t { Waiting, Descriptor, Timer, Task };
+
+constexpr NameTable<LoopWork, 4> kLoopWorkNames = {{
+  {LoopWork::Waiting, "waiting"},
+  {LoopWork::Descriptor, "descriptor"},
+  {LoopWork::Timer, "timer"},
+  {LoopWork::Task, "task"},
+}};
+
+/// What the loop does now. Other threads may read it.
+struct LoopActivity {
+  std::atomic<std::uint64_t> m_turn = 0;
+  std::atomic<LoopWork> m_work = LoopWork::Waiting;
+  /// The descriptor whose callback runs, or ran last.
+  std::atomic<int> m_descriptor = -1;
+};
+
 /// A single-threaded event loop for file descriptors and timers.
 class EventLoop {
 public:
@@ -29,6 +58,10 @@
   /// Runs one iteration, waiting for at most aMaxWait.
   void RunOnce(Duration aMaxWait);
 
+  /// Sets a callback for the end of each turn.
+  void SetOnTurn(std::function<void(const LoopTurn&)> aOnTurn) { m_onTurn = std::move(aOnTurn); }
+  const LoopActivity& Activity() const { return m_activity; }
+
   /// The time at which the current iteration began to run callbacks.
   Time Now() const { return m_now; }
 
@@ -53,8 +86,10 @@
   using TimerKey = std::pair<Time, TimerId>;
 
   Duration TimeToNextTimer() const;
+  void RunReady(const std::vector<Readiness>& aReady);
   void RunTimers();
   void RunPosted();
+  void BeginWork(LoopWork aWork) { m_activity.m_work.store(aWork, std::memory_order_relaxed); }
 
   SystemClock m_clock;
   Poller m_poller;
@@ -66,6 +101,11 @@
   std::map<TimerKey, Task> m_timers;
   std::unordered_map<TimerId, Time> m_timerTimes;
   std::vector<Task> m_posted;
+  std::function<void(const LoopTurn&)> m_onTurn;
+  LoopActivity m_activity;
+  /// The current turn, and when the last one ended.
+  LoopTurn m_turn;
+  Time m_turnEnded = m_now;
 };
 
 } // namespace fennelline
--- a/Services/Edge/EdgeLog.cpp
+++ b/Services/Edge/EdgeLog.cpp
@@ -81,12 +81,19 @@
   Flush();
 }
 
-void EdgeLog::Append(const LogLine& aLine, Time aNow) {
+std::string FormatLogLine(const LogLine& aLine, std::string_view aNode, Time aNow) {
   const std::int64_t milliseconds =
     std::chrono::duration_cast<std::chrono::milliseconds>(aNow.time_since_epoch()).count();
-  m_buffer += "{\"at\":" + std::to_string(milliseconds) + ",\"node\":\"" + m_node + '"';
-  m_buffer += aLine.Fields();
-  m_buffer += "}\n";
+  std::string text = "{\"at\":" + std::to_string(milliseconds) + ",\"node\":\"";
+  text += aNode;
+  text += '"';
+  text += aLine.Fields();
+  text += "}\n";
+  return text;
+}
+
+void EdgeLog::Append(const LogLine& aLine, Time aNow) {
+  m_buffer += FormatLogLine(aLine, m_node, aNow);
 }
 
 void EdgeLog::StartSecond(Time aNow) {
--- a/Services/Edge/EdgeLog.h
+++ b/Services/Edge/EdgeLog.h
@@ -34,6 +34,9 @@
   std::string m_fields;
 };
 
+/// Returns the line as it is written, with its time and node.
+std::string FormatLogLine(const LogLine& aLine, std::string_view aNode, Time aNow);
+
 /// Determines which lines are kept when the log exceeds its budget.
 enum class LogPriority : std::uint8_t {
   /// Normal operation.
--- a/Services/Edge/EdgeMetrics.cpp
+++ b/Services/Edge/EdgeMetrics.cpp
@@ -6,6 +6,8 @@
 
 namespace {
 
+const prometheus::Histogram::BucketBoundaries kTurnSeconds = {0.0001, 0.001, 0.01, 0.05,
+                                                              0.1,    0.25,  1.0};
 const prometheus::Histogram::BucketBoundaries kSeconds = {0.005, 0.01, 0.02, 0.05, 0.1,  0.2, 0.4,
                                                           0.8,   1.5,  3.0,  6.0,  12.0, 25.0};
 
@@ -77,6 +79,11 @@
                       .Help("Times that the store came back from an older copy of itself.")
                       .Register(*m_registry)
                       .Add({});
+  m_loopTurn = &prometheus::BuildHistogram()
+                  .Name("fennelline_loop_turn_seconds")
+                  .Help("Time of a turn of the event loop, without its wait.")
+                  .Register(*m_registry)
+                  .Add({}, kTurnSeconds);
   m_loopHeld = &prometheus::BuildCounter()
                   .Name("fennelline_loop_held_seconds_total")
                   .Help("Time that timers of the event loop were late by, if it was long.")
@@ -215,6 +222,10 @@
   m_mirrorUpdatesSent[aIsWhole ? 1 : 0]->Increment();
 }
 
+void EdgeMetrics::OnLoopTurn(Duration aTime) {
+  m_loopTurn->Observe(InSeconds(aTime));
+}
+
 void EdgeMetrics::OnLoopHeld(Duration aTime) {
   m_loopHeld->Increment(InSeconds(aTime));
 }
--- a/Services/Edge/EdgeMetrics.h
+++ b/Services/Edge/EdgeMetrics.h
@@ -83,6 +83,8 @@
   void OnLargeValueCall(LargeValueOutcome aOutcome);
   /// The store came back from an older copy of itself.
   void OnStoreReturned();
+  /// A turn of the event loop took this long, without its wait.
+  void OnLoopTurn(Duration aTime);
   /// The event loop ran no callback for this time, although a timer was due.
   void OnLoopHeld(Duration aTime);
   /// A server was checked after its connections broke, or after one ended a stream.
@@ -136,6 +138,7 @@
   std::array<prometheus::Counter*, 2> m_mirrorUpdatesSent{};
   std::array<prometheus::Counter*, kLargeValueOutcomeNames.size()> m_largeValueCalls{};
   prometheus::Counter* m_storeReturns = nullptr;
+  prometheus::Histogram* m_loopTurn = nullptr;
   prometheus::Counter* m_loopHeld = nullptr;
   std::array<prometheus::Counter*, kReachabilities> m_serverChecks{};
   std::array<prometheus::Counter*, kEventFaultNames.size()> m_oddEvents{};
--- a/Services/Edge/EdgeProcess.cpp
+++ b/Services/Edge/EdgeProcess.cpp
@@ -49,8 +49,6 @@
 constexpr Duration kPeerMessageDelay = Milliseconds(5);
 
 constexpr Duration kLogFlushInterval = Milliseconds(100);
-/// Timers that are later by this are logged: other entries wait for this one meanwhile.
-constexpr Duration kLoggedLoopHold = Milliseconds(250);
 constexpr Duration kStopCheckInterval = Milliseconds(50);
 
 constexpr std::size_t kMaxInternalChannels = 500;
@@ -130,7 +128,8 @@
   , m_sessions(m_context, m_members)
   , m_leaving(m_context, m_members)
   , m_withheld(m_context, m_members, m_storeView)
-  , m_speeds(m_context, m_members) {
+  , m_speeds(m_context, m_members)
+  , m_loopWatch(aLoop, m_log, m_metrics, {.m_node = m_context.m_settings.m_name}) {
   m_context.m_crashWatch = &m_crashWatch;
   m_context.m_permits = &m_permits;
   m_context.m_paths = &m_paths;
@@ -187,7 +186,7 @@
   m_rollouts.Start();
   m_crashWatch.Start();
   m_permits.Start();
-  m_flushedAt = m_loop.Now();
+  m_loopWatch.Start();
   m_loop.Every(kLogFlushInterval, [this] { OnFlushTimer(); });
   m_loop.Every(Seconds(1), [this] { OnSecondTimer(); });
   return {};
@@ -477,14 +476,7 @@
 }
 
 void EdgeProcess::OnFlushTimer() {
-  const Time now = m_loop.Now();
-  const Duration held = now - std::exchange(m_flushedAt, now) - kLogFlushInterval;
-  if (held >= kLoggedLoopHold) {
-    m_metrics.OnLoopHeld(held);
-    LogLine line("loop-held");
-    line.Ms("held", held);
-    m_context.Log(LogPriority::Notable, line);
-  }
+  m_loopWatch.OnTimer(kLogFlushInterval, m_loop.Now());
   m_log.Flush();
 }
 
--- a/Services/Edge/EdgeProcess.h
+++ b/Services/Edge/EdgeProcess.h
@@ -5,6 +5,7 @@
 #include "Services/Edge/CrashWatch.h"
 #include "Services/Edge/EdgeContext.h"
 #include "Services/Edge/LeavingNotices.h"
+#include "Services/Edge/LoopWatch.h"
 #include "Services/Edge/Members.h"
 #include "Services/Edge/Overload.h"
 #include "Services/Edge/PeerRelays.h"
@@ -96,7 +97,7 @@
   std::vector<std::unique_ptr<HttpServer>> m_servers;
   std::vector<LoadUpdate> m_pendingLoads;
   AnnouncementBudget m_loadBudget;
-  Time m_flushedAt{};
+  LoopWatch m_loopWatch;
   bool m_peerMessagesScheduled = false;
   bool m_wasReady = false;
 };
--- a/Services/Edge/RequestRelay.cpp
+++ b/Services/Edge/RequestRelay.cpp
@@ -120,9 +120,8 @@
   m_metadata = metadata.Get();
   if (!m_routes) {
     WaitForConfiguration();
-    return;
   }
-  if (!FindRoute()) {
+  if (!m_routes || !FindRoute()) {
     return;
   }
   const Duration callerTimeout = m_metadata.m_callerTimeout.value_or(m_route->m_timeout);
@@ -145,8 +144,7 @@
     // The other entry has counted its request.
     m_context.m_retries[m_service].OnRequest(m_context.m_loop.Now());
   }
-  const std::string_view whyNotTaken = WhyNotTaken();
-  if (!whyNotTaken.empty()) {
+  if (const std::string_view whyNotTaken = WhyNotTaken(); !whyNotTaken.empty()) {
     Refuse(whyNotTaken, Duration(0));
     return;
   }
@@ -154,12 +152,12 @@
   const Time now = m_context.m_loop.Now();
   if (m_context.m_stopRequestedAt &&
       !shutdownPolicy.AcceptsRequest(m_route->m_kind, now - *m_context.m_stopRequestedAt,
-                                     m_retryPolicy.Promise().m_answerBy - now)) {
+                                     answerBy - now)) {
     Refuse("stopping", Duration(0));
     return;
   }
-  m_deadlineTimer = m_context.m_loop.At(m_retryPolicy.Promise().m_answerBy,
-                                        [self = shared_from_this()] { self->OnDeadline(); });
+  m_deadlineTimer =
+    m_context.m_loop.At(answerBy, [self = shared_from_this()] { self->OnDeadline(); });
   DispatchInSession();
 }
 
