Tests: time to read large answers through a small window on a busy machine

Change: the stream has 24 events of 250 kB, as much as LARGE_ANSWER, which is still more than is kept for a connection; the routes of the new cases may take 8 s. The pauses and the checks are the same.

--- a/Tests/Edge/slow_caller.py
+++ b/Tests/Edge/slow_caller.py
@@ -13,12 +13,14 @@
 
 sys.path.insert(0, os.path.dirname(__file__))
 from fleet import Fleet
-from standin import call, request_text, wait_until
+from standin import call, configuration, request_text, wait_until
 
 EVENTS = "text/event-stream"
 RECEIVE_BUFFER = 4_096
 # Larger than what the system and an entry keep for one connection.
 LARGE_ANSWER = 6_000_000
+# As large in all, in events of 250 kB. Reading more takes a busy machine longer than the stream may last.
+STREAM_EVENTS = 24
 # Less than what the system and an entry keep for one connection.
 LEFT_UNREAD = 64_000
 # Larger than the caller's window, and less than what the system keeps for one connection.
@@ -98,11 +100,11 @@
 
     async def test_a_stream_that_is_read_late_is_whole_and_ran_once(self):
         for replica in self.fleet.of("pool"):
-            replica.events, replica.work_s = 40, 0.02
+            replica.events, replica.work_s = STREAM_EVENTS, 0.02
             replica.event_of = lambda request, number: (f"id: {number}\ndata: {'a' * 250_000}\n\n").encode()
         await self.caller.send("/stream/x", "s1", headers=[("Accept", EVENTS)])
         await asyncio.sleep(1.3)
-        await self.caller.read(40 * 250_000)
+        await self.caller.read(STREAM_EVENTS * 250_000)
         await wait_until(lambda: any(line["id"] == "s1" for line in self.entry.lines("request")))
         self.assertEqual([line["end"] for line in self.entry.lines("request")], ["answered"])
         self.assertEqual(len(self.fleet.runs("s1")), 1)
@@ -144,6 +146,12 @@
             self.assertGreater(len(self.caller.received), known, "the connection is open")
 
     async def check_read_after(self, pause_s, size, headers=()):
+        # Leaves time to read a large answer through the small window on a busy machine.
+        document = configuration(2)
+        for route in document["routes"]:
+            route["timeout-ms"] = 8000
+        self.fleet.store.put("op/config", document)
+        await self.fleet.until_version(2)
         self.answer_with(size)
         await self.caller.send("/plain/x", "r1", headers=headers)
         await wait_until(lambda: self.fleet.runs("r1"))
--- a/Tests/LibHttp/TestConnectionState.cpp
+++ b/Tests/LibHttp/TestConnectionState.cpp
@@ -5,6 +5,8 @@
 #include <set>
 #include <sstream>
 #include <string>
+#include <string_view>
+#include <utility>
 
 using namespace fennelline;
 
@@ -13,9 +15,9 @@
 /// Calls aCheck with each state, event and the state that follows, if any.
 template<typename Check>
 void ForEachTransition(Check aCheck) {
-  for (const auto& [state, stateName] : kConnectionStateNames) {
-    for (const auto& [event, eventName] : kConnectionEventNames) {
-      aCheck(state, event, NextState(state, event));
+  for (const std::pair<ConnectionState, std::string_view>& state : kConnectionStateNames) {
+    for (const std::pair<ConnectionEvent, std::string_view>& event : kConnectionEventNames) {
+      aCheck(state.first, event.first, NextState(state.first, event.first));
     }
   }
 }
@@ -60,10 +62,10 @@
       });
   }
   CHECK(reached.size() == kConnectionStateNames.size());
-  for (const auto& [state, name] : kConnectionStateNames) {
-    const bool canEnd = state == ConnectionState::Ended ||
-                        NextState(state, ConnectionEvent::PeerEnded) == ConnectionState::Ended;
-    CHECK_MESSAGE(canEnd, name);
+  for (const std::pair<ConnectionState, std::string_view>& row : kConnectionStateNames) {
+    const bool canEnd = row.first == ConnectionState::Ended ||
+                        NextState(row.first, ConnectionEvent::PeerEnded) == ConnectionState::Ended;
+    CHECK_MESSAGE(canEnd, row.second);
   }
 }
 
