--- /dev/null
+++ b/review/lib-3/server.py
@@ -0,0 +1,88 @@
+"""A sound backend server as its own process: server.py ID ADDRESS EVENTS PAUSE_S [FRAMING].
+
+It answers each request with a stream of EVENTS events, one every PAUSE_S, if the caller accepts one, else
+with a short body. FRAMING: chunked, or close for answers that end with their connection. It writes a line
+for each request that it runs, and for each answer that it has completed, to its standard output.
+"""
+
+import asyncio
+import sys
+import time
+
+
+def say(*words):
+    print(f"{time.monotonic():.3f}", *words, flush=True)
+
+
+async def read_request(reader):
+    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
+    headers = {}
+    for line in head[1:]:
+        name, _, value = line.partition(":")
+        headers[name.strip().lower()] = value.strip()
+    await reader.readexactly(int(headers.get("content-length", 0)))
+    return head[0], headers
+
+
+class BackendServer:
+    def __init__(self, name, events, pause_s, framing):
+        self.name = name
+        self.events = events
+        self.pause_s = pause_s
+        self.framing = framing
+
+    async def serve(self, reader, writer):
+        try:
+            while True:
+                line, headers = await read_request(reader)
+                if not await self.answer(line, headers, writer):
+                    break
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            writer.close()
+
+    async def answer(self, line, headers, writer):
+        """Returns whether the connection is kept."""
+        request = headers.get("fennelline-request-id", "")
+        head = f"Fennelline-Request-Id: {request}\r\n"
+        if headers.get("fennelline-expect-replica") not in (None, self.name):
+            say("not-run", request)
+            writer.write(f"HTTP/1.1 421 Misdirected Request\r\n{head}Fennelline-Replica-Id: {self.name}\r\n"
+                         "Content-Length: 0\r\n\r\n".encode())
+            await writer.drain()
+            return True
+        say("runs", request, line)
+        head += f"Fennelline-Response-Seal: seal-{self.name}\r\n"
+        if "text/event-stream" not in headers.get("accept", ""):
+            writer.write(f"HTTP/1.1 200 OK\r\n{head}Content-Length: 2\r\n\r\nok".encode())
+            await writer.drain()
+            say("done", request)
+            return True
+        is_chunked = self.framing == "chunked"
+        framing = "Transfer-Encoding: chunked\r\n" if is_chunked else "Connection: close\r\n"
+        writer.write(f"HTTP/1.1 200 OK\r\n{head}Content-Type: text/event-stream\r\n{framing}\r\n".encode())
+        for number in range(int(headers.get("last-event-id", 0)) + 1, self.events + 1):
+            event = f"id: {number}\ndata: {request} piece {number} of {self.events}\n\n".encode()
+            writer.write(b"%x\r\n%s\r\n" % (len(event), event) if is_chunked else event)
+            await writer.drain()
+            await asyncio.sleep(self.pause_s)
+        if is_chunked:
+            writer.write(b"0\r\n\r\n")
+        await writer.drain()
+        say("done", request)
+        return is_chunked
+
+
+async def main():
+    name, address, events, pause_s = sys.argv[1:5]
+    framing = sys.argv[5] if len(sys.argv) > 5 else "chunked"
+    ip, port = address.split(":")
+    server = BackendServer(name, int(events), float(pause_s), framing)
+    await asyncio.start_server(server.serve, ip, int(port))
+    say("listens", address)
+    await asyncio.sleep(100)
+
+
+if __name__ == "__main__":
+    asyncio.run(main())
