--- a/review/lib-3/server.py
+++ b/review/lib-3/server.py
@@ -1,7 +1,7 @@
 """A sound backend server as its own process: server.py ID ADDRESS EVENTS PAUSE_S [FRAMING].
 
 It answers each request with a stream of EVENTS events, one every PAUSE_S, if the caller accepts one, else
-with a short body. FRAMING: chunked, or close for answers that end with their connection. It writes a line
+with a short body after PAUSE_S. FRAMING: chunked, or close for answers that end with their connection. It writes a line
 for each request that it runs, and for each answer that it has completed, to its standard output.
 """
 
@@ -55,6 +55,7 @@
         say("runs", request, line)
         head += f"Fennelline-Response-Seal: seal-{self.name}\r\n"
         if "text/event-stream" not in headers.get("accept", ""):
+            await asyncio.sleep(self.pause_s)
             writer.write(f"HTTP/1.1 200 OK\r\n{head}Content-Length: 2\r\n\r\nok".encode())
             await writer.drain()
             say("done", request)
