--- a/review/12/case.py
+++ b/review/12/case.py
@@ -73,6 +73,7 @@
 
         sending = asyncio.create_task(traffic())
         await asyncio.sleep(2.0)
+        born = deployment.beating["i-leaves"]["born"]
         deployment.unregister("i-leaves")
         gone = time.monotonic()
         record("the store has removed the entry of i-leaves, which goes on serving")
@@ -80,9 +81,9 @@
         if has_trouble:
             deployment.store.put("servers/i-leaves",
                                  {"backend": "shop", "address": address, "zone": "zone-a", "slots": 8,
-                                  "state": "ready"})
-            record("another writer writes an entry of i-leaves without version, cold-left-ms, sequence "
-                   "and born")
+                                  "state": "ready", "born": born})
+            record("another writer writes an entry of i-leaves without version, cold-left-ms and "
+                   "sequence")
         await asyncio.sleep(5.0)
         leaver.kill()
         record("i-leaves ends, 6 s after its entry was removed")
