--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,8 +1,9 @@
-"""The operator takes the last tenant out of the configuration."""
+"""A server that has left gets requests again because of an entry in the store that names no server to use."""
 
 import asyncio
 import os
 import sys
+import time
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "lib-3"))
@@ -11,56 +12,90 @@
 from ports import free_port  # noqa: E402
 
 SERVER = os.path.join(os.path.dirname(FOLDER), "lib-3", "server.py")
-UNKNOWN_KEY = "key-that-no-configuration-held"
+WORK_S = 0.3
+PER_S = 20
+DRAIN_S = BOUNDS["drain-ms"] / 1000
 
 
-async def read_lines(process, record, runs):
+async def start_server(deployment, record, name, runs):
+    address = f"127.{deployment.net}.{100 + len(deployment.processes)}:{free_port()}"
+    process = await deployment.start_process(SERVER, name, address, "1", str(WORK_S))
+    line = (await asyncio.wait_for(process.stdout.readline(), 5)).decode()
+    assert "listens" in line, line
+    asyncio.get_running_loop().create_task(read_lines(process, record, name, runs))
+    deployment.register(name, "shop", address)
+    record(f"server {name} starts at {address}")
+    return process, address
+
+
+async def read_lines(process, record, name, runs):
     while words := (await process.stdout.readline()).decode().split():
-        record(f"server: {' '.join(words[1:3])}")
+        record(f"server {name}: {' '.join(words[1:3])}")
         if words[1] == "runs":
-            runs.append(words[2])
+            runs.append((words[2], time.monotonic()))
 
 
-async def send(address, request, key, record):
+async def send(address, request, record):
     ip, port = address.split(":")
-    reader, writer = await asyncio.open_connection(ip, int(port))
-    writer.write(f"GET /stock/1 HTTP/1.1\r\nHost: {HOST_NAME}\r\nFennelline-Request-Id: {request}\r\n"
-                 f"Fennelline-Deadline-Ms: 1000\r\nAuthorization: Bearer {key}\r\n\r\n".encode())
-    head = (await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 3)).decode()
-    writer.close()
-    record(f"client sends {request} with {key}, gets status {head.split(' ')[1]}")
+    status = 0
+    try:
+        reader, writer = await asyncio.open_connection(ip, int(port))
+        writer.write(f"POST /hold/1 HTTP/1.1\r\nHost: {HOST_NAME}\r\nFennelline-Request-Id: {request}\r\n"
+                     f"Fennelline-Deadline-Ms: 1000\r\nAuthorization: Bearer {KEY}\r\n"
+                     "Content-Length: 8\r\n\r\nquestion".encode())
+        record(f"client sends {request}")
+        head = (await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 3)).decode()
+        status = int(head.split(" ")[1])
+        writer.close()
+    except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError):
+        pass
+    record(f"client has for {request}: status {status}")
+    return status
 
 
 async def play(record, has_trouble):
-    routes = [route("stock", "idempotent", "shop", attempts=2)]
+    routes = [route("hold", "non_idempotent", "shop")]
     services = [{"name": "shop", "health-path": "/healthz", "max-connections": 110}]
     async with Deployment(configuration_of(1, routes, services), 3) as deployment:
         runs = []
-        address = f"127.{deployment.net}.100:{free_port()}"
-        process = await deployment.start_process(SERVER, "i-shop", address, "1", "0.015")
-        await asyncio.wait_for(process.stdout.readline(), 5)
-        asyncio.get_running_loop().create_task(read_lines(process, record, runs))
-        deployment.register("i-shop", "shop", address)
+        leaver, address = await start_server(deployment, record, "i-leaves", runs)
+        others = []
+        await start_server(deployment, record, "i-stays", others)
         await asyncio.sleep(0.5)
-        front = deployment.entries[0].address("front")
-        await send(front, "held-before", KEY, record)
-        await send(front, "unknown-before", UNKNOWN_KEY, record)
-        configuration = configuration_of(2, routes, services)
+        fronts = [entry.address("front") for entry in deployment.entries]
+        requests = {}
+
+        async def traffic():
+            for number in range(int(11 * PER_S)):
+                name = f"request-{number}"
+                requests[name] = (time.monotonic(), asyncio.create_task(send(fronts[number % len(fronts)], name,
+                                                                             record)))
+                await asyncio.sleep(1 / PER_S)
+
+        sending = asyncio.create_task(traffic())
+        await asyncio.sleep(2.0)
+        born = deployment.beating["i-leaves"]["born"]
+        deployment.unregister("i-leaves")
+        gone = time.monotonic()
+        record("the store has removed the entry of i-leaves, which goes on serving")
+        await asyncio.sleep(1.0)
         if has_trouble:
-            configuration["tenants"] = []
-        deployment.store.put("op/config", configuration)
-        record(f"the operator writes version 2, with the tenants {configuration['tenants']}")
-        await asyncio.sleep(BOUNDS["config-apply-ms"] / 1000 + 1.0)
-        await send(front, "held-after", KEY, record)
-        await send(front, "unknown-after", UNKNOWN_KEY, record)
-        await asyncio.sleep(0.3)
-        problems = []
-        for request in runs:
-            if request.startswith("unknown"):
-                problems.append(f"ROUTE: {request} ran, though no configuration ever held its key")
-        if has_trouble and "held-after" in runs:
-            problems.append("CONFIG: held-after ran 3 s after its key was dropped")
-        return problems
+            deployment.store.put("servers/i-leaves",
+                                 {"backend": "shop", "address": address, "zone": "zone-a", "slots": 8,
+                                  "state": "ready", "born": born})
+            record("another writer writes an entry of i-leaves without version, cold-left-ms and "
+                   "sequence")
+        await asyncio.sleep(5.0)
+        leaver.kill()
+        record("i-leaves ends, 6 s after its entry was removed")
+        await sending
+        statuses = {name: await task for name, (_, task) in requests.items()}
+        late = [name for name, at in runs if at > gone + DRAIN_S]
+        lost = [name for name in late if statuses[name] == 502]
+        record(f"i-leaves ran {len(runs)} requests, {len(late)} of them later than drain-ms after it was "
+               f"gone; of these, {len(lost)} ran and got status 502; i-stays ran {len(others)}")
+        return [f"DRAIN: {name} reached i-leaves later than drain-ms after the store had confirmed "
+                f"that it is gone; its client got {statuses[name]}" for name in late]
 
 
 run_case(FOLDER, play)
--- a/review/lib-3/server.py
+++ b/review/lib-3/server.py
@@ -1,8 +1,10 @@
-"""A sound backend server as its own process: server.py ID ADDRESS EVENTS PAUSE_S [FRAMING].
+"""A sound backend server as its own process: server.py ID ADDRESS EVENTS PAUSE_S [FRAMING [quiet]].
 
 It answers each request with a stream of EVENTS events, one every PAUSE_S, if the caller accepts one, else
-with a short body after PAUSE_S. FRAMING: chunked, or close for answers that end with their connection. It writes a line
-for each request that it runs, and for each answer that it has completed, to its standard output.
+with a short body after PAUSE_S. FRAMING: chunked, or close for answers that end with their connection. It
+stops work on a stream before the first event that it would begin after Fennelline-Deadline-Ms, and ends the
+connection. It writes a line for each request that it runs, and for each answer that it has completed, to
+its standard output; with quiet, only that it listens.
 """
 
 import asyncio
@@ -11,9 +13,14 @@
 
 
 def say(*words):
+    if IS_QUIET and words[0] != "listens":
+        return
     print(f"{time.monotonic():.3f}", *words, flush=True)
 
 
+IS_QUIET = "quiet" in sys.argv[5:]
+
+
 async def read_request(reader):
     head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
     headers = {}
@@ -63,11 +70,15 @@
         is_chunked = self.framing == "chunked"
         framing = "Transfer-Encoding: chunked\r\n" if is_chunked else "Connection: close\r\n"
         writer.write(f"HTTP/1.1 200 OK\r\n{head}Content-Type: text/event-stream\r\n{framing}\r\n".encode())
+        stop_at = time.monotonic() + int(headers.get("fennelline-deadline-ms", 25000)) / 1000
         for number in range(int(headers.get("last-event-id", 0)) + 1, self.events + 1):
+            if time.monotonic() >= stop_at:
+                say("stops", request)
+                return False
+            await asyncio.sleep(self.pause_s)
             event = f"id: {number}\ndata: {request} piece {number} of {self.events}\n\n".encode()
             writer.write(b"%x\r\n%s\r\n" % (len(event), event) if is_chunked else event)
             await writer.drain()
-            await asyncio.sleep(self.pause_s)
         if is_chunked:
             writer.write(b"0\r\n\r\n")
         await writer.drain()
