--- a/review/lib-3/server.py
+++ b/review/lib-3/server.py
@@ -4,13 +4,17 @@
 with a short body after PAUSE_S. FRAMING: chunked, or close for answers that end with their connection. It
 stops work on a stream before the first event that it would begin after Fennelline-Deadline-Ms, and ends the
 connection. It writes a line for each request that it runs, and for each answer that it has completed, to
-its standard output; with quiet, only that it listens.
+its standard output; with quiet, only that it listens. At SIGTERM it stops to listen, and exits EXIT_S later.
 """
 
 import asyncio
+import os
+import signal
 import sys
 import time
 
+EXIT_S = 0.1
+
 
 def say(*words):
     if IS_QUIET and words[0] != "listens":
@@ -91,7 +95,13 @@
     framing = sys.argv[5] if len(sys.argv) > 5 else "chunked"
     ip, port = address.split(":")
     server = BackendServer(name, int(events), float(pause_s), framing)
-    await asyncio.start_server(server.serve, ip, int(port))
+    listener = await asyncio.start_server(server.serve, ip, int(port))
+
+    def leave():
+        listener.close()
+        asyncio.get_running_loop().call_later(EXIT_S, os._exit, 0)
+
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, leave)
     say("listens", address)
     await asyncio.sleep(100)
 
