--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,101 +1,107 @@
-"""A server that has left gets requests again because of an entry in the store that names no server to use."""
+"""A stream whose server has left in the middle of it, at an entry that stood still meanwhile."""
 
 import asyncio
 import os
+import signal
 import sys
-import time
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "lib-3"))
 
-from deployment import BOUNDS, HOST_NAME, KEY, Deployment, configuration_of, route, run_case  # noqa: E402
+from deployment import HOST_NAME, KEY, Deployment, configuration_of, route, run_case  # noqa: E402
 from ports import free_port  # noqa: E402
 
 SERVER = os.path.join(os.path.dirname(FOLDER), "lib-3", "server.py")
-WORK_S = 0.3
-PER_S = 20
-DRAIN_S = BOUNDS["drain-ms"] / 1000
+ENTRIES = 10
+EVENTS = 60
+PAUSE_S = 0.1
+STREAMS = 5
 
 
-async def start_server(deployment, record, name, runs):
-    address = f"127.{deployment.net}.{100 + len(deployment.processes)}:{free_port()}"
-    process = await deployment.start_process(SERVER, name, address, "1", str(WORK_S))
+async def start_server(deployment, record, name, address, service):
+    process = await deployment.start_process(SERVER, name, address, str(EVENTS), str(PAUSE_S), "close")
     line = (await asyncio.wait_for(process.stdout.readline(), 5)).decode()
     assert "listens" in line, line
-    asyncio.get_running_loop().create_task(read_lines(process, record, name, runs))
-    deployment.register(name, "shop", address)
-    record(f"server {name} starts at {address}")
-    return process, address
+    asyncio.get_running_loop().create_task(copy_lines(process, record, name))
+    record(f"server {name} of {service} starts at {address}")
+    return process
 
 
-async def read_lines(process, record, name, runs):
-    while words := (await process.stdout.readline()).decode().split():
-        record(f"server {name}: {' '.join(words[1:3])}")
-        if words[1] == "runs":
-            runs.append((words[2], time.monotonic()))
+async def copy_lines(process, record, name):
+    while line := (await process.stdout.readline()).decode():
+        record(f"server {name}: {line.strip().partition(' ')[2]}")
 
 
-async def send(address, request, record):
+async def read_stream(address, request, record):
+    """Returns the status, the last event's number and whether the answer was complete."""
     ip, port = address.split(":")
-    status = 0
+    reader, writer = await asyncio.open_connection(ip, int(port))
+    writer.write(f"POST /draft/1 HTTP/1.1\r\nHost: {HOST_NAME}\r\nFennelline-Request-Id: {request}\r\n"
+                 f"Fennelline-Deadline-Ms: 25000\r\nAuthorization: Bearer {KEY}\r\n"
+                 "Accept: text/event-stream\r\nContent-Length: 8\r\n\r\nquestion".encode())
+    record(f"client sends {request}")
+    status, body, is_whole = 0, b"", False
     try:
-        reader, writer = await asyncio.open_connection(ip, int(port))
-        writer.write(f"POST /hold/1 HTTP/1.1\r\nHost: {HOST_NAME}\r\nFennelline-Request-Id: {request}\r\n"
-                     f"Fennelline-Deadline-Ms: 1000\r\nAuthorization: Bearer {KEY}\r\n"
-                     "Content-Length: 8\r\n\r\nquestion".encode())
-        record(f"client sends {request}")
-        head = (await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 3)).decode()
+        head = (await reader.readuntil(b"\r\n\r\n")).decode()
         status = int(head.split(" ")[1])
-        writer.close()
-    except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError):
-        pass
-    record(f"client has for {request}: status {status}")
-    return status
+        if "chunked" in head.lower():
+            while size := int(await reader.readline(), 16):
+                body += (await reader.readexactly(size + 2))[:-2]
+            await reader.readexactly(2)
+        else:
+            length = [line for line in head.split("\r\n") if line.lower().startswith("content-length")]
+            body = await reader.readexactly(int(length[0].partition(":")[2]))
+        is_whole = True
+    except (asyncio.IncompleteReadError, ConnectionError) as problem:
+        record(f"{request}: the answer is broken off ({type(problem).__name__})")
+    writer.close()
+    numbers = [int(line[4:]) for line in body.decode().split("\n") if line.startswith("id: ")]
+    record(f"client has for {request}: status {status}, events {numbers[:1]} to {numbers[-1:]}, "
+           f"{'complete' if is_whole else 'not complete'}")
+    return status, numbers, is_whole
 
 
 async def play(record, has_trouble):
-    routes = [route("hold", "non_idempotent", "shop")]
-    services = [{"name": "shop", "health-path": "/healthz", "max-connections": 110}]
-    async with Deployment(configuration_of(1, routes, services), 3) as deployment:
-        runs = []
-        leaver, address = await start_server(deployment, record, "i-leaves", runs)
-        others = []
-        await start_server(deployment, record, "i-stays", others)
+    routes = [route("draft", "streaming", "pool", **{"timeout-ms": 25000, "goal-ms": 3000,
+                                                     "gap-target-ms": 1500, "attempts": 3,
+                                                     "resumable": True})]
+    services = [{"name": name, "health-path": "/healthz", "max-connections": 370}
+                for name in ("pool", "shop")]
+    async with Deployment(configuration_of(1, routes, services), ENTRIES) as deployment:
+        address = f"127.{deployment.net}.100:{free_port()}"
+        leaver = await start_server(deployment, record, "i-first", address, "pool")
+        deployment.register("i-first", "pool", address)
         await asyncio.sleep(0.5)
-        fronts = [entry.address("front") for entry in deployment.entries]
-        requests = {}
-
-        async def traffic():
-            for number in range(int(11 * PER_S)):
-                name = f"request-{number}"
-                requests[name] = (time.monotonic(), asyncio.create_task(send(fronts[number % len(fronts)], name,
-                                                                             record)))
-                await asyncio.sleep(1 / PER_S)
-
-        sending = asyncio.create_task(traffic())
-        await asyncio.sleep(2.0)
-        born = deployment.beating["i-leaves"]["born"]
-        deployment.unregister("i-leaves")
-        gone = time.monotonic()
-        record("the store has removed the entry of i-leaves, which goes on serving")
+        entry = deployment.entries[0]
+        streams = [asyncio.create_task(read_stream(entry.address("front"), f"stream-{number}", record))
+                   for number in range(STREAMS)]
         await asyncio.sleep(1.0)
+        other = f"127.{deployment.net}.101:{free_port()}"
+        await start_server(deployment, record, "i-second", other, "pool")
+        deployment.register("i-second", "pool", other)
+        deployment.register("i-first", "pool", address, state="draining")
+        record("i-first reports that it is draining")
+        await asyncio.sleep(0.5)
+        if has_trouble:
+            entry.signal(signal.SIGSTOP)
+            record(f"{entry.name} stands still, one of {ENTRIES} entries")
+        await asyncio.sleep(1.7)
+        leaver.terminate()
+        deployment.unregister("i-first")
+        record("i-first stops to listen, 2.2 s after it reported that it is draining, and exits 0.1 s later")
+        await asyncio.sleep(2.3)
+        await start_server(deployment, record, "i-other", address, "shop")
+        deployment.register("i-other", "shop", address)
+        await asyncio.sleep(0.3)
         if has_trouble:
-            deployment.store.put("servers/i-leaves",
-                                 {"backend": "shop", "address": address, "zone": "zone-a", "slots": 8,
-                                  "state": "ready", "born": born})
-            record("another writer writes an entry of i-leaves without version, cold-left-ms and "
-                   "sequence")
-        await asyncio.sleep(5.0)
-        leaver.kill()
-        record("i-leaves ends, 6 s after its entry was removed")
-        await sending
-        statuses = {name: await task for name, (_, task) in requests.items()}
-        late = [name for name, at in runs if at > gone + DRAIN_S]
-        lost = [name for name in late if statuses[name] == 502]
-        record(f"i-leaves ran {len(runs)} requests, {len(late)} of them later than drain-ms after it was "
-               f"gone; of these, {len(lost)} ran and got status 502; i-stays ran {len(others)}")
-        return [f"DRAIN: {name} reached i-leaves later than drain-ms after the store had confirmed "
-                f"that it is gone; its client got {statuses[name]}" for name in late]
+            entry.signal(signal.SIGCONT)
+            record(f"{entry.name} goes on")
+        problems = []
+        for number, (status, numbers, is_whole) in enumerate(await asyncio.gather(*streams)):
+            if status == 200 and is_whole and numbers != list(range(1, EVENTS + 1)):
+                problems.append(f"ORDER: stream-{number} ends as complete after {len(numbers)} of "
+                                f"{EVENTS} events")
+        return problems
 
 
 run_case(FOLDER, play, os.environ["TROUBLE"] != "0")
